Thin whole path: a call goes through entry, scheduler, platform and upstream

Cause: there was nothing; everything else grows on a request that is served from end to end by separate processes.

Change: entry (HTTP), scheduler (shard owner and witness, membership, slots, credits, dispatch), pimentoctl, and stand-ins for platform, engine and plain service. Owners record an intent with a witness before the first byte goes out.

Found on the way, by running six hosts: a coroutine lambda's captures died with the lambda (KeepAndRun keeps it); the RPC library cannot bootstrap again on a connection that was shut down (the stub is kept, the connection dropped); members claimed a shard before news of its new owner came round (a claim now waits longer while the last owner lives); a promise continuation was kept by reference.

--- /dev/null
+++ b/bench/lib/process_set.cc
@@ -0,0 +1,99 @@
+#include "bench/lib/process_set.h"
+
+#include <signal.h>
+
+#include <boost/asio.hpp>
+#include <boost/process.hpp>
+#include <chrono>
+#include <set>
+#include <stdexcept>
+#include <thread>
+
+namespace pimento::testbed {
+namespace {
+
+namespace process = boost::process;
+
+}  // namespace
+
+struct ProcessSet::Process {
+  process::child child;
+};
+
+ProcessSet::ProcessSet() = default;
+
+ProcessSet::~ProcessSet() {
+  for (const std::string& name : names()) Kill(name);
+}
+
+void ProcessSet::Start(const std::string& name, const std::string& program,
+                       const std::vector<std::string>& arguments, const std::string& log_file) {
+  auto started = std::make_unique<Process>();
+  FILE* log = std::fopen(log_file.c_str(), "a");
+  if (log == nullptr) throw std::runtime_error("Cannot write " + log_file);
+  started->child =
+      process::child(process::exe = program, process::args = arguments, process::std_out > log,
+                     process::std_err > log, process::std_in < process::null);
+  std::fclose(log);
+  processes_[name] = std::move(started);
+}
+
+pid_t ProcessSet::Id(const std::string& name) const {
+  const auto it = processes_.find(name);
+  if (it == processes_.end()) throw std::runtime_error("There is no process " + name);
+  return it->second->child.id();
+}
+
+bool ProcessSet::Running(const std::string& name) {
+  const auto it = processes_.find(name);
+  return it != processes_.end() && it->second->child.running();
+}
+
+void ProcessSet::Signal(const std::string& name, int signal_number) {
+  if (Running(name)) kill(Id(name), signal_number);
+}
+
+void ProcessSet::Kill(const std::string& name) {
+  if (!processes_.contains(name)) return;
+  Signal(name, SIGKILL);
+  processes_[name]->child.wait();
+  processes_.erase(name);
+}
+
+void ProcessSet::Freeze(const std::string& name) { Signal(name, SIGSTOP); }
+
+void ProcessSet::Thaw(const std::string& name) { Signal(name, SIGCONT); }
+
+int ProcessSet::Terminate(const std::string& name, int64_t limit_ms) {
+  Signal(name, SIGTERM);
+  for (int64_t waited = 0; waited < limit_ms; waited += 20) {
+    if (!Running(name)) {
+      processes_[name]->child.wait();
+      const int code = processes_[name]->child.exit_code();
+      processes_.erase(name);
+      return code;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  Kill(name);
+  return -1;
+}
+
+std::vector<std::string> ProcessSet::names() const {
+  std::vector<std::string> all;
+  for (const auto& [name, process] : processes_) all.push_back(name);
+  return all;
+}
+
+int FreePort() {
+  static std::set<int> given;
+  namespace asio = boost::asio;
+  for (;;) {
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+    const int port = acceptor.local_endpoint().port();
+    if (given.insert(port).second) return port;
+  }
+}
+
+}  // namespace pimento::testbed
--- /dev/null
+++ b/src/answer_stream.cc
@@ -0,0 +1,29 @@
+#include "src/answer_stream.h"
+
+namespace pimento {
+
+AnswerStream::Output AnswerStream::Take(uint32_t attempt, uint64_t offset,
+                                        const std::string& text) {
+  Output output;
+  // An attempt that was given up may still send; nobody wants it.
+  if (attempt < attempt_) return output;
+  if (attempt > attempt_) {
+    output.restart = attempt_ != 0 && delivered_ > 0;
+    attempt_ = attempt;
+    delivered_ = 0;
+  }
+  const bool gap = offset > delivered_;
+  const bool known = offset + text.size() <= delivered_;
+  // After a gap the whole answer at the end brings what is missing.
+  if (gap || known) return output;
+  output.offset = delivered_;
+  output.text = text.substr(delivered_ - offset);
+  delivered_ += output.text.size();
+  return output;
+}
+
+AnswerStream::Output AnswerStream::Finish(uint32_t attempt, const std::string& whole) {
+  return Take(attempt < attempt_ ? attempt_ : attempt, 0, whole);
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/host_view.cc
@@ -0,0 +1,66 @@
+#include "src/host_view.h"
+
+#include <utility>
+
+namespace pimento {
+
+HostView::HostView(std::vector<HostNews> hosts, std::string self)
+    : hosts_(std::move(hosts)), self_(std::move(self)) {}
+
+const HostNews* HostView::Find(const std::string& host) const {
+  for (const HostNews& news : hosts_) {
+    if (news.info.host == host) return &news;
+  }
+  return nullptr;
+}
+
+bool HostView::MayLive(const Member& member) const {
+  const HostNews* news = Find(member.host);
+  if (news == nullptr || news->state == HostState::kDead) return false;
+  // A seeded host has not told its run yet.
+  return news->info.boot == member.boot || news->info.boot == 0;
+}
+
+bool HostView::Restarted(const Member& member) const {
+  const HostNews* news = Find(member.host);
+  return news != nullptr && news->info.boot > member.boot;
+}
+
+std::string HostView::RpcAddress(const std::string& host) const {
+  const HostNews* news = Find(host);
+  return news == nullptr ? "" : news->info.rpc_address;
+}
+
+const HostNews* HostView::OwnerOf(uint32_t shard) const {
+  const HostNews* owner = nullptr;
+  Epoch best;
+  for (const HostNews& news : hosts_) {
+    if (news.state == HostState::kDead) continue;
+    for (const OwnedShard& owned : news.info.owned) {
+      if (owned.shard != shard) continue;
+      if (owner != nullptr && owned.epoch <= best) continue;
+      owner = &news;
+      best = owned.epoch;
+    }
+  }
+  return owner;
+}
+
+std::vector<Candidate> HostView::Candidates(const Document& document) const {
+  std::vector<Candidate> candidates;
+  for (const HostNews& news : hosts_) {
+    const HostInfo& info = news.info;
+    const bool usable = news.state == HostState::kAlive && !info.leaving && info.boot != 0 &&
+                        InService(document, info.host, info.zone);
+    if (!usable) continue;
+    candidates.push_back({.member = {.host = info.host, .boot = info.boot}, .zone = info.zone});
+  }
+  return candidates;
+}
+
+bool InService(const Document& document, const std::string& host, const std::string& zone) {
+  return !document.drained_hosts.contains(host) && !document.lost_hosts.contains(host) &&
+         !document.drained_zones.contains(zone);
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/http_client.cc
@@ -0,0 +1,124 @@
+#include "src/http_client.h"
+
+#include <boost/algorithm/string.hpp>
+#include <boost/beast.hpp>
+#include <chrono>
+#include <utility>
+
+#include "src/errors.h"
+#include "src/http_server.h"
+
+namespace pimento {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+using Clock = std::chrono::steady_clock;
+using Milliseconds = std::chrono::milliseconds;
+
+// Keeps the shorter of the silence bound and what is left of the whole bound.
+class Deadline {
+ public:
+  Deadline(beast::tcp_stream& stream, const HttpCall& call)
+      : stream_(stream),
+        silence_(call.silence_ms),
+        end_(Clock::now() + Milliseconds(call.total_ms)) {}
+
+  void Next(int64_t most_ms) {
+    const auto soon = Clock::now() + Milliseconds(most_ms);
+    stream_.expires_at(std::min(soon, end_));
+  }
+  void Next() { Next(silence_); }
+
+ private:
+  beast::tcp_stream& stream_;
+  int64_t silence_;
+  Clock::time_point end_;
+};
+
+asio::awaitable<void> ReadBody(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                               http::response_parser<http::buffer_body>& parser,
+                               const HttpCall& call, Deadline& deadline, HttpResult& result) {
+  char piece[4096];
+  while (!parser.is_done()) {
+    parser.get().body().data = piece;
+    parser.get().body().size = sizeof piece;
+    deadline.Next();
+    beast::error_code error;
+    co_await http::async_read_some(stream, buffer, parser,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    if (error == http::error::need_buffer) error = {};
+    if (error) throw boost::system::system_error(error);
+    const std::string got(piece, sizeof piece - parser.get().body().size);
+    if (got.empty()) continue;
+    if (call.on_piece) {
+      if (!call.on_piece(got)) throw TransportError("The call was given up.", true);
+    } else {
+      result.body += got;
+    }
+    if (result.body.size() > call.most_bytes) throw TransportError("The answer is too large.");
+  }
+}
+
+}  // namespace
+
+std::string HttpResult::Header(const std::string& name) const {
+  const auto it = headers.find(name);
+  return it == headers.end() ? "" : it->second;
+}
+
+asio::awaitable<HttpResult> Fetch(HttpCall call) {
+  bool sent = false;
+  std::string failure;
+  bool silent = false;
+  try {
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    Deadline deadline(stream, call);
+    const auto endpoint = EndpointOf(call.address);
+    deadline.Next(call.connect_ms);
+    co_await stream.async_connect(endpoint, asio::use_awaitable);
+    stream.socket().set_option(asio::ip::tcp::no_delay(true));
+
+    http::request<http::string_body> request;
+    request.method_string(call.method);
+    request.target(call.target);
+    request.version(11);
+    request.set(http::field::host, call.address);
+    request.set(http::field::connection, "close");
+    for (const auto& [name, value] : call.headers) request.set(name, value);
+    request.body() = call.body;
+    request.prepare_payload();
+    sent = true;
+    deadline.Next();
+    co_await http::async_write(stream, request, asio::use_awaitable);
+
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    deadline.Next();
+    co_await http::async_read_header(stream, buffer, parser, asio::use_awaitable);
+    // Without a length the end of the answer cannot be told from a broken one.
+    if (!parser.chunked() && !parser.content_length()) {
+      throw TransportError("The answer has no length.");
+    }
+    HttpResult result;
+    result.status = static_cast<int>(parser.get().result_int());
+    for (const auto& field : parser.get()) {
+      result.headers[boost::to_lower_copy(std::string(field.name_string()))] =
+          std::string(field.value());
+    }
+    co_await ReadBody(stream, buffer, parser, call, deadline, result);
+    co_return result;
+  } catch (const TransportError& e) {
+    failure = e.what();
+  } catch (const boost::system::system_error& e) {
+    silent = e.code() == beast::error::timeout;
+    failure = e.code().message();
+  }
+  throw TransportError(call.method + " " + call.address + call.target + " failed: " + failure, sent,
+                       silent);
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/http_server.cc
@@ -0,0 +1,296 @@
+#include "src/http_server.h"
+
+#include <boost/algorithm/string.hpp>
+#include <boost/beast.hpp>
+#include <set>
+#include <utility>
+
+#include "src/duty.h"
+#include "src/errors.h"
+#include "src/log.h"
+
+namespace pimento {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+
+const Log kLog("http");
+
+std::string Decoded(const std::string& text) {
+  std::string out;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const bool escape = text[i] == '%' && i + 2 < text.size() && isxdigit(text[i + 1]) != 0 &&
+                        isxdigit(text[i + 2]) != 0;
+    if (!escape) {
+      out += text[i];
+      continue;
+    }
+    out += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+    i += 2;
+  }
+  return out;
+}
+
+HttpRequest ToRequest(const http::request<http::string_body>& message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  const std::string target(message.target());
+  const size_t question = target.find('?');
+  request.path = Decoded(target.substr(0, question));
+  if (question != std::string::npos) {
+    std::vector<std::string> pairs;
+    const std::string query = target.substr(question + 1);
+    boost::split(pairs, query, boost::is_any_of("&"));
+    for (const std::string& pair : pairs) {
+      const size_t equals = pair.find('=');
+      if (equals == std::string::npos) continue;
+      request.query[Decoded(pair.substr(0, equals))] = Decoded(pair.substr(equals + 1));
+    }
+  }
+  for (const auto& field : message) {
+    request.headers[boost::to_lower_copy(std::string(field.name_string()))] =
+        std::string(field.value());
+  }
+  request.body = message.body();
+  return request;
+}
+
+template <class Message>
+void FillHead(Message& message, const HttpAnswer& answer, bool keep_alive) {
+  message.set(http::field::content_type, answer.content_type);
+  for (const auto& [name, value] : answer.headers) message.set(name, value);
+  message.keep_alive(keep_alive);
+}
+
+class Responder final : public HttpResponder {
+ public:
+  Responder(beast::tcp_stream& stream, const HttpLimits& limits, bool keep_alive)
+      : stream_(stream), limits_(limits), keep_alive_(keep_alive) {}
+
+  asio::awaitable<void> Send(HttpAnswer answer) override {
+    begun_ = true;
+    http::response<http::string_body> message(static_cast<http::status>(answer.status), 11);
+    FillHead(message, answer, keep_alive_);
+    message.body() = std::move(answer.body);
+    message.prepare_payload();
+    StartClock();
+    co_await http::async_write(stream_, message, asio::use_awaitable);
+  }
+
+  asio::awaitable<void> Begin(HttpAnswer head) override {
+    begun_ = true;
+    http::response<http::empty_body> message(static_cast<http::status>(head.status), 11);
+    FillHead(message, head, keep_alive_);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    StartClock();
+    co_await http::async_write_header(stream_, serializer, asio::use_awaitable);
+  }
+
+  asio::awaitable<void> Write(std::string piece) override {
+    if (piece.empty()) co_return;
+    StartClock();
+    const auto chunk = http::make_chunk(asio::buffer(piece));
+    co_await asio::async_write(stream_, chunk, asio::use_awaitable);
+  }
+
+  asio::awaitable<void> End() override {
+    StartClock();
+    co_await asio::async_write(stream_, http::make_chunk_last(), asio::use_awaitable);
+  }
+
+  void Abort() override {
+    keep_alive_ = false;
+    stream_.close();
+  }
+
+  bool begun() const override { return begun_; }
+  bool keep_alive() const { return keep_alive_; }
+
+ private:
+  void StartClock() { stream_.expires_after(std::chrono::milliseconds(limits_.write_ms)); }
+
+  beast::tcp_stream& stream_;
+  const HttpLimits& limits_;
+  bool keep_alive_;
+  bool begun_ = false;
+};
+
+std::string ErrorBody(const std::string& reason, const std::string& message) {
+  return R"({"error":{"reason":")" + reason +
+         R"(","run":"not_run","retry_after_ms":0,"message":")" + message + R"("}})";
+}
+
+}  // namespace
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+  State(asio::io_context& server_io, HttpLimits server_limits, HttpHandler server_handler)
+      : io(server_io),
+        limits(server_limits),
+        handler(std::move(server_handler)),
+        acceptor(server_io) {}
+
+  asio::awaitable<void> Accept() {
+    while (acceptor.is_open()) {
+      beast::error_code error;
+      Tcp::socket socket =
+          co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        if (acceptor.is_open()) co_await Sleep(10);
+        continue;
+      }
+      socket.set_option(Tcp::no_delay(true), error);
+      auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+      if (streams.size() >= limits.connections) {
+        Spawn(io, "http", Reject(shared_from_this(), stream));
+        continue;
+      }
+      streams.insert(stream);
+      Spawn(io, "http", Serve(shared_from_this(), stream));
+    }
+  }
+
+  static asio::awaitable<void> Reject(std::shared_ptr<State> state,
+                                      std::shared_ptr<beast::tcp_stream> stream) {
+    Responder responder(*stream, state->limits, false);
+    HttpAnswer answer{.status = 503,
+                      .body = ErrorBody("connection_limit", "This host has enough connections."),
+                      .headers = {{"Retry-After", "1"}}};
+    try {
+      co_await responder.Send(answer);
+    } catch (const std::exception&) {
+      // The caller is gone; there is nobody to tell.
+    }
+  }
+
+  static asio::awaitable<void> Serve(std::shared_ptr<State> state,
+                                     std::shared_ptr<beast::tcp_stream> stream) {
+    try {
+      beast::flat_buffer buffer;
+      bool open = true;
+      while (open) open = co_await ServeOne(*state, *stream, buffer);
+    } catch (const std::exception& e) {
+      kLog.Debug() << "A connection ended: " << e.what();
+    }
+    state->streams.erase(stream);
+  }
+
+  // Returns whether the connection can carry another request.
+  static asio::awaitable<bool> ServeOne(State& state, beast::tcp_stream& stream,
+                                        beast::flat_buffer& buffer) {
+    if (state.draining) co_return false;
+    // The first byte may take as long as an idle connection is kept; what
+    // follows it may not.
+    stream.expires_after(std::chrono::milliseconds(state.limits.idle_ms));
+    if (buffer.size() == 0) {
+      const size_t got = co_await stream.async_read_some(buffer.prepare(4096), asio::use_awaitable);
+      buffer.commit(got);
+    }
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(state.limits.header_bytes);
+    parser.body_limit(state.limits.body_bytes);
+    stream.expires_after(std::chrono::milliseconds(state.limits.read_ms));
+    beast::error_code error;
+    co_await http::async_read(stream, buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_await RefuseMalformed(state, stream, error);
+      co_return false;
+    }
+    stream.expires_never();
+    const http::request<http::string_body> message = parser.release();
+    const HttpRequest request = ToRequest(message);
+    Responder responder(stream, state.limits, message.keep_alive() && !state.draining);
+    ++state.busy;
+    std::exception_ptr failure;
+    try {
+      co_await state.handler(request, responder);
+    } catch (...) {
+      failure = std::current_exception();
+    }
+    --state.busy;
+    if (failure) std::rethrow_exception(failure);
+    co_return responder.keep_alive();
+  }
+
+  static asio::awaitable<void> RefuseMalformed(State& state, beast::tcp_stream& stream,
+                                               beast::error_code error) {
+    const bool silent = error == beast::error::timeout;
+    const bool closed = error == http::error::end_of_stream || error == asio::error::eof ||
+                        error == asio::error::connection_reset;
+    if (closed) co_return;
+    HttpAnswer answer{
+        .status = 400,
+        .body = ErrorBody("bad_request", "The request cannot be read: " + error.message() + ".")};
+    if (silent) answer.status = 408;
+    if (error == http::error::body_limit || error == http::error::header_limit) {
+      answer.status = error == http::error::body_limit ? 413 : 431;
+      answer.body = ErrorBody("too_large", "The request is larger than this host takes.");
+    }
+    if (silent) co_return;
+    Responder responder(stream, state.limits, false);
+    co_await responder.Send(answer);
+  }
+
+  asio::io_context& io;
+  HttpLimits limits;
+  HttpHandler handler;
+  Tcp::acceptor acceptor;
+  std::set<std::shared_ptr<beast::tcp_stream>> streams;
+  std::atomic<size_t> busy{0};
+  std::atomic<bool> draining{false};
+};
+
+HttpServer::HttpServer(asio::io_context& io, HttpLimits limits, HttpHandler handler)
+    : state_(std::make_shared<State>(io, limits, std::move(handler))) {}
+
+void HttpServer::Listen(const std::string& address) {
+  try {
+    const Tcp::endpoint endpoint = EndpointOf(address);
+    state_->acceptor.open(endpoint.protocol());
+    state_->acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    state_->acceptor.bind(endpoint);
+    state_->acceptor.listen();
+  } catch (const boost::system::system_error& e) {
+    throw TransportError("Cannot listen on " + address + ": " + e.what(), false);
+  }
+  Spawn(state_->io, "http", [](std::shared_ptr<State> state) -> asio::awaitable<void> {
+    co_await state->Accept();
+  }(state_));
+}
+
+void HttpServer::Drain() {
+  asio::post(state_->io, [state = state_] {
+    state->draining = true;
+    beast::error_code ignored;
+    state->acceptor.close(ignored);
+  });
+}
+
+size_t HttpServer::busy() const { return state_->busy; }
+
+std::string HttpRequest::Header(const std::string& name) const {
+  const auto it = headers.find(name);
+  return it == headers.end() ? "" : it->second;
+}
+
+std::string HttpRequest::Query(const std::string& name, const std::string& fallback) const {
+  const auto it = query.find(name);
+  return it == query.end() ? fallback : it->second;
+}
+
+Tcp::endpoint EndpointOf(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  try {
+    if (colon == std::string::npos) throw std::invalid_argument("no port");
+    const auto ip = asio::ip::make_address(address.substr(0, colon));
+    return {ip, static_cast<uint16_t>(std::stoi(address.substr(colon + 1)))};
+  } catch (const std::exception& e) {
+    throw TransportError("The address " + address + " cannot be used: " + e.what(), false);
+  }
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/main/entry_main.cc
@@ -0,0 +1,76 @@
+// pimento-entry: speaks HTTP with callers and carries their requests to owners.
+#include <unistd.h>
+
+#include <thread>
+
+#include "src/caller_routes.h"
+#include "src/duty.h"
+#include "src/entry_forwarder.h"
+#include "src/http_server.h"
+#include "src/log.h"
+#include "src/main/program_main.h"
+#include "src/metrics.h"
+#include "src/peer_client.h"
+#include "src/rpc_loop.h"
+#include "src/settings.h"
+
+namespace {
+
+using namespace pimento;
+
+constexpr size_t kRing = 4'096;
+constexpr int64_t kStopPollMs = 20;
+// Connections that were just opened get to send their request.
+constexpr int64_t kStopGraceMs = 500;
+
+void Pause(int64_t milliseconds) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
+}
+
+// Serves until a stop signal, then lets open requests finish.
+void Serve(const EntrySettings& settings, const sigset_t& stop_signals) {
+  Metrics metrics;
+  Supervisor supervisor("entry");
+  Duty& callers = supervisor.Add("callers", kRing);
+  RpcLoop rpc(kRing);
+  PeerClient peers(rpc, metrics);
+  EntryForwarder forwarder(callers.io(), peers, metrics, settings);
+  CallerRoutes routes(callers.io(), forwarder, metrics, settings.host);
+  HttpServer server(callers.io(), settings.limits,
+                    [&routes](const HttpRequest& request, HttpResponder& responder) {
+                      return routes.Handle(request, responder);
+                    });
+  rpc.Start();
+  server.Listen(settings.http_address);
+  forwarder.Start([&routes] { routes.CutWithdrawn(); });
+  supervisor.Start();
+  Log("entry").Info() << "The entry of host " << settings.host << " listens on "
+                      << settings.http_address << ".";
+  WaitForStop(stop_signals);
+  Log("entry").Info() << "A planned stop begins.";
+  server.Drain();
+  Pause(kStopGraceMs);
+  for (int64_t waited = 0; server.busy() > 0 && waited < settings.stop_limit_ms;
+       waited += kStopPollMs) {
+    Pause(kStopPollMs);
+  }
+  Log("entry").Info() << "The entry stops.";
+  supervisor.Stop();
+  rpc.Stop();
+  // What coroutines still hold belongs to threads that are gone.
+  _exit(kExitDone);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const sigset_t stop_signals = BlockStopSignals();
+  return RunDaemon(
+      argc, argv, "pimento-entry", "Serves callers over HTTP for one host.",
+      [](const std::string& path) { ReadEntrySettings(path); },
+      [&stop_signals](const std::string& path) {
+        const EntrySettings settings = ReadEntrySettings(path);
+        SetUpLogging(settings.log.level, settings.log.format, settings.host);
+        Serve(settings, stop_signals);
+      });
+}
--- /dev/null
+++ b/src/operator_commands.h
@@ -0,0 +1,72 @@
+// What operators do: check, apply and promote documents, take zones and hosts out
+// and back in, and ask what the fleet does. pimentoctl is their command line.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "src/document.h"
+#include "src/platform_client.h"
+
+namespace pimento {
+
+// What a command tells its user, in words or as JSON.
+struct CommandReport {
+  bool ok = true;
+  std::string text;
+  std::string json;
+};
+
+struct OperatorOptions {
+  // Admin addresses of schedulers; any that answer will do.
+  std::vector<std::string> admins;
+  // How long to wait until a change is in force on all live hosts.
+  int64_t in_force_ms = 5'000;
+};
+
+class OperatorCommands {
+ public:
+  template <class T>
+  using Async = boost::asio::awaitable<T>;
+
+  OperatorCommands(PlatformClient& platform, OperatorOptions options);
+
+  // Writes `text` as the next generation of its environment, and waits until it
+  // is in force. Throws UserError when the text is wrong or another operator was
+  // faster, PlatformError when the platform cannot be reached.
+  Async<CommandReport> Apply(std::string text, std::string file);
+  // Copies the trial document, once in force there, to production.
+  Async<CommandReport> Promote(std::string from, std::string to);
+  // Sets `key` of [kind name] in the environment's document.
+  Async<CommandReport> SetFlag(std::string environment, std::string kind, std::string name,
+                               std::string key, bool value);
+  Async<CommandReport> Status();
+  // What was decided about a request or a program, from all hosts.
+  Async<CommandReport> Explain(std::string id);
+
+ private:
+  struct Present {
+    uint64_t version = 0;
+    Generation generation;
+  };
+  Async<Present> ReadPresent(std::string environment);
+  Async<CommandReport> WriteNext(Present present, std::string environment, std::string text);
+  Async<CommandReport> WaitInForce(std::string environment, uint64_t generation);
+  // Lowest generation among live hosts of `environment`, and how many there are.
+  struct Spread {
+    size_t hosts = 0;
+    uint64_t lowest = 0;
+  };
+  Async<Spread> SpreadOf(std::string environment);
+  Async<std::string> AskAdmin(std::string address, std::string target);
+
+  PlatformClient& platform_;
+  OperatorOptions options_;
+};
+
+// Throws UserError that lists every fault.
+CommandReport CheckDocument(const std::string& text, const std::string& file);
+
+}  // namespace pimento
--- /dev/null
+++ b/src/peer_server.h
@@ -0,0 +1,57 @@
+// Listens for other hosts' calls and hands them to a PeerHandler.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/duty.h"
+#include "src/membership.h"
+#include "src/peer_client.h"
+#include "src/peer_messages.h"
+#include "src/replica.h"
+#include "src/rpc_loop.h"
+
+namespace pimento {
+
+// What a scheduler does for its peers. Runs on the duty given to PeerServer.
+// Methods may throw Refusal where their reply carries an Outcome.
+class PeerHandler {
+ public:
+  template <class T>
+  using Async = boost::asio::awaitable<T>;
+  virtual ~PeerHandler() = default;
+
+  virtual Async<AppendReply> OnAppend(AppendRequest request) = 0;
+  virtual Async<SealReply> OnSeal(SealRequest request) = 0;
+  virtual Async<std::vector<HostNews>> OnGossip(std::vector<HostNews> news) = 0;
+  virtual Async<bool> OnProbe(std::string rpc_address) = 0;
+  virtual Async<ProgramView> OnCreate(CreateRequest request) = 0;
+  virtual Async<CallReply> OnCall(CallRequest request, PieceSink sink) = 0;
+  virtual Async<ProgramView> OnView(std::string program, std::string team) = 0;
+  virtual Async<ProgramView> OnEnd(std::string program, std::string team) = 0;
+  virtual Async<CreditReply> OnCredits(CreditRequest request) = 0;
+  virtual Async<SlotReply> OnSlot(SlotRequest request) = 0;
+  virtual Async<bool> OnSlotDone(SlotDone done) = 0;
+  virtual Async<std::vector<SlotRequest>> OnInFlight(std::string upstream) = 0;
+  virtual Async<DocumentReply> OnDocument(uint64_t after, int64_t wait_ms) = 0;
+  virtual Async<OwnerReply> OnOwner(uint32_t shard) = 0;
+  virtual Async<bool> OnTakeOver(TakeOverRequest request) = 0;
+};
+
+class PeerServer {
+ public:
+  PeerServer(RpcLoop& loop, Duty& duty, PeerHandler& handler);
+  ~PeerServer();
+
+  // Throws TransportError when `address` cannot be listened on.
+  void Listen(const std::string& address);
+  void Close();
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace pimento
--- /dev/null
+++ b/src/scheduler_node.cc
@@ -0,0 +1,313 @@
+#include "src/scheduler_node.h"
+
+#include <boost/json.hpp>
+#include <future>
+#include <utility>
+
+#include "src/errors.h"
+#include "src/log.h"
+#include "src/owner_view.h"
+
+namespace pimento {
+namespace {
+
+namespace json = boost::json;
+
+const Log kLog("scheduler");
+
+constexpr size_t kExplainLines = 20'000;
+constexpr int64_t kDocumentPollMs = 30;
+constexpr int64_t kGaugeMs = 1'000;
+constexpr int64_t kAnnounceMs = 100;
+// Without a word from the platform or a peer for this long, what this host knows
+// of the document may be out of date.
+constexpr int64_t kContactMs = 3'500;
+
+// The wall clock at start tells a process's run from its earlier ones.
+uint64_t BootNumber() { return static_cast<uint64_t>(NowUs()); }
+
+const char* StateName(HostState state) {
+  constexpr const char* kNames[] = {"alive", "suspect", "dead"};
+  return kNames[static_cast<size_t>(state)];
+}
+
+}  // namespace
+
+SchedulerNode::SchedulerNode(SchedulerSettings settings)
+    : settings_(std::move(settings)),
+      explain_(kExplainLines),
+      shards_duty_(supervisor_.Add("shards", settings_.ring)),
+      dispatch_duty_(supervisor_.Add("dispatch", settings_.ring)),
+      platform_duty_(supervisor_.Add("platform", settings_.ring)),
+      membership_duty_(supervisor_.Add("membership", settings_.ring)),
+      admin_duty_(supervisor_.Add("admin", settings_.ring)),
+      rpc_(settings_.ring),
+      peers_(rpc_, metrics_),
+      platform_(platform_duty_, metrics_, {.address = settings_.platform_address}),
+      context_{.self = {.host = settings_.host, .boot = BootNumber()},
+               .zone = settings_.zone,
+               .timing = settings_.timing,
+               .shards_io = &shards_duty_.io(),
+               .peers = &peers_,
+               .platform = &platform_,
+               .metrics = &metrics_},
+      shards_(context_),
+      credits_(context_, shards_),
+      slots_(context_, shards_,
+             QueuePolicyFromName(settings_.queue_policy).value_or(QueuePolicy::kFair)),
+      upstreams_(dispatch_duty_),
+      choice_(MakeChoice(ChoicePolicyFromName(settings_.choice_policy), context_.self.boot)),
+      pipeline_({.context = &context_,
+                 .shards = &shards_,
+                 .credits = &credits_,
+                 .slots = &slots_,
+                 .upstreams = &upstreams_,
+                 .choice = choice_.get(),
+                 .explain = &explain_}),
+      sweeper_(context_, shards_, pipeline_, upstreams_),
+      config_(context_, {.environment = settings_.environment}),
+      membership_(membership_duty_, context_,
+                  {.self = SelfInfo(), .seeds = settings_.seeds, .membership = {}}),
+      server_(rpc_, shards_duty_, *this) {}
+
+SchedulerNode::~SchedulerNode() = default;
+
+HostInfo SchedulerNode::SelfInfo() const {
+  HostInfo info;
+  info.host = settings_.host;
+  info.zone = settings_.zone;
+  info.rpc_address = settings_.rpc_address;
+  info.http_address = settings_.http_address;
+  info.boot = context_.self.boot;
+  return info;
+}
+
+ShardHooks SchedulerNode::Hooks() {
+  return {.gained =
+              [this](uint32_t shard) {
+                pipeline_.OnGained(shard);
+                membership_.Announce(shards_.Owned());
+              },
+          .lost =
+              [this](uint32_t shard) {
+                pipeline_.OnLost(shard);
+                credits_.DropShard(shard);
+                slots_.DropShard(shard);
+                membership_.Announce(shards_.Owned());
+              },
+          .quiesce = [this](uint32_t shard) { return pipeline_.Quiesce(shard); }};
+}
+
+void SchedulerNode::Start() {
+  rpc_.Start();
+  server_.Listen(settings_.rpc_address);
+  admin_ = std::make_unique<HttpServer>(admin_duty_.io(), HttpLimits{}, AdminHandler());
+  admin_->Listen(settings_.admin_address);
+  shards_.Start(Hooks());
+  slots_.Start();
+  sweeper_.Start();
+  config_.Start();
+  membership_.Start();
+  Spawn(shards_duty_.io(), "scheduler", GaugeLoop());
+  supervisor_.Start();
+  kLog.Info() << "The scheduler of host " << settings_.host << " in zone " << settings_.zone
+              << " listens on " << settings_.rpc_address << ".";
+}
+
+void SchedulerNode::Stop() {
+  kLog.Info() << "A planned stop begins.";
+  context_.leaving = true;
+  std::promise<void> left;
+  boost::asio::co_spawn(shards_duty_.io(), shards_.Leave(settings_.stop_limit_ms),
+                        [&left](std::exception_ptr) { left.set_value(); });
+  left.get_future().wait();
+  // Entries hear of the new owners from others; answers on their way still go out.
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  kLog.Info() << "The scheduler stops.";
+  server_.Close();
+  supervisor_.Stop();
+  rpc_.Stop();
+}
+
+SchedulerNode::Async<void> SchedulerNode::GaugeLoop() {
+  int64_t gauge_due_ms = 0;
+  for (;;) {
+    co_await Sleep(kAnnounceMs);
+    membership_.Announce(shards_.Owned());
+    if (NowMs() < gauge_due_ms) continue;
+    gauge_due_ms = NowMs() + kGaugeMs;
+    const ShardHost::Held held = shards_.held();
+    metrics_.Gauge("shards_owned", static_cast<double>(shards_.Owned().size()));
+    metrics_.Gauge("shards_held", static_cast<double>(held.shards));
+    metrics_.Gauge("records_held", static_cast<double>(held.records));
+    metrics_.Gauge("record_bytes_held", static_cast<double>(held.bytes));
+    metrics_.Gauge("calls_running", static_cast<double>(pipeline_.running()));
+    metrics_.Gauge("generation", static_cast<double>(context_.environment.load()->generation));
+    metrics_.Gauge("platform_reachable", platform_.reachable() ? 1 : 0);
+  }
+}
+
+// ---- Peers -----------------------------------------------------------------
+
+SchedulerNode::Async<AppendReply> SchedulerNode::OnAppend(AppendRequest request) {
+  co_return shards_.OnAppend(request);
+}
+
+SchedulerNode::Async<SealReply> SchedulerNode::OnSeal(SealRequest request) {
+  co_return shards_.OnSeal(request);
+}
+
+SchedulerNode::Async<std::vector<HostNews>> SchedulerNode::OnGossip(std::vector<HostNews> news) {
+  co_return co_await membership_.Exchange(std::move(news));
+}
+
+SchedulerNode::Async<bool> SchedulerNode::OnProbe(std::string rpc_address) {
+  // Without an address the caller only asks whether this process answers.
+  if (rpc_address.empty()) co_return true;
+  bool alive = true;
+  try {
+    co_await peers_.Probe(rpc_address, "", 400);
+  } catch (const TransportError&) {
+    alive = false;
+  }
+  co_return alive;
+}
+
+SchedulerNode::Async<ProgramView> SchedulerNode::OnCreate(CreateRequest request) {
+  return pipeline_.Create(std::move(request));
+}
+
+SchedulerNode::Async<CallReply> SchedulerNode::OnCall(CallRequest request, PieceSink sink) {
+  return pipeline_.Call(std::move(request), std::move(sink));
+}
+
+SchedulerNode::Async<ProgramView> SchedulerNode::OnView(std::string program, std::string team) {
+  return pipeline_.View(std::move(program), std::move(team));
+}
+
+SchedulerNode::Async<ProgramView> SchedulerNode::OnEnd(std::string program, std::string team) {
+  return pipeline_.End(std::move(program), std::move(team));
+}
+
+SchedulerNode::Async<CreditReply> SchedulerNode::OnCredits(CreditRequest request) {
+  return credits_.Grant(std::move(request));
+}
+
+SchedulerNode::Async<SlotReply> SchedulerNode::OnSlot(SlotRequest request) {
+  return slots_.OnSlot(std::move(request));
+}
+
+SchedulerNode::Async<bool> SchedulerNode::OnSlotDone(SlotDone done) {
+  return slots_.OnDone(std::move(done));
+}
+
+SchedulerNode::Async<std::vector<SlotRequest>> SchedulerNode::OnInFlight(std::string upstream) {
+  co_return slots_.InFlight(upstream);
+}
+
+SchedulerNode::Async<DocumentReply> SchedulerNode::OnDocument(uint64_t after, int64_t wait_ms) {
+  const int64_t deadline_ms = NowMs() + wait_ms;
+  while (context_.environment.load()->generation <= after && NowMs() < deadline_ms) {
+    co_await Sleep(kDocumentPollMs);
+  }
+  const bool in_touch =
+      platform_.reachable() || NowMs() - membership_.last_contact_ms() < kContactMs;
+  // An entry must not take a cut-off host's document for the present one.
+  if (!in_touch) throw TransportError("This host is cut off.", false);
+  co_return config_.Latest();
+}
+
+SchedulerNode::Async<OwnerReply> SchedulerNode::OnOwner(uint32_t shard) {
+  co_return FindOwner(context_, shards_, shard);
+}
+
+SchedulerNode::Async<bool> SchedulerNode::OnTakeOver(TakeOverRequest request) {
+  return shards_.OnTakeOver(std::move(request));
+}
+
+// ---- Admin port ------------------------------------------------------------
+
+HttpHandler SchedulerNode::AdminHandler() {
+  return [this](const HttpRequest& request, HttpResponder& responder) -> Async<void> {
+    HttpAnswer answer;
+    if (request.path == "/status") {
+      std::function<Async<std::string>()> work = [this] { return ShardStatus(); };
+      answer.body = co_await RunOn<std::string>(shards_duty_, std::move(work));
+    } else {
+      answer = AdminAnswer(request);
+    }
+    co_await responder.Send(std::move(answer));
+  };
+}
+
+HttpAnswer SchedulerNode::AdminAnswer(const HttpRequest& request) {
+  if (request.path == "/healthz") {
+    const bool ready = context_.environment.load()->generation > 0 && !context_.leaving;
+    return {.status = ready ? 200 : 503,
+            .body = ready ? R"({"ready":true})" : R"({"ready":false})"};
+  }
+  if (request.path == "/metrics") {
+    return {.body = metrics_.PrometheusText(), .content_type = "text/plain; version=0.0.4"};
+  }
+  if (request.path == "/explain") {
+    json::array lines;
+    for (const std::string& line : explain_.Find(request.Query("id"))) {
+      lines.emplace_back(line);
+    }
+    return {.body = json::serialize(lines)};
+  }
+  if (request.path == "/faults" && request.method == "POST" && settings_.faults) {
+    ApplyFaults(request.body);
+    return {.body = "{}"};
+  }
+  return {.status = 404, .body = "{}"};
+}
+
+// {"cut": ["127.0.0.1:7102"], "cut_platform": true}
+void SchedulerNode::ApplyFaults(const std::string& body) {
+  const json::value faults = json::parse(body);
+  if (const json::value* cut = faults.as_object().if_contains("cut"); cut != nullptr) {
+    std::set<std::string> addresses;
+    for (const json::value& address : cut->as_array()) {
+      addresses.insert(address.as_string().c_str());
+    }
+    peers_.SetCut(addresses);
+  }
+  if (const json::value* cut = faults.as_object().if_contains("cut_platform"); cut != nullptr) {
+    platform_.set_cut(cut->as_bool());
+  }
+}
+
+SchedulerNode::Async<std::string> SchedulerNode::ShardStatus() {
+  const auto environment = context_.environment.load();
+  const auto view = context_.view.load();
+  json::array hosts;
+  for (const HostNews& news : view->hosts()) {
+    json::array owned;
+    for (const OwnedShard& shard : news.info.owned) owned.emplace_back(shard.shard);
+    hosts.push_back(
+        {{"host", news.info.host},
+         {"zone", news.info.zone},
+         {"state", StateName(news.state)},
+         {"leaving", news.info.leaving},
+         {"in_service", InService(environment->document, news.info.host, news.info.zone)},
+         {"generation", news.info.generation},
+         {"http_address", news.info.http_address},
+         {"owned", std::move(owned)}});
+  }
+  json::array owned;
+  for (const OwnedShard& shard : shards_.Owned()) {
+    owned.push_back(
+        {{"shard", shard.shard}, {"major", shard.epoch.major}, {"minor", shard.epoch.minor}});
+  }
+  const json::object status = {{"host", settings_.host},
+                               {"environment", settings_.environment},
+                               {"generation", environment->generation},
+                               {"shards", environment->document.shards},
+                               {"platform_reachable", platform_.reachable()},
+                               {"owned", std::move(owned)},
+                               {"hosts", std::move(hosts)}};
+  co_return json::serialize(status);
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/shard_protocol.cc
@@ -0,0 +1,114 @@
+#include "src/shard_protocol.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimento {
+namespace {
+
+bool Contains(const std::vector<Member>& members, const Member& member) {
+  return std::find(members.begin(), members.end(), member) != members.end();
+}
+
+}  // namespace
+
+Claim::Claim(ClaimOptions options) : options_(std::move(options)), base_(options_.known) {}
+
+MemberList Claim::NewList() const {
+  const bool keep = options_.wanted.empty();
+  return {.since = options_.epoch, .members = keep ? base_.members : options_.wanted};
+}
+
+std::vector<MemberList> Claim::Required() const {
+  std::vector<MemberList> required = {base_};
+  for (const MemberList& proposal : proposals_) {
+    if (proposal.since > base_.since) required.push_back(proposal);
+  }
+  return required;
+}
+
+std::vector<SealRequest> Claim::TakeRequests() {
+  const MemberList list = NewList();
+  std::vector<MemberList> targets = Required();
+  targets.push_back(list);
+  std::vector<SealRequest> requests;
+  for (const MemberList& target : targets) {
+    for (const Member& member : target.members) {
+      const auto sent = sent_.find(member);
+      if (sent != sent_.end() && sent->second == list) continue;
+      sent_[member] = list;
+      requests.push_back({.shard = options_.shard,
+                          .epoch = options_.epoch,
+                          .holder = options_.self,
+                          .target = member,
+                          .list = list,
+                          .granted_by_platform = options_.granted_by_platform});
+    }
+  }
+  return requests;
+}
+
+void Claim::OnReply(const Member& from, const SealReply& reply) {
+  highest_seen_ = std::max(highest_seen_, reply.sealed);
+  if (!reply.accepted) {
+    lost_ = lost_ || reply.sealed >= options_.epoch;
+    return;
+  }
+  sealed_[from] = sent_[from];
+  MergeRecords(reply.records, records_);
+  Follow(reply);
+}
+
+void Claim::Follow(const SealReply& reply) {
+  if (reply.list.since > base_.since) base_ = reply.list;
+  for (const MemberList& proposal : reply.proposals) {
+    const bool own = proposal.since == options_.epoch;
+    const bool known =
+        std::find(proposals_.begin(), proposals_.end(), proposal) != proposals_.end();
+    if (!own && !known) proposals_.push_back(proposal);
+  }
+}
+
+bool Claim::Sealed() const {
+  const MemberList list = NewList();
+  for (const MemberList& required : Required()) {
+    const auto sealed =
+        std::count_if(required.members.begin(), required.members.end(), [&](const Member& member) {
+          const auto it = sealed_.find(member);
+          // A member counts once it knows the list that the claim ends up with.
+          return it != sealed_.end() && it->second == list;
+        });
+    if (static_cast<size_t>(sealed) < options_.quorum) return false;
+  }
+  return true;
+}
+
+AppendRound::AppendRound(MemberList list, size_t quorum)
+    : list_(std::move(list)), quorum_(quorum) {}
+
+void AppendRound::OnReply(const Member& from, const AppendReply& reply, const Epoch& epoch) {
+  if (!reply.accepted) {
+    // A refusal at a lower seal comes from a restarted process that is no member.
+    fenced_ = fenced_ || reply.sealed >= epoch;
+    return;
+  }
+  if (Contains(list_.members, from) && !Contains(holders_, from)) holders_.push_back(from);
+}
+
+std::vector<AppendRequest> MakeAppends(uint32_t shard, const Epoch& epoch, const Member& holder,
+                                       const MemberList& list, const std::vector<Record>& records,
+                                       bool replace_all) {
+  std::vector<AppendRequest> requests;
+  for (const Member& member : list.members) {
+    requests.push_back({.shard = shard,
+                        .epoch = epoch,
+                        .holder = holder,
+                        .target = member,
+                        .list = list,
+                        .records = records,
+                        .replace_all = replace_all});
+  }
+  return requests;
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/upstream_client.cc
@@ -0,0 +1,204 @@
+#include "src/upstream_client.h"
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "src/errors.h"
+#include "src/http_client.h"
+
+namespace pimento {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr int kUnavailable = 503;
+constexpr int64_t kReleaseMs = 2'000;
+
+double MsSince(Clock::time_point start) {
+  return std::chrono::duration<double, std::milli>(Clock::now() - start).count();
+}
+
+UpstreamAnswer FromError(const TransportError& error) {
+  UpstreamAnswer answer;
+  answer.sent = error.sent();
+  answer.detail = error.what();
+  answer.failure = !error.sent()    ? Reason::kUpstreamUnreachable
+                   : error.silent() ? Reason::kUpstreamSilent
+                                    : Reason::kUpstreamBroken;
+  return answer;
+}
+
+// An answer that names another request is not ours, however it got here.
+bool Crossed(const HttpResult& result, const std::string& request_id) {
+  const std::string echoed = result.Header("x-request-id");
+  return !echoed.empty() && echoed != request_id;
+}
+
+// Takes server-sent events apart and checks that the stream is whole.
+class TokenReader {
+ public:
+  // Returns the tokens' text that `piece` completes. Throws StateError on a gap.
+  std::string Feed(const std::string& piece) {
+    pending_ += piece;
+    std::string text;
+    for (size_t end = pending_.find("\n\n"); end != std::string::npos;
+         end = pending_.find("\n\n")) {
+      text += Event(pending_.substr(0, end));
+      pending_.erase(0, end + 2);
+    }
+    return text;
+  }
+
+  bool done() const { return done_; }
+  uint64_t tokens() const { return tokens_; }
+  uint64_t cached() const { return cached_; }
+
+ private:
+  std::string Event(const std::string& line) {
+    constexpr size_t kPrefix = 6;  // "data: "
+    if (line.size() < kPrefix) return "";
+    const json::value event = json::parse(line.substr(kPrefix));
+    if (const json::value* done = event.as_object().if_contains("done"); done != nullptr) {
+      done_ = true;
+      tokens_ = event.at("tokens").to_number<uint64_t>();
+      cached_ = event.at("cached").to_number<uint64_t>();
+      if (tokens_ != next_) throw StateError("The stream ended before its last token.");
+      return "";
+    }
+    if (event.at("i").to_number<uint64_t>() != next_) throw StateError("A token is missing.");
+    ++next_;
+    return event.at("t").as_string().c_str();
+  }
+
+  std::string pending_;
+  uint64_t next_ = 0;
+  bool done_ = false;
+  uint64_t tokens_ = 0;
+  uint64_t cached_ = 0;
+};
+
+asio::awaitable<UpstreamAnswer> RunGenerate(EngineOrder order) {
+  const auto start = Clock::now();
+  TokenReader reader;
+  UpstreamAnswer answer;
+  const json::object body = {{"stream", order.program + "/" + std::to_string(order.sequence) + "/" +
+                                            std::to_string(order.attempt)},
+                             {"session", order.program},
+                             {"fence", order.fence},
+                             {"prompt", order.prompt},
+                             {"max_tokens", order.max_tokens},
+                             {"resume", order.resume}};
+  HttpCall call{
+      .address = order.address,
+      .method = "POST",
+      .target = "/v1/generate",
+      .headers = {{"Content-Type", "application/json"}, {"X-Request-Id", order.request_id}},
+      .body = json::serialize(body),
+      .silence_ms = order.silence_ms,
+      .total_ms = order.total_ms};
+  std::string raw;
+  call.on_piece = [&](const std::string& piece) {
+    if (raw.size() < 512) raw += piece;
+    const std::string text = reader.Feed(piece);
+    if (text.empty()) return true;
+    if (answer.first_token_ms == 0) answer.first_token_ms = MsSince(start);
+    return order.on_token(text);
+  };
+  try {
+    const HttpResult result = co_await Fetch(std::move(call));
+    answer.http_status = result.status;
+    if (Crossed(result, order.request_id)) {
+      answer.failure = Reason::kUpstreamBroken;
+      answer.detail = "The answer belongs to another request.";
+    } else if (result.status != 200) {
+      answer.failure = Reason::kUpstreamFailed;
+      answer.detail = raw;
+    } else if (!reader.done()) {
+      answer.failure = Reason::kUpstreamBroken;
+      answer.detail = "The stream has no end mark.";
+    }
+  } catch (const TransportError& e) {
+    answer = FromError(e);
+  } catch (const std::exception& e) {
+    answer.failure = Reason::kUpstreamBroken;
+    answer.detail = e.what();
+  }
+  answer.tokens = reader.tokens();
+  answer.cached_tokens = reader.cached();
+  answer.total_ms = MsSince(start);
+  co_return answer;
+}
+
+asio::awaitable<UpstreamAnswer> RunOperate(ServiceOrder order) {
+  const auto start = Clock::now();
+  UpstreamAnswer answer;
+  HttpCall call{.address = order.address,
+                .method = "POST",
+                .target = order.path,
+                .headers = {{"Content-Type", "application/json"},
+                            {"X-Request-Id", order.request_id},
+                            {"X-Operation-Id", order.operation}},
+                .body = order.body,
+                .silence_ms = order.silence_ms,
+                .total_ms = order.total_ms};
+  try {
+    HttpResult result = co_await Fetch(std::move(call));
+    answer.http_status = result.status;
+    answer.content_type = result.Header("content-type");
+    answer.body = std::move(result.body);
+    if (Crossed(result, order.request_id)) {
+      answer.failure = Reason::kUpstreamBroken;
+      answer.body.clear();
+      answer.detail = "The answer belongs to another request.";
+    } else if (result.status == kUnavailable) {
+      answer.failure = Reason::kUpstreamFailed;
+      answer.detail = "The service answered 503.";
+    }
+  } catch (const TransportError& e) {
+    answer = FromError(e);
+  }
+  answer.total_ms = MsSince(start);
+  co_return answer;
+}
+
+asio::awaitable<bool> RunRelease(std::string address, std::string program, uint64_t fence) {
+  const json::object body = {{"fence", fence}};
+  HttpCall call{.address = address,
+                .method = "POST",
+                .target = "/v1/sessions/" + program + "/release",
+                .body = json::serialize(body),
+                .silence_ms = kReleaseMs,
+                .total_ms = kReleaseMs};
+  try {
+    const HttpResult result = co_await Fetch(std::move(call));
+    co_return result.status == 200;
+  } catch (const TransportError&) {
+    co_return false;
+  }
+}
+
+}  // namespace
+
+asio::awaitable<UpstreamAnswer> UpstreamClient::Generate(EngineOrder order) {
+  std::function<asio::awaitable<UpstreamAnswer>()> work = [order] { return RunGenerate(order); };
+  co_return co_await RunOn<UpstreamAnswer>(duty_, std::move(work));
+}
+
+asio::awaitable<UpstreamAnswer> UpstreamClient::Operate(ServiceOrder order) {
+  std::function<asio::awaitable<UpstreamAnswer>()> work = [order] { return RunOperate(order); };
+  co_return co_await RunOn<UpstreamAnswer>(duty_, std::move(work));
+}
+
+asio::awaitable<bool> UpstreamClient::ReleaseSession(std::string address, std::string program,
+                                                     uint64_t fence) {
+  std::function<asio::awaitable<bool>()> work = [address, program, fence] {
+    return RunRelease(address, program, fence);
+  };
+  co_return co_await RunOn<bool>(duty_, std::move(work));
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/test/test_main.cc
@@ -0,0 +1,3 @@
+// The main function of every test binary.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
