--- a/bench/lib/agent_caller.cc
+++ b/bench/lib/agent_caller.cc
@@ -16,7 +16,9 @@
 
 std::string Field(const json::value& body, const char* name) {
   const json::value* value = body.as_object().if_contains(name);
-  return value != nullptr && value->is_string() ? std::string(value->as_string()) : "";
+  return value != nullptr && value->is_string()
+             ? std::string(value->as_string())
+             : "";
 }
 
 // True when trying the same again can change the answer.
@@ -33,7 +35,8 @@
   present_ = std::hash<std::string>{}(key_) % addresses_.size();
 }
 
-CallOutcome AgentCaller::Send(const std::string& method, const std::string& target,
+CallOutcome AgentCaller::Send(const std::string& method,
+                              const std::string& target,
                               const std::string& body,
                               const std::map<std::string, std::string>& extra) {
   const int64_t started_us = NowUs();
@@ -43,8 +46,9 @@
   if (!key_.empty()) headers["Authorization"] = "Bearer " + key_;
   for (;;) {
     ++outcome.tries;
-    const Answer answer = Ask(addresses_[present_ % addresses_.size()], method, target, body,
-                              headers, std::max<int64_t>(1, deadline_ms - NowMs()));
+    const Answer answer =
+        Ask(addresses_[present_ % addresses_.size()], method, target, body,
+            headers, std::max<int64_t>(1, deadline_ms - NowMs()));
     outcome.status = answer.status;
     outcome.output = answer.body;
     outcome.reason.clear();
@@ -55,7 +59,8 @@
     } else if (answer.status >= 400) {
       boost::system::error_code error;
       const json::value parsed = json::parse(answer.body, error);
-      if (!error && parsed.is_object() && parsed.as_object().contains("error")) {
+      if (!error && parsed.is_object() &&
+          parsed.as_object().contains("error")) {
         outcome.reason = Field(parsed.at("error"), "reason");
         outcome.run = Field(parsed.at("error"), "run");
       }
@@ -63,33 +68,41 @@
       if (outcome.run == "not_run") ++not_run_;
     }
     const bool again = (answer.status == 0 || answer.status >= 400) &&
-                       Retries(answer.status, outcome.reason) && NowMs() < deadline_ms;
+                       Retries(answer.status, outcome.reason) &&
+                       NowMs() < deadline_ms;
     if (!again) break;
   }
   outcome.took_ms = static_cast<double>(NowUs() - started_us) / 1000;
   return outcome;
 }
 
-std::string AgentCaller::Create(const std::string& key, const std::string& body) {
-  const CallOutcome outcome = Send("POST", "/v1/programs", body, {{"Idempotency-Key", key}});
+std::string AgentCaller::Create(const std::string& key,
+                                const std::string& body) {
+  const CallOutcome outcome =
+      Send("POST", "/v1/programs", body, {{"Idempotency-Key", key}});
   if (outcome.status != 201) return "";
   return Field(json::parse(outcome.output), "program");
 }
 
 CallOutcome AgentCaller::Call(const std::string& program, uint32_t sequence,
-                              const std::string& service, const std::string& input,
-                              uint64_t max_tokens, const std::string& path) {
-  json::object body = {{"sequence", sequence}, {"service", service}, {"input", input}};
+                              const std::string& service,
+                              const std::string& input, uint64_t max_tokens,
+                              const std::string& path) {
+  json::object body = {
+      {"sequence", sequence}, {"service", service}, {"input", input}};
   if (max_tokens > 0) body["max_tokens"] = max_tokens;
   if (!path.empty()) body["path"] = path;
-  CallOutcome outcome =
-      Send("POST", "/v1/programs/" + program + "/calls", json::serialize(body), {});
-  if (outcome.ok()) outcome.output = Field(json::parse(outcome.output), "output");
+  CallOutcome outcome = Send("POST", "/v1/programs/" + program + "/calls",
+                             json::serialize(body), {});
+  if (outcome.ok())
+    outcome.output = Field(json::parse(outcome.output), "output");
   return outcome;
 }
 
-CallOutcome AgentCaller::Service(const std::string& service, const std::string& path,
-                                 const std::string& body, const std::string& idempotency_key) {
+CallOutcome AgentCaller::Service(const std::string& service,
+                                 const std::string& path,
+                                 const std::string& body,
+                                 const std::string& idempotency_key) {
   std::map<std::string, std::string> headers;
   if (!idempotency_key.empty()) headers["Idempotency-Key"] = idempotency_key;
   return Send("POST", "/v1/services/" + service + path, body, headers);
--- a/bench/lib/agent_caller.h
+++ b/bench/lib/agent_caller.h
@@ -1,5 +1,5 @@
-// A caller as the cooperatives' client software is: it asks for an address, keeps
-// it, and retries the moment anything goes wrong, without pause.
+// A caller as the cooperatives' client software is: it asks for an address,
+// keeps it, and retries the moment anything goes wrong, without pause.
 #pragma once
 
 #include <atomic>
@@ -33,14 +33,17 @@
 
   // Creates a program; "" when that failed. `key` makes retries safe.
   std::string Create(const std::string& key, const std::string& body = "{}");
-  CallOutcome Call(const std::string& program, uint32_t sequence, const std::string& service,
-                   const std::string& input, uint64_t max_tokens, const std::string& path = "");
-  CallOutcome Service(const std::string& service, const std::string& path, const std::string& body,
+  CallOutcome Call(const std::string& program, uint32_t sequence,
+                   const std::string& service, const std::string& input,
+                   uint64_t max_tokens, const std::string& path = "");
+  CallOutcome Service(const std::string& service, const std::string& path,
+                      const std::string& body,
                       const std::string& idempotency_key);
   CallOutcome History(const std::string& program);
   CallOutcome End(const std::string& program);
   // One request, retried at once on the next address while it may help.
-  CallOutcome Send(const std::string& method, const std::string& target, const std::string& body,
+  CallOutcome Send(const std::string& method, const std::string& target,
+                   const std::string& body,
                    const std::map<std::string, std::string>& headers);
 
   // Refusals seen, by reason, over the caller's life.
--- a/bench/lib/process_set.cc
+++ b/bench/lib/process_set.cc
@@ -27,20 +27,22 @@
 }
 
 void ProcessSet::Start(const std::string& name, const std::string& program,
-                       const std::vector<std::string>& arguments, const std::string& log_file) {
+                       const std::vector<std::string>& arguments,
+                       const std::string& log_file) {
   auto started = std::make_unique<Process>();
   FILE* log = std::fopen(log_file.c_str(), "a");
   if (log == nullptr) throw std::runtime_error("Cannot write " + log_file);
-  started->child =
-      process::child(process::exe = program, process::args = arguments, process::std_out > log,
-                     process::std_err > log, process::std_in < process::null);
+  started->child = process::child(
+      process::exe = program, process::args = arguments, process::std_out > log,
+      process::std_err > log, process::std_in < process::null);
   std::fclose(log);
   processes_[name] = std::move(started);
 }
 
 pid_t ProcessSet::Id(const std::string& name) const {
   const auto it = processes_.find(name);
-  if (it == processes_.end()) throw std::runtime_error("There is no process " + name);
+  if (it == processes_.end())
+    throw std::runtime_error("There is no process " + name);
   return it->second->child.id();
 }
 
--- a/bench/lib/process_set.h
+++ b/bench/lib/process_set.h
@@ -19,7 +19,8 @@
 
   // Starts `program` with `arguments`; output goes to `log_file`.
   void Start(const std::string& name, const std::string& program,
-             const std::vector<std::string>& arguments, const std::string& log_file);
+             const std::vector<std::string>& arguments,
+             const std::string& log_file);
   bool Running(const std::string& name);
   void Signal(const std::string& name, int signal_number);
   void Kill(const std::string& name);
--- a/bench/lib/test_fleet.cc
+++ b/bench/lib/test_fleet.cc
@@ -34,20 +34,23 @@
 
 std::string Joined(const std::vector<std::string>& words) {
   std::string text;
-  for (const std::string& word : words) text += (text.empty() ? "" : ", ") + word;
+  for (const std::string& word : words)
+    text += (text.empty() ? "" : ", ") + word;
   return text;
 }
 
 std::string TeamSection(const std::string& name, int rate, int burst) {
   return "[team " + name + "]\nrate = " + std::to_string(rate) +
-         "/s\nburst = " + std::to_string(burst) + "\nkeys = " + KeyDigest("key-" + name) +
+         "/s\nburst = " + std::to_string(burst) +
+         "\nkeys = " + KeyDigest("key-" + name) +
          "\nservices = chat, desk, info\n";
 }
 
 }  // namespace
 
-Answer Ask(const std::string& address, const std::string& method, const std::string& target,
-           const std::string& body, const std::map<std::string, std::string>& headers,
+Answer Ask(const std::string& address, const std::string& method,
+           const std::string& target, const std::string& body,
+           const std::map<std::string, std::string>& headers,
            int64_t limit_ms) {
   boost::asio::io_context io(1);
   Answer answer;
@@ -86,11 +89,11 @@
 }
 
 std::string TestFleet::MakeDocument() const {
-  std::string text =
-      "[environment]\nname = production\nshards = " + std::to_string(options_.shards) + "\n";
-  text += options_.teams.empty()
-              ? TeamSection("quilters", 200, 200) + TeamSection("skips", 200, 200)
-              : options_.teams;
+  std::string text = "[environment]\nname = production\nshards = " +
+                     std::to_string(options_.shards) + "\n";
+  text += options_.teams.empty() ? TeamSection("quilters", 200, 200) +
+                                       TeamSection("skips", 200, 200)
+                                 : options_.teams;
   text += "[service chat]\nkind = engine\nfencing = ";
   text += options_.fencing ? "honoured" : "ignored";
   text += "\nsilence_limit = 3s\n";
@@ -98,16 +101,18 @@
   text += options_.idempotent_orders ? "true" : "false";
   text += "\nsilence_limit = 2s\ncall_limit = 10s\n";
   text += "[service info]\nkind = plain\nopen = true\n";
-  for (int i = 0; i < options_.zones; ++i) text += "[zone z" + std::to_string(i + 1) + "]\n";
+  for (int i = 0; i < options_.zones; ++i)
+    text += "[zone z" + std::to_string(i + 1) + "]\n";
   int index = 0;
   for (const auto& [name, address] : upstreams_) {
     const bool engine = name.front() == 'e';
     // The last plain service answers the open route.
-    const bool open = name == "s" + std::to_string(options_.services) && options_.services > 1;
+    const bool open = name == "s" + std::to_string(options_.services) &&
+                      options_.services > 1;
     text += "[upstream " + name + "]\nservice = ";
     text += engine ? "chat" : open ? "info" : "desk";
-    text += "\naddress = " + address + "\nzone = z" + std::to_string(index++ % options_.zones + 1) +
-            "\n";
+    text += "\naddress = " + address + "\nzone = z" +
+            std::to_string(index++ % options_.zones + 1) + "\n";
     text += "window = " + std::to_string(options_.engine_window) +
             "\ncold_window = " + std::to_string(options_.engine_cold_window) +
             "\ncold_start = " + options_.engine_cold_start + "\n";
@@ -124,31 +129,38 @@
   }
   WriteFile(Path(host + "-scheduler.ini"),
             "[host]\nname = " + host + "\nzone = " + zones_.at(host) +
-                "\nrpc_address = " + rpcs_.at(host) + "\nadmin_address = " + admins_.at(host) +
-                "\nhttp_address = " + entries_.at(host) + "\n[platform]\naddress = " + platform_ +
-                "\nenvironment = production\n[peers]\nseeds = " + Joined(seeds) +
-                "\n[log]\nlevel = " + options_.log_level + "\n[timing]\nreplace_hold = " +
-                options_.replace_hold + "\nrebalance_after = " + options_.rebalance_after +
-                "\n[policy]\nqueue = " + options_.queue_policy +
-                "\nchoice = " + options_.choice_policy + "\n[testing]\nfaults = true\n");
+                "\nrpc_address = " + rpcs_.at(host) + "\nadmin_address = " +
+                admins_.at(host) + "\nhttp_address = " + entries_.at(host) +
+                "\n[platform]\naddress = " + platform_ +
+                "\nenvironment = production\n[peers]\nseeds = " +
+                Joined(seeds) + "\n[log]\nlevel = " + options_.log_level +
+                "\n[timing]\nreplace_hold = " + options_.replace_hold +
+                "\nrebalance_after = " + options_.rebalance_after +
+                "\n[policy]\nqueue = " + options_.queue_policy + "\nchoice = " +
+                options_.choice_policy + "\n[testing]\nfaults = true\n");
   WriteFile(Path(host + "-entry.ini"),
-            "[host]\nname = " + host + "\nzone = " + zones_.at(host) + "\nhttp_address = " +
-                entries_.at(host) + "\n[schedulers]\naddresses = " + Joined(schedulers) +
-                "\n[log]\nlevel = " + options_.log_level + "\n[policy]\nrefusal_cache = " +
+            "[host]\nname = " + host + "\nzone = " + zones_.at(host) +
+                "\nhttp_address = " + entries_.at(host) +
+                "\n[schedulers]\naddresses = " + Joined(schedulers) +
+                "\n[log]\nlevel = " + options_.log_level +
+                "\n[policy]\nrefusal_cache = " +
                 (options_.refusal_cache ? "true" : "false") + "\n");
 }
 
 void TestFleet::StartPlatform() {
-  processes_.Start("platform", options_.programs + "/standin-platform", {"--listen", platform_},
-                   Path("platform.log"));
+  processes_.Start("platform", options_.programs + "/standin-platform",
+                   {"--listen", platform_}, Path("platform.log"));
 }
 
 void TestFleet::StartHost(const std::string& host) {
   WriteSettings(host);
-  processes_.Start(host + "-scheduler", options_.programs + "/pimento-scheduler",
-                   {"--config", Path(host + "-scheduler.ini")}, Path(host + "-scheduler.log"));
+  processes_.Start(host + "-scheduler",
+                   options_.programs + "/pimento-scheduler",
+                   {"--config", Path(host + "-scheduler.ini")},
+                   Path(host + "-scheduler.log"));
   processes_.Start(host + "-entry", options_.programs + "/pimento-entry",
-                   {"--config", Path(host + "-entry.ini")}, Path(host + "-entry.log"));
+                   {"--config", Path(host + "-entry.ini")},
+                   Path(host + "-entry.log"));
 }
 
 void TestFleet::Start() {
@@ -160,18 +172,24 @@
       arguments.push_back("--faults");
       arguments.push_back(options_.engine_faults);
     }
-    processes_.Start(name, options_.programs + (engine ? "/standin-engine" : "/standin-service"),
-                     arguments, Path(name + ".log"));
+    processes_.Start(
+        name,
+        options_.programs + (engine ? "/standin-engine" : "/standin-service"),
+        arguments, Path(name + ".log"));
   }
   for (const std::string& host : hosts()) StartHost(host);
-  for (int64_t waited = 0; Ask(platform_, "GET", "/healthz").status != 200; waited += 20) {
-    if (waited > kReadyMs) throw std::runtime_error("The platform does not start.");
+  for (int64_t waited = 0; Ask(platform_, "GET", "/healthz").status != 200;
+       waited += 20) {
+    if (waited > kReadyMs)
+      throw std::runtime_error("The platform does not start.");
     Pause(20);
   }
   WriteFile(Path("document.ini"), document_);
   const Output applied = Control({"apply", Path("document.ini")});
-  if (applied.code != 0) throw std::runtime_error("The document is refused: " + applied.text);
-  if (!WaitReady(hosts().size(), kReadyMs)) throw std::runtime_error("The fleet is not ready.");
+  if (applied.code != 0)
+    throw std::runtime_error("The document is refused: " + applied.text);
+  if (!WaitReady(hosts().size(), kReadyMs))
+    throw std::runtime_error("The fleet is not ready.");
 }
 
 std::vector<std::string> TestFleet::hosts() const {
@@ -208,7 +226,8 @@
   return scheduler == 0 && entry == 0;
 }
 
-void TestFleet::Cut(const std::string& host, const std::vector<std::string>& others) {
+void TestFleet::Cut(const std::string& host,
+                    const std::vector<std::string>& others) {
   json::array cut;
   bool platform = false;
   for (const std::string& other : others) {
@@ -222,10 +241,12 @@
   Ask(admins_.at(host), "POST", "/faults", json::serialize(body));
   for (const auto& [other, address] : admins_) {
     if (other == host) continue;
-    const bool listed = std::find(others.begin(), others.end(), other) != others.end();
+    const bool listed =
+        std::find(others.begin(), others.end(), other) != others.end();
     json::array back;
     if (listed) back.emplace_back(rpcs_.at(host));
-    Ask(address, "POST", "/faults", json::serialize(json::object{{"cut", back}}), {}, 500);
+    Ask(address, "POST", "/faults",
+        json::serialize(json::object{{"cut", back}}), {}, 500);
   }
 }
 
@@ -234,11 +255,14 @@
   std::vector<std::string> admins;
   for (const auto& [host, address] : admins_) admins.push_back(address);
   std::string admin_list;
-  for (const std::string& address : admins) admin_list += (admin_list.empty() ? "" : ",") + address;
+  for (const std::string& address : admins)
+    admin_list += (admin_list.empty() ? "" : ",") + address;
   std::vector<std::string> arguments = words;
-  arguments.insert(arguments.end(), {"--platform", platform_, "--admin", admin_list});
+  arguments.insert(arguments.end(),
+                   {"--platform", platform_, "--admin", admin_list});
   process::ipstream out;
-  process::child child(process::exe = options_.programs + "/pimentoctl", process::args = arguments,
+  process::child child(process::exe = options_.programs + "/pimentoctl",
+                       process::args = arguments,
                        (process::std_out & process::std_err) > out);
   Output output;
   std::string line;
@@ -248,9 +272,11 @@
   return output;
 }
 
-TestFleet::Output TestFleet::ApplyChange(const std::string& from, const std::string& to) {
+TestFleet::Output TestFleet::ApplyChange(const std::string& from,
+                                         const std::string& to) {
   const size_t at = document_.find(from);
-  if (at == std::string::npos) throw std::runtime_error("The document has no \"" + from + "\".");
+  if (at == std::string::npos)
+    throw std::runtime_error("The document has no \"" + from + "\".");
   document_.replace(at, from.size(), to);
   WriteFile(Path("document.ini"), document_);
   return Control({"apply", Path("document.ini")});
@@ -271,7 +297,8 @@
 }
 
 void TestFleet::Faults(const std::string& name, const std::string& text) {
-  const std::string address = name == "platform" ? platform_ : upstreams_.at(name);
+  const std::string address =
+      name == "platform" ? platform_ : upstreams_.at(name);
   Ask(address, "POST", "/faults", text);
 }
 
@@ -296,9 +323,11 @@
     }
     size_t entries_ready = 0;
     for (const auto& [host, entry] : entries_) {
-      if (Ask(entry, "GET", "/healthz", "", {}, 500).status == 200) ++entries_ready;
+      if (Ask(entry, "GET", "/healthz", "", {}, 500).status == 200)
+        ++entries_ready;
     }
-    const bool ready = answering >= wanted_hosts && all_see && owned.size() == options_.shards &&
+    const bool ready = answering >= wanted_hosts && all_see &&
+                       owned.size() == options_.shards &&
                        entries_ready >= wanted_hosts;
     if (ready) return true;
     Pause(100);
@@ -306,7 +335,8 @@
   return false;
 }
 
-double TestFleet::CounterSum(const std::string& line_start, bool entries) const {
+double TestFleet::CounterSum(const std::string& line_start,
+                             bool entries) const {
   double sum = 0;
   for (const auto& [host, address] : entries ? entries_ : admins_) {
     const Answer answer = Ask(address, "GET", "/metrics", "", {}, 500);
--- a/bench/lib/test_fleet.h
+++ b/bench/lib/test_fleet.h
@@ -44,16 +44,17 @@
 };
 
 // One request on a connection of its own, blocking. Never throws.
-Answer Ask(const std::string& address, const std::string& method, const std::string& target,
-           const std::string& body = "", const std::map<std::string, std::string>& headers = {},
+Answer Ask(const std::string& address, const std::string& method,
+           const std::string& target, const std::string& body = "",
+           const std::map<std::string, std::string>& headers = {},
            int64_t limit_ms = 30'000);
 
 class TestFleet {
  public:
   explicit TestFleet(FleetOptions options);
 
-  // Starts everything and applies the first document. Throws when the fleet does
-  // not become ready.
+  // Starts everything and applies the first document. Throws when the fleet
+  // does not become ready.
   void Start();
   void StartPlatform();
   void StartHost(const std::string& host);
@@ -79,7 +80,9 @@
   std::string Entry(const std::string& host) const { return entries_.at(host); }
   std::string Rpc(const std::string& host) const { return rpcs_.at(host); }
   std::string Admin(const std::string& host) const { return admins_.at(host); }
-  std::string Upstream(const std::string& name) const { return upstreams_.at(name); }
+  std::string Upstream(const std::string& name) const {
+    return upstreams_.at(name);
+  }
   std::string platform() const { return platform_; }
   std::vector<std::string> hosts() const;
   std::vector<std::string> upstreams() const;
@@ -87,8 +90,8 @@
   std::string OwnerOf(const std::string& program) const;
   // Sets switches of a stand-in: "platform" or an upstream's name.
   void Faults(const std::string& name, const std::string& json);
-  // Waits until `hosts` hosts are alive in every live host's view and every shard
-  // has an owner.
+  // Waits until `hosts` hosts are alive in every live host's view and every
+  // shard has an owner.
   bool WaitReady(size_t hosts, int64_t limit_ms) const;
   // Sum of a counter over all live processes of the given kind.
   double CounterSum(const std::string& line_start, bool entries) const;
@@ -97,7 +100,9 @@
  private:
   std::string MakeDocument() const;
   void WriteSettings(const std::string& host);
-  std::string Path(const std::string& file) const { return options_.work_folder + "/" + file; }
+  std::string Path(const std::string& file) const {
+    return options_.work_folder + "/" + file;
+  }
 
   FleetOptions options_;
   ProcessSet processes_;
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -17,6 +17,7 @@
   list @4 :MemberList;
   records @5 :List(Record);
   replaceAll @6 :Bool;
+  number @7 :UInt64;
 }
 struct AppendReply { accepted @0 :Bool; sealed @1 :Epoch; }
 
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -150,7 +150,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e98456c57ff1252f, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(e98456c57ff1252f, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1362,6 +1362,8 @@
 
   inline bool getReplaceAll() const;
 
+  inline  ::uint64_t getNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1431,6 +1433,9 @@
   inline bool getReplaceAll();
   inline void setReplaceAll(bool value);
 
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6723,6 +6728,20 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t AppendRequest::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AppendRequest::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AppendRequest::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool AppendReply::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/admission_window.cc
+++ b/src/admission_window.cc
@@ -44,7 +44,9 @@
   earned_ = std::clamp(earned_, static_cast<double>(options_.cold_window),
                        static_cast<double>(options_.full_window));
   usual_pace_ms_ =
-      usual_pace_ms_ == 0 ? pace_ms : usual_pace_ms_ + (pace_ms - usual_pace_ms_) * kPaceWeight;
+      usual_pace_ms_ == 0
+          ? pace_ms
+          : usual_pace_ms_ + (pace_ms - usual_pace_ms_) * kPaceWeight;
 }
 
 void AdmissionWindow::Failed(int64_t now_ms) {
--- a/src/admission_window.h
+++ b/src/admission_window.h
@@ -34,8 +34,8 @@
   // True while no more than the cold window may be used.
   bool Cold(int64_t now_ms) const;
 
-  // A whole answer arrived; `pace_ms` is its time for one token, or for the call
-  // where the upstream has no tokens.
+  // A whole answer arrived; `pace_ms` is its time for one token, or for the
+  // call where the upstream has no tokens.
   void Succeeded(int64_t now_ms, double pace_ms);
   // The upstream refused, broke off or stayed silent.
   void Failed(int64_t now_ms);
--- a/src/answer_stream.cc
+++ b/src/answer_stream.cc
@@ -22,7 +22,8 @@
   return output;
 }
 
-AnswerStream::Output AnswerStream::Finish(uint32_t attempt, const std::string& whole) {
+AnswerStream::Output AnswerStream::Finish(uint32_t attempt,
+                                          const std::string& whole) {
   return Take(attempt < attempt_ ? attempt_ : attempt, 0, whole);
 }
 
--- a/src/answer_stream.h
+++ b/src/answer_stream.h
@@ -1,7 +1,8 @@
 // Joins the pieces of one answer for one caller.
 //
-// Pieces may come twice, from two owners, or from a new attempt that makes its own
-// text. The caller gets every byte once, in order, or is told to start over.
+// Pieces may come twice, from two owners, or from a new attempt that makes its
+// own text. The caller gets every byte once, in order, or is told to start
+// over.
 //
 //   piece(1, 0, "ab")  -> "ab"
 //   piece(1, 1, "bc")  -> "c"        the "b" is known already
@@ -16,7 +17,8 @@
 class AnswerStream {
  public:
   // `offset` bytes of attempt `attempt` are with the caller already.
-  AnswerStream(uint32_t attempt, uint64_t offset) : attempt_(attempt), delivered_(offset) {}
+  AnswerStream(uint32_t attempt, uint64_t offset)
+      : attempt_(attempt), delivered_(offset) {}
 
   struct Output {
     bool restart = false;
--- a/src/call_pipeline.cc
+++ b/src/call_pipeline.cc
@@ -100,23 +100,28 @@
 uint32_t CallPipeline::AdmittedShard(const std::string& program) const {
   const std::optional<uint32_t> shard = ShardOfProgram(program);
   if (!shard || *shard >= parts_.context->environment.load()->document.shards) {
-    throw Refusal(Reason::kNotFound, RunState::kNotRun, "There is no program " + program + ".");
+    throw Refusal(Reason::kNotFound, RunState::kNotRun,
+                  "There is no program " + program + ".");
   }
   if (!parts_.shards->Owns(*shard)) {
-    throw Refusal(Reason::kNotOwner, RunState::kUnknown, "Another host owns the program.");
+    throw Refusal(Reason::kNotOwner, RunState::kUnknown,
+                  "Another host owns the program.");
   }
   if (!parts_.shards->Admits(*shard)) {
-    throw Refusal(Reason::kOwnerChanging, RunState::kUnknown, "The program is being moved.");
+    throw Refusal(Reason::kOwnerChanging, RunState::kUnknown,
+                  "The program is being moved.");
   }
   return *shard;
 }
 
-Program& CallPipeline::ProgramOf(uint32_t shard, const std::string& id, const std::string& team) {
+Program& CallPipeline::ProgramOf(uint32_t shard, const std::string& id,
+                                 const std::string& team) {
   Program* program = parts_.shards->Ledger(shard).Find(id);
   // Another team's program looks like none at all.
   if (program == nullptr || program->record.team != team) {
     const bool uncertain = NowMs() < parts_.shards->UncertainUntil(shard);
-    throw Refusal(Reason::kNotFound, uncertain ? RunState::kUnknown : RunState::kNotRun,
+    throw Refusal(Reason::kNotFound,
+                  uncertain ? RunState::kUnknown : RunState::kNotRun,
                   "There is no program " + id + ".");
   }
   return *program;
@@ -135,7 +140,8 @@
                        .budget_tokens = request.budget_tokens};
   const Program* known = ledger.Find(request.id);
   if (known != nullptr) {
-    const bool same = known->record.team == request.team && known->record.digest == request.digest;
+    const bool same = known->record.team == request.team &&
+                      known->record.digest == request.digest;
     if (!same) {
       throw Refusal(Reason::kIdempotencyKeyReused, RunState::kNotRun,
                     "The Idempotency-Key was used for another program.");
@@ -145,13 +151,17 @@
     if (!request.parent.empty()) {
       const Program& parent = ProgramOf(shard, request.parent, request.team);
       const bool live = parent.record.state == ProgramState::kLive;
-      if (!live) throw Refusal(Reason::kProgramEnded, RunState::kNotRun, "The parent has ended.");
-      const std::optional<Reason> over =
-          ledger.OverBudgetForChild(parent, request.budget_calls, request.budget_tokens, now_ms);
+      if (!live)
+        throw Refusal(Reason::kProgramEnded, RunState::kNotRun,
+                      "The parent has ended.");
+      const std::optional<Reason> over = ledger.OverBudgetForChild(
+          parent, request.budget_calls, request.budget_tokens, now_ms);
       if (over) {
-        throw Refusal(*over, RunState::kNotRun, "The parent's budget does not allow this child.");
+        throw Refusal(*over, RunState::kNotRun,
+                      "The parent's budget does not allow this child.");
       }
-      record.deadline_ms = std::min(record.deadline_ms, parent.record.deadline_ms);
+      record.deadline_ms =
+          std::min(record.deadline_ms, parent.record.deadline_ms);
     }
     co_await RecordProgram(shard, request, record);
     parts_.context->metrics->Add(Counter::kProgramsCreated);
@@ -162,10 +172,12 @@
 
 // Records a new program. What a child takes of its parent's budget is set aside
 // before the record is on its way, so that no other child or call takes it too.
-CallPipeline::Async<void> CallPipeline::RecordProgram(uint32_t shard, CreateRequest request,
+CallPipeline::Async<void> CallPipeline::RecordProgram(uint32_t shard,
+                                                      CreateRequest request,
                                                       ProgramRecord record) {
   ProgramLedger& ledger = parts_.shards->Ledger(shard);
-  const Usage share{.calls = request.budget_calls, .tokens = request.budget_tokens};
+  const Usage share{.calls = request.budget_calls,
+                    .tokens = request.budget_tokens};
   if (Program* parent = ledger.Find(request.parent); parent != nullptr) {
     parent->pending_children.calls += share.calls;
     parent->pending_children.tokens += share.tokens;
@@ -178,13 +190,16 @@
     failure = std::current_exception();
   }
   if (Program* parent = ledger.Find(request.parent); parent != nullptr) {
-    parent->pending_children.calls -= std::min(parent->pending_children.calls, share.calls);
-    parent->pending_children.tokens -= std::min(parent->pending_children.tokens, share.tokens);
+    parent->pending_children.calls -=
+        std::min(parent->pending_children.calls, share.calls);
+    parent->pending_children.tokens -=
+        std::min(parent->pending_children.tokens, share.tokens);
   }
   if (failure) std::rethrow_exception(failure);
 }
 
-CallPipeline::Async<ProgramView> CallPipeline::View(std::string id, std::string team) {
+CallPipeline::Async<ProgramView> CallPipeline::View(std::string id,
+                                                    std::string team) {
   const uint32_t shard = AdmittedShard(id);
   // A stale owner must not read out an old history.
   co_await parts_.shards->Confirm(shard);
@@ -192,14 +207,16 @@
   co_return ProgramView{.outcome = {}, .json = ViewJson(id, program)};
 }
 
-CallPipeline::Async<ProgramView> CallPipeline::End(std::string id, std::string team) {
+CallPipeline::Async<ProgramView> CallPipeline::End(std::string id,
+                                                   std::string team) {
   const uint32_t shard = AdmittedShard(id);
   const Program& program = ProgramOf(shard, id, team);
   if (program.record.state == ProgramState::kLive) {
     const int64_t created_ms = program.record.created_ms;
     co_await EndAs(id, ProgramState::kEnded);
     parts_.context->metrics->Add(Counter::kProgramsEnded);
-    parts_.context->metrics->Observe(Latency::kProgram, static_cast<double>(NowMs() - created_ms));
+    parts_.context->metrics->Observe(Latency::kProgram,
+                                     static_cast<double>(NowMs() - created_ms));
   } else {
     co_await parts_.shards->Confirm(shard);
   }
@@ -212,12 +229,15 @@
   parts_.context->metrics->Add(Counter::kProgramsExpired);
 }
 
-CallPipeline::Async<void> CallPipeline::EndAs(std::string id, ProgramState state) {
+CallPipeline::Async<void> CallPipeline::EndAs(std::string id,
+                                              ProgramState state) {
   const std::optional<uint32_t> shard = ShardOfProgram(id);
   if (!shard || !parts_.shards->Owns(*shard)) co_return;
   Program* program = parts_.shards->Ledger(*shard).Find(id);
-  if (program == nullptr || program->record.state != ProgramState::kLive) co_return;
-  // What runs for a program that is gone ends early, unless it must not be lost.
+  if (program == nullptr || program->record.state != ProgramState::kLive)
+    co_return;
+  // What runs for a program that is gone ends early, unless it must not be
+  // lost.
   for (auto& [call_id, call] : running_) {
     if (call_id.first == id && call->idempotent) call->given_up = true;
   }
@@ -231,31 +251,35 @@
   for (const std::string& child : children) co_await EndAs(child, state);
 }
 
-std::string CallPipeline::ViewJson(const std::string& id, const Program& program) const {
+std::string CallPipeline::ViewJson(const std::string& id,
+                                   const Program& program) const {
   const uint32_t shard = *ShardOfProgram(id);
   const Usage used = parts_.shards->Ledger(shard).Used(program);
   json::array calls;
   for (const auto& [sequence, call] : program.calls) {
-    json::object item = {{"sequence", sequence},
-                         {"service", call.service},
-                         {"state", call.state == CallState::kDone      ? "done"
-                                   : call.state == CallState::kUnknown ? "unknown"
-                                                                       : "running"},
-                         {"input", call.input},
-                         {"output", call.output},
-                         {"tokens", call.tokens}};
+    json::object item = {
+        {"sequence", sequence},
+        {"service", call.service},
+        {"state", call.state == CallState::kDone      ? "done"
+                  : call.state == CallState::kUnknown ? "unknown"
+                                                      : "running"},
+        {"input", call.input},
+        {"output", call.output},
+        {"tokens", call.tokens}};
     if (!call.path.empty()) item["path"] = call.path;
     if (call.http_status != 0) item["http_status"] = call.http_status;
     calls.push_back(std::move(item));
   }
-  const char* state = program.record.state == ProgramState::kLive    ? "live"
-                      : program.record.state == ProgramState::kEnded ? "ended"
-                                                                     : "expired";
+  const char* state = program.record.state == ProgramState::kLive ? "live"
+                      : program.record.state == ProgramState::kEnded
+                          ? "ended"
+                          : "expired";
   json::object view = {
       {"program", id},
       {"state", state},
       {"budget",
-       {{"calls", program.record.budget_calls}, {"tokens", program.record.budget_tokens}}},
+       {{"calls", program.record.budget_calls},
+        {"tokens", program.record.budget_tokens}}},
       {"used", {{"calls", used.calls}, {"tokens", used.tokens}}},
       {"calls", std::move(calls)}};
   if (!program.record.parent.empty()) view["parent"] = program.record.parent;
@@ -264,15 +288,17 @@
 
 // ---- Taking a call ---------------------------------------------------------
 
-const Service& CallPipeline::ServiceOf(const Document& document, const CallRequest& request) const {
+const Service& CallPipeline::ServiceOf(const Document& document,
+                                       const CallRequest& request) const {
   const Service* service = document.FindService(request.service);
   if (service == nullptr) {
     throw Refusal(Reason::kNotFound, RunState::kNotRun,
                   "There is no service " + request.service + ".");
   }
   const auto team = document.teams.find(request.team);
-  const bool allowed = service->open || (team != document.teams.end() &&
-                                         team->second.services.contains(service->name));
+  const bool allowed =
+      service->open || (team != document.teams.end() &&
+                        team->second.services.contains(service->name));
   if (!allowed) {
     throw Refusal(Reason::kServiceNotAllowed, RunState::kNotRun,
                   "The team may not use the service " + service->name + ".");
@@ -280,8 +306,10 @@
   return *service;
 }
 
-// A plain service call is a program with one call, named by its Idempotency-Key.
-CallPipeline::Async<void> CallPipeline::EnsureSingle(uint32_t shard, const CallRequest& request) {
+// A plain service call is a program with one call, named by its
+// Idempotency-Key.
+CallPipeline::Async<void> CallPipeline::EnsureSingle(
+    uint32_t shard, const CallRequest& request) {
   ProgramLedger& ledger = parts_.shards->Ledger(shard);
   if (ledger.Find(request.program) != nullptr) co_return;
   const int64_t now_ms = NowMs();
@@ -301,32 +329,37 @@
   const int64_t until_ms = parts_.shards->UncertainUntil(shard);
   const bool uncertain = NowMs() < until_ms;
   if (!uncertain || service.idempotent) return;
-  if (program.record.budget_calls != 1 && program.record.created_ms > until_ms - kSingleLifeMs) {
+  if (program.record.budget_calls != 1 &&
+      program.record.created_ms > until_ms - kSingleLifeMs) {
     return;
   }
   throw Refusal(Reason::kOutcomeUnknown, RunState::kUnknown,
                 "Records of this call may have been lost with two hosts.");
 }
 
-CallPipeline::Async<CallReply> CallPipeline::Call(CallRequest request, PieceSink sink) {
+CallPipeline::Async<CallReply> CallPipeline::Call(CallRequest request,
+                                                  PieceSink sink) {
   const uint32_t shard = AdmittedShard(request.program);
   const auto environment = parts_.context->environment.load();
-  const int64_t patience_ms = request.patience_ms > 0 ? request.patience_ms : kDefaultPatienceMs;
+  const int64_t patience_ms =
+      request.patience_ms > 0 ? request.patience_ms : kDefaultPatienceMs;
   const int64_t deadline_ms = NowMs() + patience_ms;
-  const std::string digest =
-      CallDigest(request.service, request.path, request.input, request.max_tokens);
+  const std::string digest = CallDigest(request.service, request.path,
+                                        request.input, request.max_tokens);
   bool confirmed = false;
   for (;;) {
     if (!parts_.shards->Admits(shard)) AdmittedShard(request.program);
     ProgramLedger& ledger = parts_.shards->Ledger(shard);
-    if (request.single && !request.read_only && ledger.Find(request.program) == nullptr) {
+    if (request.single && !request.read_only &&
+        ledger.Find(request.program) == nullptr) {
       ServiceOf(environment->document, request);
       co_await EnsureSingle(shard, request);
       continue;
     }
     const auto running = running_.find({request.program, request.sequence});
     if (running != running_.end() && !running->second->orphaned) {
-      const bool same = running->second->record.digest == digest || request.read_only;
+      const bool same =
+          running->second->record.digest == digest || request.read_only;
       if (!same) {
         throw Refusal(Reason::kSequenceMismatch, RunState::kUnknown,
                       "This sequence number belongs to another call.");
@@ -340,15 +373,17 @@
       continue;
     }
     if (turn == Turn::kAhead) {
-      co_await WaitForTurn(shard, request,
-                           std::min(deadline_ms, NowMs() + parts_.context->timing.gap_ms));
+      co_await WaitForTurn(
+          shard, request,
+          std::min(deadline_ms, NowMs() + parts_.context->timing.gap_ms));
       confirmed = false;
       continue;
     }
-    // A new call is fenced by its own intent. Anything else that is said here may
-    // be a stale owner's word until a member has accepted this owner after the
-    // request came.
-    const bool begins = turn == Turn::kNext && MayBegin(shard, request, environment->document);
+    // A new call is fenced by its own intent. Anything else that is said here
+    // may be a stale owner's word until a member has accepted this owner after
+    // the request came.
+    const bool begins =
+        turn == Turn::kNext && MayBegin(shard, request, environment->document);
     if (!begins && !confirmed) {
       co_await parts_.shards->Confirm(shard);
       confirmed = true;
@@ -358,8 +393,10 @@
     Program& program = ProgramOf(shard, request.program, request.team);
     const auto known = program.calls.find(request.sequence);
     if (turn == Turn::kMismatch) {
-      throw Refusal(request.single ? Reason::kIdempotencyKeyReused : Reason::kSequenceMismatch,
-                    RunState::kUnknown, "This sequence number belongs to another call.");
+      throw Refusal(request.single ? Reason::kIdempotencyKeyReused
+                                   : Reason::kSequenceMismatch,
+                    RunState::kUnknown,
+                    "This sequence number belongs to another call.");
     }
     if (turn == Turn::kRecorded) {
       parts_.context->metrics->Add(Counter::kCallsReplayed);
@@ -367,9 +404,11 @@
     }
     if (turn == Turn::kReopened) {
       const CallRecord record = known->second;
-      co_return co_await Join(Begin(shard, request, record.digest, &record), request, sink);
+      co_return co_await Join(Begin(shard, request, record.digest, &record),
+                              request, sink);
     }
-    co_return co_await Join(Begin(shard, request, digest, nullptr), request, sink);
+    co_return co_await Join(Begin(shard, request, digest, nullptr), request,
+                            sink);
   }
 }
 
@@ -378,25 +417,31 @@
   const ProgramLedger& ledger = parts_.shards->Ledger(shard);
   const Program* program = ledger.Find(request.program);
   // A missing program is refused by CheckNext(), once that is certain.
-  if (program == nullptr || program->record.team != request.team) return Turn::kNext;
+  if (program == nullptr || program->record.team != request.team)
+    return Turn::kNext;
   const auto known = program->calls.find(request.sequence);
   const bool read = request.read_only && known != program->calls.end();
-  return ledger.TurnOf(*program, request.sequence, read ? known->second.digest : digest);
+  return ledger.TurnOf(*program, request.sequence,
+                       read ? known->second.digest : digest);
 }
 
 // Throws why the call, whose turn it is, may not begin.
-void CallPipeline::CheckNext(uint32_t shard, const CallRequest& request, const Document& document) {
+void CallPipeline::CheckNext(uint32_t shard, const CallRequest& request,
+                             const Document& document) {
   const Program& program = ProgramOf(shard, request.program, request.team);
   if (request.read_only) {
-    throw Refusal(Reason::kNotFound, RunState::kNotRun, "This call has not been made.");
+    throw Refusal(Reason::kNotFound, RunState::kNotRun,
+                  "This call has not been made.");
   }
   if (program.record.state != ProgramState::kLive) {
-    throw Refusal(Reason::kProgramEnded, RunState::kNotRun, "The program has ended.");
+    throw Refusal(Reason::kProgramEnded, RunState::kNotRun,
+                  "The program has ended.");
   }
   RefuseIfUncertain(shard, program, ServiceOf(document, request));
 }
 
-bool CallPipeline::MayBegin(uint32_t shard, const CallRequest& request, const Document& document) {
+bool CallPipeline::MayBegin(uint32_t shard, const CallRequest& request,
+                            const Document& document) {
   try {
     CheckNext(shard, request, document);
   } catch (const Refusal&) {
@@ -405,21 +450,26 @@
   return true;
 }
 
-// Waits for the calls before this one. Throws kSequenceGap when they do not come.
-CallPipeline::Async<void> CallPipeline::WaitForTurn(uint32_t shard, const CallRequest& request,
+// Waits for the calls before this one. Throws kSequenceGap when they do not
+// come.
+CallPipeline::Async<void> CallPipeline::WaitForTurn(uint32_t shard,
+                                                    const CallRequest& request,
                                                     int64_t deadline_ms) {
   for (;;) {
     const Program* program = parts_.shards->Ledger(shard).Find(request.program);
     if (program == nullptr || !parts_.shards->Owns(shard)) co_return;
-    const bool turn = request.sequence <= program->NextSequence() && program->running == 0;
+    const bool turn =
+        request.sequence <= program->NextSequence() && program->running == 0;
     if (turn) co_return;
-    const bool predecessor_runs = program->running != 0 && program->running < request.sequence;
+    const bool predecessor_runs =
+        program->running != 0 && program->running < request.sequence;
     if (NowMs() >= deadline_ms && !predecessor_runs) {
       co_await parts_.shards->Confirm(shard);
       throw Refusal(Reason::kSequenceGap, RunState::kNotRun,
                     "An earlier call of the program is missing.", kPollMs);
     }
-    if (predecessor_runs && request.sequence > program->running + 1 && NowMs() >= deadline_ms) {
+    if (predecessor_runs && request.sequence > program->running + 1 &&
+        NowMs() >= deadline_ms) {
       co_await parts_.shards->Confirm(shard);
       throw Refusal(Reason::kSequenceGap, RunState::kNotRun,
                     "An earlier call of the program is missing.", kPollMs);
@@ -435,7 +485,10 @@
 }
 
 CallReply CallPipeline::Recorded(const CallRecord& record) const {
-  return {.outcome = {.reason = Reason::kNone, .run = RunState::kDone, .message = {}, .owner = {}},
+  return {.outcome = {.reason = Reason::kNone,
+                      .run = RunState::kDone,
+                      .message = {},
+                      .owner = {}},
           .http_status = record.http_status,
           .content_type = record.content_type,
           .output = record.output,
@@ -444,7 +497,8 @@
           .unknown = record.state == CallState::kUnknown};
 }
 
-CallPipeline::RunningPtr CallPipeline::Begin(uint32_t shard, const CallRequest& request,
+CallPipeline::RunningPtr CallPipeline::Begin(uint32_t shard,
+                                             const CallRequest& request,
                                              const std::string& digest,
                                              const CallRecord* reopened) {
   const auto environment = parts_.context->environment.load();
@@ -468,10 +522,12 @@
     call->record.digest = digest;
     call->record.max_tokens = request.max_tokens;
   }
-  const Service* service = environment->document.FindService(call->record.service);
+  const Service* service =
+      environment->document.FindService(call->record.service);
   call->idempotent = service != nullptr && service->idempotent;
   call->engine = call->record.max_tokens > 0;
-  const int64_t patience_ms = request.patience_ms > 0 ? request.patience_ms : kDefaultPatienceMs;
+  const int64_t patience_ms =
+      request.patience_ms > 0 ? request.patience_ms : kDefaultPatienceMs;
   call->deadline_ms = NowMs() + patience_ms;
   Program& program = *parts_.shards->Ledger(shard).Find(request.program);
   call->team = program.record.team;
@@ -491,12 +547,15 @@
   return call;
 }
 
-CallPipeline::Async<CallReply> CallPipeline::Join(RunningPtr call, const CallRequest& request,
+CallPipeline::Async<CallReply> CallPipeline::Join(RunningPtr call,
+                                                  const CallRequest& request,
                                                   PieceSink sink) {
   const bool same_attempt = request.attempt == call->record.attempt;
-  const uint64_t from = same_attempt ? std::min<uint64_t>(request.offset, call->text.size()) : 0;
+  const uint64_t from =
+      same_attempt ? std::min<uint64_t>(request.offset, call->text.size()) : 0;
   if (sink) {
-    if (call->text.size() > from) sink(call->record.attempt, from, call->text.substr(from));
+    if (call->text.size() > from)
+      sink(call->record.attempt, from, call->text.substr(from));
     call->subscribers.push_back({.sink = sink});
   }
   while (!call->finished) co_await call->done.Wait(5'000);
@@ -504,7 +563,8 @@
   co_return Recorded(call->record);
 }
 
-std::string CallPipeline::Prompt(const Program& program, const std::string& input) const {
+std::string CallPipeline::Prompt(const Program& program,
+                                 const std::string& input) const {
   std::string prompt;
   for (const auto& [sequence, call] : program.calls) {
     if (call.state == CallState::kIntent) continue;
@@ -526,13 +586,17 @@
     call->refusal = refusal;
   } catch (const std::exception& e) {
     kLog.Error() << "A call failed inside: " << e.what();
-    call->refusal = Refusal(Reason::kInternal, RunState::kUnknown, "The call failed inside.");
+    call->refusal = Refusal(Reason::kInternal, RunState::kUnknown,
+                            "The call failed inside.");
   }
-  const bool says_not_run = call->refusal && call->refusal->run() == RunState::kNotRun;
+  const bool says_not_run =
+      call->refusal && call->refusal->run() == RunState::kNotRun;
   if (says_not_run && !call->orphaned) co_await ConfirmRefusal(call);
   Finish(call);
-  const bool fenced = call->refusal && call->refusal->reason() == Reason::kFenced;
-  if (fenced && call->engine && call->dispatched) co_await FreeAfterFencing(call);
+  const bool fenced =
+      call->refusal && call->refusal->reason() == Reason::kFenced;
+  if (fenced && call->engine && call->dispatched)
+    co_await FreeAfterFencing(call);
 }
 
 // "Not run" goes out only while this host is still the owner.
@@ -557,12 +621,13 @@
   }
   const auto took_ms = static_cast<double>(NowMs() - call->started_ms);
   if (call->refusal) {
-    Note(*call, "refused: " + std::string(Name(call->refusal->reason())) + ", " +
-                    std::string(Name(call->refusal->run())) + ".");
+    Note(*call, "refused: " + std::string(Name(call->refusal->reason())) +
+                    ", " + std::string(Name(call->refusal->run())) + ".");
   } else {
     parts_.context->metrics->Add(Counter::kCallsAnswered);
     parts_.context->metrics->Observe(Latency::kCall, took_ms);
-    Note(*call, "answered after " + std::to_string(static_cast<int64_t>(took_ms)) + " ms.");
+    Note(*call, "answered after " +
+                    std::to_string(static_cast<int64_t>(took_ms)) + " ms.");
   }
   call->subscribers.clear();
   call->done.Notify();
@@ -573,14 +638,18 @@
   Program& program = *ledger.Find(call.program);
   // The reservation of this call is counted already; take it out to ask for it.
   program.running = 0;
-  const std::optional<Reason> over = ledger.OverBudget(program, call.record.max_tokens, NowMs());
+  const std::optional<Reason> over =
+      ledger.OverBudget(program, call.record.max_tokens, NowMs());
   program.running = call.sequence;
-  if (over) throw Refusal(*over, RunState::kNotRun, "The program's budget does not allow this.");
+  if (over)
+    throw Refusal(*over, RunState::kNotRun,
+                  "The program's budget does not allow this.");
 }
 
 CallPipeline::Async<void> CallPipeline::TakeCredit(RunningPtr call) {
   const auto environment = parts_.context->environment.load();
-  const Service* service = environment->document.FindService(call->record.service);
+  const Service* service =
+      environment->document.FindService(call->record.service);
   // Open routes have no team whose rate could be charged.
   if (service != nullptr && service->open && call->team.empty()) co_return;
   co_await parts_.credits->TakeOne(call->team);
@@ -589,7 +658,8 @@
 CallPipeline::Async<void> CallPipeline::RunAttempts(RunningPtr call) {
   bool resume = call->reopened && call->engine;
   if (call->reopened && !call->idempotent) {
-    co_await RecordUnknown(call, "The owner was lost while the call was under way.");
+    co_await RecordUnknown(call,
+                           "The owner was lost while the call was under way.");
     co_return;
   }
   std::string detail;
@@ -610,7 +680,8 @@
       Spawn(*parts_.context->shards_io, "call", parts_.slots->Release(done));
     }
     if (call->orphaned) {
-      throw Refusal(Reason::kFenced, RunState::kUnknown, "Another host owns the program now.");
+      throw Refusal(Reason::kFenced, RunState::kUnknown,
+                    "Another host owns the program now.");
     }
     if (answer.failure == Reason::kNone) {
       co_await RecordAnswer(call, answer);
@@ -626,8 +697,9 @@
     last_failure = answer.failure;
     detail = answer.detail;
     parts_.context->metrics->Retried(answer.failure);
-    Note(*call, "attempt " + std::to_string(call->record.attempt) + " at " + upstream +
-                    " failed: " + std::string(Name(answer.failure)) + ".");
+    Note(*call, "attempt " + std::to_string(call->record.attempt) + " at " +
+                    upstream + " failed: " + std::string(Name(answer.failure)) +
+                    ".");
     if (!resume) call->failed.insert(upstream);
     resume = false;
     Restart(*call);
@@ -642,25 +714,31 @@
                       .service = call->record.service,
                       .last = call->last_upstream,
                       .failed = call->failed,
-                      .load = [this](const std::string& name) { return parts_.slots->Hint(name); }};
+                      .load = [this](const std::string& name) {
+                        return parts_.slots->Hint(name);
+                      }};
     const std::string upstream = parts_.choice->Choose(input);
     if (!upstream.empty()) co_return upstream;
     // Every upstream failed once: they all get another chance.
     call->failed.clear();
     if (NowMs() >= call->deadline_ms || call->given_up) {
-      co_await GiveUp(call, Reason::kNoUpstream, "No upstream of the service takes work.");
+      co_await GiveUp(call, Reason::kNoUpstream,
+                      "No upstream of the service takes work.");
     }
     co_await Sleep(kPollMs);
   }
 }
 
-CallPipeline::Async<uint64_t> CallPipeline::AcquireSlot(RunningPtr call, std::string upstream) {
+CallPipeline::Async<uint64_t> CallPipeline::AcquireSlot(RunningPtr call,
+                                                        std::string upstream) {
   const int64_t asked_ms = NowMs();
-  const double prompt_tokens = static_cast<double>(call->prompt.size()) / kBytesPerToken;
+  const double prompt_tokens =
+      static_cast<double>(call->prompt.size()) / kBytesPerToken;
   SlotBroker::Want want{
       .team = call->team,
       .program = call->program,
-      .cost = static_cast<double>(call->record.max_tokens) + kPromptShare * prompt_tokens + 1,
+      .cost = static_cast<double>(call->record.max_tokens) +
+              kPromptShare * prompt_tokens + 1,
       .attained = call->attained,
       .patience_ms = std::max<int64_t>(1, call->deadline_ms - asked_ms),
       .max_queue = 256};
@@ -671,9 +749,11 @@
   } catch (const Refusal& e) {
     refusal = e;
   }
-  parts_.context->metrics->Observe(Latency::kQueueWait, static_cast<double>(NowMs() - asked_ms));
+  parts_.context->metrics->Observe(Latency::kQueueWait,
+                                   static_cast<double>(NowMs() - asked_ms));
   if (!refusal) co_return ticket;
-  const bool another = refusal->reason() == Reason::kNoUpstream && NowMs() < call->deadline_ms;
+  const bool another =
+      refusal->reason() == Reason::kNoUpstream && NowMs() < call->deadline_ms;
   if (another) {
     // The upstream left while the call waited: start over with another one.
     call->failed.insert(upstream);
@@ -684,7 +764,8 @@
   co_return 0;
 }
 
-CallPipeline::Async<void> CallPipeline::RecordIntent(RunningPtr call, std::string upstream) {
+CallPipeline::Async<void> CallPipeline::RecordIntent(RunningPtr call,
+                                                     std::string upstream) {
   CallRecord& record = call->record;
   if (call->dispatched && record.upstream != upstream) {
     record.earlier_upstreams.push_back(record.upstream);
@@ -692,19 +773,22 @@
   record.state = CallState::kIntent;
   record.upstream = upstream;
   if (record.started_ms == 0) record.started_ms = NowMs();
-  std::vector<Record> records = {MakeRecord(call->program, call->sequence, record)};
+  std::vector<Record> records = {
+      MakeRecord(call->program, call->sequence, record)};
   co_await parts_.shards->Commit(call->shard, std::move(records));
   call->dispatched = true;
   Note(*call, "intent recorded for " + upstream + ".");
 }
 
-CallPipeline::Async<UpstreamAnswer> CallPipeline::Dispatch(RunningPtr call, std::string upstream,
+CallPipeline::Async<UpstreamAnswer> CallPipeline::Dispatch(RunningPtr call,
+                                                           std::string upstream,
                                                            bool resume) {
   const auto environment = parts_.context->environment.load();
   const Document& document = environment->document;
   const auto declared = document.upstreams.find(upstream);
   const Service* service = document.FindService(call->record.service);
-  const bool usable = declared != document.upstreams.end() && service != nullptr &&
+  const bool usable = declared != document.upstreams.end() &&
+                      service != nullptr &&
                       (resume || document.Usable(declared->second));
   if (!usable) {
     UpstreamAnswer answer;
@@ -713,22 +797,23 @@
     co_return answer;
   }
   if (call->engine) {
-    co_return co_await DispatchToEngine(call, declared->second, *service, resume);
-  }
-  ServiceOrder order{.address = declared->second.address,
-                     .request_id = call->request_id,
-                     .operation = call->program + "/" + std::to_string(call->sequence),
-                     .path = call->record.path.empty() ? "/" : call->record.path,
-                     .body = call->record.input,
-                     .silence_ms = service->silence_limit_ms,
-                     .total_ms = service->call_limit_ms};
+    co_return co_await DispatchToEngine(call, declared->second, *service,
+                                        resume);
+  }
+  ServiceOrder order{
+      .address = declared->second.address,
+      .request_id = call->request_id,
+      .operation = call->program + "/" + std::to_string(call->sequence),
+      .path = call->record.path.empty() ? "/" : call->record.path,
+      .body = call->record.input,
+      .silence_ms = service->silence_limit_ms,
+      .total_ms = service->call_limit_ms};
   co_return co_await parts_.upstreams->Operate(std::move(order));
 }
 
-CallPipeline::Async<UpstreamAnswer> CallPipeline::DispatchToEngine(RunningPtr call,
-                                                                   const Upstream& upstream,
-                                                                   const Service& service,
-                                                                   bool resume) {
+CallPipeline::Async<UpstreamAnswer> CallPipeline::DispatchToEngine(
+    RunningPtr call, const Upstream& upstream, const Service& service,
+    bool resume) {
   auto buffer = std::make_shared<TokenBuffer>();
   boost::asio::io_context* shards_io = parts_.context->shards_io;
   EngineOrder order{.address = upstream.address,
@@ -745,14 +830,16 @@
                     .on_token = {}};
   order.on_token = [this, call, buffer, shards_io](const std::string& text) {
     if (buffer->Add(text)) {
-      boost::asio::post(*shards_io, [this, call, buffer] { Deliver(*call, buffer->Take()); });
+      boost::asio::post(
+          *shards_io, [this, call, buffer] { Deliver(*call, buffer->Take()); });
     }
     return !call->given_up;
   };
   UpstreamAnswer answer = co_await parts_.upstreams->Generate(std::move(order));
   Deliver(*call, buffer->Take());
   if (answer.first_token_ms > 0 && !resume) {
-    parts_.context->metrics->Observe(Latency::kFirstToken, answer.first_token_ms);
+    parts_.context->metrics->Observe(Latency::kFirstToken,
+                                     answer.first_token_ms);
   }
   co_return answer;
 }
@@ -768,19 +855,22 @@
 
 // The next attempt makes its own text; what was made before is thrown away.
 void CallPipeline::Restart(Running& call) {
-  const uint64_t wasted = (call.text.size() + call.prompt.size()) / kBytesPerToken;
+  const uint64_t wasted =
+      (call.text.size() + call.prompt.size()) / kBytesPerToken;
   if (call.engine) parts_.context->metrics->Add(Counter::kTokensWasted, wasted);
   call.text.clear();
   ++call.record.attempt;
 }
 
-SlotDone CallPipeline::ResultFor(const Running& call, const std::string& upstream, uint64_t ticket,
+SlotDone CallPipeline::ResultFor(const Running& call,
+                                 const std::string& upstream, uint64_t ticket,
                                  const UpstreamAnswer& answer) const {
   const bool ok = answer.failure == Reason::kNone;
   const bool gave_up = call.given_up || call.orphaned;
   const double tokens = call.engine ? static_cast<double>(answer.tokens) : 1.0;
   const double decode_ms = answer.total_ms - answer.first_token_ms;
-  const double pace_ms = call.engine ? decode_ms / std::max(1.0, tokens) : answer.total_ms;
+  const double pace_ms =
+      call.engine ? decode_ms / std::max(1.0, tokens) : answer.total_ms;
   return {.upstream = upstream,
           .ticket = ticket,
           .succeeded = ok,
@@ -789,7 +879,8 @@
           .pace_ms = pace_ms};
 }
 
-CallPipeline::Async<void> CallPipeline::RecordAnswer(RunningPtr call, UpstreamAnswer answer) {
+CallPipeline::Async<void> CallPipeline::RecordAnswer(RunningPtr call,
+                                                     UpstreamAnswer answer) {
   CallRecord& record = call->record;
   record.state = CallState::kDone;
   record.output = call->engine ? call->text : answer.body;
@@ -797,10 +888,12 @@
   record.http_status = answer.http_status;
   record.content_type = answer.content_type;
   record.finished_ms = NowMs();
-  std::vector<Record> records = {MakeRecord(call->program, call->sequence, record)};
-  const Program* program = parts_.shards->Owns(call->shard)
-                               ? parts_.shards->Ledger(call->shard).Find(call->program)
-                               : nullptr;
+  std::vector<Record> records = {
+      MakeRecord(call->program, call->sequence, record)};
+  const Program* program =
+      parts_.shards->Owns(call->shard)
+          ? parts_.shards->Ledger(call->shard).Find(call->program)
+          : nullptr;
   if (call->single && !call->engine && program != nullptr) {
     ProgramRecord ended = program->record;
     ended.state = ProgramState::kEnded;
@@ -811,10 +904,12 @@
   parts_.context->metrics->Add(Counter::kTokensStreamed, record.tokens);
 }
 
-CallPipeline::Async<void> CallPipeline::RecordUnknown(RunningPtr call, std::string detail) {
+CallPipeline::Async<void> CallPipeline::RecordUnknown(RunningPtr call,
+                                                      std::string detail) {
   call->record.state = CallState::kUnknown;
   call->record.finished_ms = NowMs();
-  std::vector<Record> records = {MakeRecord(call->program, call->sequence, call->record)};
+  std::vector<Record> records = {
+      MakeRecord(call->program, call->sequence, call->record)};
   co_await parts_.shards->Commit(call->shard, std::move(records));
   parts_.context->metrics->Refused(Reason::kOutcomeUnknown);
   Note(*call, "outcome unknown: " + detail);
@@ -825,12 +920,16 @@
 // An intent of a call that must not repeat is taken back, because no byte of it
 // went out: the caller may try the same number again. Other intents stay: they
 // tell which engines hold memory, and a retry goes on from them.
-CallPipeline::Async<void> CallPipeline::GiveUp(RunningPtr call, Reason reason, std::string detail) {
+CallPipeline::Async<void> CallPipeline::GiveUp(RunningPtr call, Reason reason,
+                                               std::string detail) {
   RunState run = RunState::kNotRun;
   if (call->dispatched && call->idempotent) run = RunState::kUnknown;
   if (call->dispatched && !call->idempotent) {
     std::vector<Record> records = {
-        {.key = CallKey(call->program, call->sequence), .epoch = {}, .version = 0, .value = {}}};
+        {.key = CallKey(call->program, call->sequence),
+         .epoch = {},
+         .version = 0,
+         .value = {}}};
     co_await parts_.shards->Commit(call->shard, std::move(records));
   }
   throw Refusal(reason, run, detail, kPollMs);
@@ -842,22 +941,29 @@
 CallPipeline::Async<void> CallPipeline::FreeAfterFencing(RunningPtr call) {
   for (int i = 0; i < kFreeTries; ++i) {
     const auto environment = parts_.context->environment.load();
-    const auto upstream = environment->document.upstreams.find(call->record.upstream);
-    const Service* service = environment->document.FindService(call->record.service);
+    const auto upstream =
+        environment->document.upstreams.find(call->record.upstream);
+    const Service* service =
+        environment->document.FindService(call->record.service);
     const bool ignores = service != nullptr && !service->fencing;
-    if (!ignores || upstream == environment->document.upstreams.end()) co_return;
+    if (!ignores || upstream == environment->document.upstreams.end())
+      co_return;
     try {
-      const std::string owner = OwnerAddress(*parts_.context, *parts_.shards, call->shard);
+      const std::string owner =
+          OwnerAddress(*parts_.context, *parts_.shards, call->shard);
       // Back in charge of the shard, this host releases like any owner.
       if (owner.empty()) co_return;
       const ProgramView view = co_await parts_.context->peers->View(
           owner, call->program, call->team, parts_.context->timing.rpc_ms);
       const bool missing = view.outcome.reason == Reason::kNotFound;
       if (view.outcome.ok() || missing) {
-        const bool live = !missing && json::parse(view.json).at("state").as_string() == "live";
+        const bool live =
+            !missing &&
+            json::parse(view.json).at("state").as_string() == "live";
         if (live) co_return;
         const bool freed = co_await parts_.upstreams->ReleaseSession(
-            upstream->second.address, call->program, parts_.shards->Fence(call->shard));
+            upstream->second.address, call->program,
+            parts_.shards->Fence(call->shard));
         if (freed) co_return;
       }
     } catch (const std::exception& e) {
@@ -890,8 +996,8 @@
     call->orphaned = true;
     // The stream goes on at the engine; the new owner joins it.
     if (call->idempotent) call->given_up = true;
-    call->refusal =
-        Refusal(Reason::kFenced, RunState::kUnknown, "Another host owns the program now.");
+    call->refusal = Refusal(Reason::kFenced, RunState::kUnknown,
+                            "Another host owns the program now.");
     call->finished = true;
     running_.erase({call->program, call->sequence});
     call->subscribers.clear();
@@ -902,9 +1008,10 @@
 CallPipeline::Async<void> CallPipeline::Quiesce(uint32_t shard) {
   const int64_t deadline_ms = NowMs() + parts_.context->timing.quiesce_ms;
   const auto must_finish = [&] {
-    return std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
-      return entry.second->shard == shard && !entry.second->idempotent;
-    });
+    return std::any_of(
+        running_.begin(), running_.end(), [&](const auto& entry) {
+          return entry.second->shard == shard && !entry.second->idempotent;
+        });
   };
   while (must_finish() && NowMs() < deadline_ms) co_await Sleep(10);
 }
--- a/src/call_pipeline.h
+++ b/src/call_pipeline.h
@@ -72,19 +72,28 @@
   using CallId = std::pair<std::string, uint32_t>;
 
   uint32_t AdmittedShard(const std::string& program) const;
-  Program& ProgramOf(uint32_t shard, const std::string& id, const std::string& team);
-  const Service& ServiceOf(const Document& document, const CallRequest& request) const;
-  Async<void> RecordProgram(uint32_t shard, CreateRequest request, ProgramRecord record);
-  Turn TurnFor(uint32_t shard, const CallRequest& request, const std::string& digest) const;
-  void CheckNext(uint32_t shard, const CallRequest& request, const Document& document);
-  bool MayBegin(uint32_t shard, const CallRequest& request, const Document& document);
+  Program& ProgramOf(uint32_t shard, const std::string& id,
+                     const std::string& team);
+  const Service& ServiceOf(const Document& document,
+                           const CallRequest& request) const;
+  Async<void> RecordProgram(uint32_t shard, CreateRequest request,
+                            ProgramRecord record);
+  Turn TurnFor(uint32_t shard, const CallRequest& request,
+               const std::string& digest) const;
+  void CheckNext(uint32_t shard, const CallRequest& request,
+                 const Document& document);
+  bool MayBegin(uint32_t shard, const CallRequest& request,
+                const Document& document);
   Async<void> EnsureSingle(uint32_t shard, const CallRequest& request);
-  void RefuseIfUncertain(uint32_t shard, const Program& program, const Service& service) const;
+  void RefuseIfUncertain(uint32_t shard, const Program& program,
+                         const Service& service) const;
 
-  RunningPtr Begin(uint32_t shard, const CallRequest& request, const std::string& digest,
-                   const CallRecord* reopened);
-  Async<CallReply> Join(RunningPtr call, const CallRequest& request, PieceSink sink);
-  Async<void> WaitForTurn(uint32_t shard, const CallRequest& request, int64_t deadline_ms);
+  RunningPtr Begin(uint32_t shard, const CallRequest& request,
+                   const std::string& digest, const CallRecord* reopened);
+  Async<CallReply> Join(RunningPtr call, const CallRequest& request,
+                        PieceSink sink);
+  Async<void> WaitForTurn(uint32_t shard, const CallRequest& request,
+                          int64_t deadline_ms);
   CallReply Recorded(const CallRecord& record) const;
 
   Async<void> RunCall(RunningPtr call);
@@ -95,14 +104,16 @@
   Async<std::string> ChooseUpstream(RunningPtr call);
   Async<uint64_t> AcquireSlot(RunningPtr call, std::string upstream);
   Async<void> RecordIntent(RunningPtr call, std::string upstream);
-  Async<UpstreamAnswer> Dispatch(RunningPtr call, std::string upstream, bool resume);
-  Async<UpstreamAnswer> DispatchToEngine(RunningPtr call, const Upstream& upstream,
+  Async<UpstreamAnswer> Dispatch(RunningPtr call, std::string upstream,
+                                 bool resume);
+  Async<UpstreamAnswer> DispatchToEngine(RunningPtr call,
+                                         const Upstream& upstream,
                                          const Service& service, bool resume);
   Async<void> RecordAnswer(RunningPtr call, UpstreamAnswer answer);
   Async<void> RecordUnknown(RunningPtr call, std::string detail);
   Async<void> GiveUp(RunningPtr call, Reason reason, std::string detail);
-  SlotDone ResultFor(const Running& call, const std::string& upstream, uint64_t ticket,
-                     const UpstreamAnswer& answer) const;
+  SlotDone ResultFor(const Running& call, const std::string& upstream,
+                     uint64_t ticket, const UpstreamAnswer& answer) const;
   void Deliver(Running& call, const std::string& text);
   void Restart(Running& call);
   void Finish(const RunningPtr& call);
--- a/src/caller_routes.cc
+++ b/src/caller_routes.cc
@@ -33,7 +33,8 @@
 constexpr int64_t kAddressLifeMs = 10'000;
 
 Refusal BadField(const std::string& field, const std::string& what) {
-  return {Reason::kBadRequest, RunState::kNotRun, "The field \"" + field + "\" " + what + "."};
+  return {Reason::kBadRequest, RunState::kNotRun,
+          "The field \"" + field + "\" " + what + "."};
 }
 
 // Reads the fields of a JSON body, each with its bounds.
@@ -44,7 +45,8 @@
     boost::system::error_code error;
     const json::value parsed = json::parse(text, error);
     if (error || !parsed.is_object()) {
-      throw Refusal(Reason::kBadRequest, RunState::kNotRun, "The body is not a JSON object.");
+      throw Refusal(Reason::kBadRequest, RunState::kNotRun,
+                    "The body is not a JSON object.");
     }
     object_ = parsed.as_object();
   }
@@ -60,8 +62,8 @@
     return value->as_string().c_str();
   }
 
-  uint64_t Number(const char* field, std::optional<uint64_t> fallback, uint64_t least,
-                  uint64_t most) const {
+  uint64_t Number(const char* field, std::optional<uint64_t> fallback,
+                  uint64_t least, uint64_t most) const {
     const json::value* value = object_.if_contains(field);
     if (value == nullptr) {
       if (!fallback) throw BadField(field, "is missing");
@@ -70,7 +72,8 @@
     boost::system::error_code error;
     const auto number = value->to_number<uint64_t>(error);
     if (error || number < least || number > most) {
-      throw BadField(field, "must be a whole number from " + std::to_string(least) + " to " +
+      throw BadField(field, "must be a whole number from " +
+                                std::to_string(least) + " to " +
                                 std::to_string(most));
     }
     return number;
@@ -92,8 +95,9 @@
 
   void OnlyFields(std::initializer_list<const char*> allowed) const {
     for (const auto& [name, value] : object_) {
-      const bool known = std::any_of(allowed.begin(), allowed.end(),
-                                     [&](const char* field) { return name == field; });
+      const bool known =
+          std::any_of(allowed.begin(), allowed.end(),
+                      [&](const char* field) { return name == field; });
       if (!known) throw BadField(name, "is not known");
     }
   }
@@ -104,13 +108,15 @@
 
 std::vector<std::string> Segments(const std::string& path) {
   std::vector<std::string> parts;
-  const std::string trimmed = boost::trim_left_copy_if(path, boost::is_any_of("/"));
+  const std::string trimmed =
+      boost::trim_left_copy_if(path, boost::is_any_of("/"));
   boost::split(parts, trimmed, boost::is_any_of("/"));
   return parts;
 }
 
 // "v1/programs/*/calls" matches one segment for each '*', "**" the rest.
-bool Matches(const std::string& pattern, const std::vector<std::string>& segments) {
+bool Matches(const std::string& pattern,
+             const std::vector<std::string>& segments) {
   const std::vector<std::string> wanted = Segments(pattern);
   for (size_t i = 0; i < wanted.size(); ++i) {
     if (wanted[i] == "**") return true;
@@ -135,15 +141,18 @@
 uint32_t ShardOrThrow(const std::string& program, uint32_t shards) {
   const std::optional<uint32_t> shard = ShardOfProgram(program);
   if (!shard || *shard >= shards) {
-    throw Refusal(Reason::kNotFound, RunState::kNotRun, "There is no program " + program + ".");
+    throw Refusal(Reason::kNotFound, RunState::kNotRun,
+                  "There is no program " + program + ".");
   }
   return *shard;
 }
 
 uint32_t SequenceOrThrow(const std::string& text) {
   uint32_t sequence = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), sequence);
-  const bool whole = error == std::errc{} && end == text.data() + text.size() && sequence > 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), sequence);
+  const bool whole =
+      error == std::errc{} && end == text.data() + text.size() && sequence > 0;
   if (!whole) throw BadField("sequence", "must be a whole number from 1");
   return sequence;
 }
@@ -152,7 +161,8 @@
   return call.program + "/" + std::to_string(call.sequence);
 }
 
-std::string ReplyJson(const CallRequest& call, const CallReply& reply, bool with_output) {
+std::string ReplyJson(const CallRequest& call, const CallReply& reply,
+                      bool with_output) {
   json::object body = {{"program", call.program},
                        {"sequence", call.sequence},
                        {"tokens", reply.tokens},
@@ -198,7 +208,8 @@
     {"POST", "v1/services/*/**", &CallerRoutes::CallService},
 };
 
-CallerRoutes::CallerRoutes(boost::asio::io_context& io, EntryForwarder& forwarder, Metrics& metrics,
+CallerRoutes::CallerRoutes(boost::asio::io_context& io,
+                           EntryForwarder& forwarder, Metrics& metrics,
                            std::string host)
     : io_(io),
       forwarder_(forwarder),
@@ -207,7 +218,8 @@
       boot_(static_cast<uint64_t>(NowUs())) {}
 
 std::string CallerRoutes::NewRequestId() {
-  return host_ + "-" + std::to_string(boot_) + "-" + std::to_string(++requests_);
+  return host_ + "-" + std::to_string(boot_) + "-" +
+         std::to_string(++requests_);
 }
 
 void CallerRoutes::CutWithdrawn() {
@@ -218,7 +230,8 @@
   }
   for (auto& [id, live] : live_) {
     const bool withdrawn =
-        !live.digest.empty() && environment->document.TeamOfDigest(live.digest) == nullptr;
+        !live.digest.empty() &&
+        environment->document.TeamOfDigest(live.digest) == nullptr;
     if (!withdrawn) continue;
     metrics_.Add(Counter::kStreamsCut);
     live.responder->Abort();
@@ -242,24 +255,29 @@
     failure = std::current_exception();
   } catch (const std::exception& e) {
     kLog.Error() << "A request failed inside: " << e.what();
-    refusal = Refusal(Reason::kInternal, RunState::kUnknown, "The request failed inside.");
+    refusal = Refusal(Reason::kInternal, RunState::kUnknown,
+                      "The request failed inside.");
   }
   live_.erase(id);
   if (failure) std::rethrow_exception(failure);
   if (refusal) co_await Refuse(*refusal, responder);
 }
 
-CallerRoutes::Async<void> CallerRoutes::Refuse(const Refusal& refusal, HttpResponder& responder) {
+CallerRoutes::Async<void> CallerRoutes::Refuse(const Refusal& refusal,
+                                               HttpResponder& responder) {
   metrics_.Refused(refusal.reason());
   if (responder.begun()) {
-    co_await responder.Write("event: error\ndata: " + ErrorJson(refusal) + "\n\n");
+    co_await responder.Write("event: error\ndata: " + ErrorJson(refusal) +
+                             "\n\n");
     co_await responder.End();
     co_return;
   }
-  HttpAnswer answer{.status = HttpStatus(refusal.reason()), .body = ErrorJson(refusal)};
+  HttpAnswer answer{.status = HttpStatus(refusal.reason()),
+                    .body = ErrorJson(refusal)};
   if (answer.status == 429 || answer.status == 503) {
     // Whole seconds, as the header demands; the body has the exact time.
-    answer.headers["Retry-After"] = std::to_string((refusal.retry_after_ms() + 999) / 1000);
+    answer.headers["Retry-After"] =
+        std::to_string((refusal.retry_after_ms() + 999) / 1000);
   }
   co_await responder.Send(std::move(answer));
 }
@@ -268,7 +286,8 @@
                                                  HttpResponder& responder) {
   const std::vector<std::string> segments = Segments(request.path);
   for (const RouteRow& row : kRoutes) {
-    if (request.method != row.method || !Matches(row.pattern, segments)) continue;
+    if (request.method != row.method || !Matches(row.pattern, segments))
+      continue;
     co_await (this->*row.route)(request, responder);
     co_return;
   }
@@ -276,7 +295,8 @@
                 "There is no " + request.method + " " + request.path + ".");
 }
 
-// Turns the key into a team. Throws when there is none, unless `service` is open.
+// Turns the key into a team. Throws when there is none, unless `service` is
+// open.
 CallerRoutes::Caller CallerRoutes::Identify(const HttpRequest& request,
                                             const std::string& service) const {
   const auto environment = forwarder_.environment();
@@ -295,22 +315,27 @@
   const Team* team = environment->document.TeamOfDigest(caller.digest);
   if (team == nullptr) {
     const bool withdrawn = known_digests_.contains(caller.digest);
-    throw Refusal(withdrawn ? Reason::kKeyWithdrawn : Reason::kKeyUnknown, RunState::kUnknown,
-                  withdrawn ? "The key has been withdrawn." : "The key is not known.");
+    throw Refusal(
+        withdrawn ? Reason::kKeyWithdrawn : Reason::kKeyUnknown,
+        RunState::kUnknown,
+        withdrawn ? "The key has been withdrawn." : "The key is not known.");
   }
   caller.team = team->name;
   return caller;
 }
 
-CallerRoutes::Async<void> CallerRoutes::Health(const HttpRequest&, HttpResponder& responder) {
+CallerRoutes::Async<void> CallerRoutes::Health(const HttpRequest&,
+                                               HttpResponder& responder) {
   const bool ready = forwarder_.fresh();
   HttpAnswer answer{.status = ready ? 200 : 503,
                     .body = ready ? R"({"ready":true})" : R"({"ready":false})"};
   co_await responder.Send(std::move(answer));
 }
 
-CallerRoutes::Async<void> CallerRoutes::MetricsText(const HttpRequest&, HttpResponder& responder) {
-  HttpAnswer answer{.body = metrics_.PrometheusText(), .content_type = "text/plain; version=0.0.4"};
+CallerRoutes::Async<void> CallerRoutes::MetricsText(const HttpRequest&,
+                                                    HttpResponder& responder) {
+  HttpAnswer answer{.body = metrics_.PrometheusText(),
+                    .content_type = "text/plain; version=0.0.4"};
   co_await responder.Send(std::move(answer));
 }
 
@@ -322,17 +347,20 @@
   if (!program.empty()) shard = ShardOrThrow(program, shards);
   const OwnerReply owner = co_await forwarder_.Owner(shard);
   json::array alternates;
-  for (const std::string& address : owner.alternates) alternates.emplace_back(address);
+  for (const std::string& address : owner.alternates)
+    alternates.emplace_back(address);
   std::string address = owner.http_address;
-  if (address.empty() && !owner.alternates.empty()) address = owner.alternates.front();
-  const json::object body = {
-      {"address", address}, {"ttl_ms", kAddressLifeMs}, {"alternates", alternates}};
+  if (address.empty() && !owner.alternates.empty())
+    address = owner.alternates.front();
+  const json::object body = {{"address", address},
+                             {"ttl_ms", kAddressLifeMs},
+                             {"alternates", alternates}};
   HttpAnswer answer{.body = json::serialize(body)};
   co_await responder.Send(std::move(answer));
 }
 
-CallerRoutes::Async<void> CallerRoutes::CreateProgram(const HttpRequest& request,
-                                                      HttpResponder& responder) {
+CallerRoutes::Async<void> CallerRoutes::CreateProgram(
+    const HttpRequest& request, HttpResponder& responder) {
   const Caller caller = Identify(request, "");
   const Body body(request.body);
   body.OnlyFields({"budget", "deadline_ms", "parent"});
@@ -340,19 +368,23 @@
   budget.OnlyFields({"calls", "tokens"});
   const uint32_t shards = forwarder_.environment()->document.shards;
   const std::string key = request.Header("idempotency-key");
-  if (key.size() > kMostKeyBytes) throw BadField("Idempotency-Key", "is too long");
-  const std::string unique = key.empty() ? NewRequestId() : caller.team + "/program/" + key;
+  if (key.size() > kMostKeyBytes)
+    throw BadField("Idempotency-Key", "is too long");
+  const std::string unique =
+      key.empty() ? NewRequestId() : caller.team + "/program/" + key;
   CreateRequest create;
   create.team = caller.team;
   create.parent = body.Text("parent", false);
-  create.shard =
-      create.parent.empty() ? ShardOf(unique, shards) : ShardOrThrow(create.parent, shards);
+  create.shard = create.parent.empty() ? ShardOf(unique, shards)
+                                       : ShardOrThrow(create.parent, shards);
   create.id = ProgramId(create.shard, unique);
   create.digest = CallDigest("", "", request.body, 0);
-  create.budget_calls = static_cast<uint32_t>(budget.Number("calls", kDefaultCalls, 1, 100'000));
-  create.budget_tokens = budget.Number("tokens", kDefaultTokens, 0, 1'000'000'000);
-  create.time_ms =
-      static_cast<int64_t>(body.Number("deadline_ms", kDefaultDeadlineMs, 1, kMostDeadlineMs));
+  create.budget_calls =
+      static_cast<uint32_t>(budget.Number("calls", kDefaultCalls, 1, 100'000));
+  create.budget_tokens =
+      budget.Number("tokens", kDefaultTokens, 0, 1'000'000'000);
+  create.time_ms = static_cast<int64_t>(
+      body.Number("deadline_ms", kDefaultDeadlineMs, 1, kMostDeadlineMs));
   const ProgramView view = co_await forwarder_.Create(create);
   if (!view.outcome.ok()) throw ToRefusal(view.outcome);
   HttpAnswer answer{.status = 201, .body = view.json};
@@ -362,25 +394,28 @@
 CallerRoutes::Async<void> CallerRoutes::MakeCall(const HttpRequest& request,
                                                  HttpResponder& responder) {
   const Body body(request.body);
-  body.OnlyFields(
-      {"sequence", "service", "path", "input", "max_tokens", "stream", "offset", "attempt"});
+  body.OnlyFields({"sequence", "service", "path", "input", "max_tokens",
+                   "stream", "offset", "attempt"});
   CallRequest call;
   call.service = body.Text("service", true);
   const Caller caller = Identify(request, "");
   call.team = caller.team;
   call.program = Segments(request.path)[2];
-  call.sequence = static_cast<uint32_t>(body.Number("sequence", std::nullopt, 1, 1'000'000));
+  call.sequence = static_cast<uint32_t>(
+      body.Number("sequence", std::nullopt, 1, 1'000'000));
   call.input = body.Text("input", true);
   call.path = body.Text("path", false);
   const auto environment = forwarder_.environment();
   const Service* service = environment->document.FindService(call.service);
-  const bool engine = service == nullptr || service->kind == ServiceKind::kEngine;
+  const bool engine =
+      service == nullptr || service->kind == ServiceKind::kEngine;
   if (engine) {
-    call.max_tokens =
-        body.Number("max_tokens", kDefaultMaxTokens, 1, forwarder_.settings().most_tokens);
+    call.max_tokens = body.Number("max_tokens", kDefaultMaxTokens, 1,
+                                  forwarder_.settings().most_tokens);
   }
   call.offset = body.Number("offset", 0, 0, UINT32_MAX);
-  call.attempt = static_cast<uint32_t>(body.Number("attempt", 0, 0, UINT32_MAX));
+  call.attempt =
+      static_cast<uint32_t>(body.Number("attempt", 0, 0, UINT32_MAX));
   co_await RunCall(std::move(call), body.Flag("stream"), request, responder);
 }
 
@@ -393,9 +428,10 @@
   call.program = segments[2];
   call.sequence = SequenceOrThrow(segments[4]);
   call.read_only = true;
-  call.offset = std::strtoull(request.Query("offset", "0").c_str(), nullptr, 10);
-  call.attempt =
-      static_cast<uint32_t>(std::strtoul(request.Query("attempt", "1").c_str(), nullptr, 10));
+  call.offset =
+      std::strtoull(request.Query("offset", "0").c_str(), nullptr, 10);
+  call.attempt = static_cast<uint32_t>(
+      std::strtoul(request.Query("attempt", "1").c_str(), nullptr, 10));
   const bool stream = request.Header("accept") == "text/event-stream";
   co_await RunCall(std::move(call), stream, request, responder);
 }
@@ -404,8 +440,10 @@
                                                 HttpResponder& responder) {
   const Caller caller = Identify(request, "");
   const std::string program = Segments(request.path)[2];
-  const uint32_t shard = ShardOrThrow(program, forwarder_.environment()->document.shards);
-  const ProgramView view = co_await forwarder_.View(shard, program, caller.team);
+  const uint32_t shard =
+      ShardOrThrow(program, forwarder_.environment()->document.shards);
+  const ProgramView view =
+      co_await forwarder_.View(shard, program, caller.team);
   if (!view.outcome.ok()) throw ToRefusal(view.outcome);
   HttpAnswer answer{.body = view.json};
   co_await responder.Send(std::move(answer));
@@ -415,7 +453,8 @@
                                                    HttpResponder& responder) {
   const Caller caller = Identify(request, "");
   const std::string program = Segments(request.path)[2];
-  const uint32_t shard = ShardOrThrow(program, forwarder_.environment()->document.shards);
+  const uint32_t shard =
+      ShardOrThrow(program, forwarder_.environment()->document.shards);
   const ProgramView view = co_await forwarder_.End(shard, program, caller.team);
   if (!view.outcome.ok()) throw ToRefusal(view.outcome);
   HttpAnswer answer{.body = view.json};
@@ -436,26 +475,31 @@
   }
   const std::string key = request.Header("idempotency-key");
   if (key.empty() && !service->idempotent) {
-    throw Refusal(Reason::kIdempotencyKeyMissing, RunState::kNotRun,
-                  "The service " + call.service + " needs the header Idempotency-Key.");
+    throw Refusal(
+        Reason::kIdempotencyKeyMissing, RunState::kNotRun,
+        "The service " + call.service + " needs the header Idempotency-Key.");
   }
-  if (key.size() > kMostKeyBytes) throw BadField("Idempotency-Key", "is too long");
+  if (key.size() > kMostKeyBytes)
+    throw BadField("Idempotency-Key", "is too long");
   const std::string unique =
-      key.empty() ? NewRequestId() : caller.team + "/service/" + call.service + "/" + key;
+      key.empty() ? NewRequestId()
+                  : caller.team + "/service/" + call.service + "/" + key;
   call.team = caller.team;
   call.single = true;
   call.sequence = 1;
   call.input = request.body;
-  call.path =
-      "/" + boost::join(std::vector<std::string>(segments.begin() + 3, segments.end()), "/");
+  call.path = "/" + boost::join(std::vector<std::string>(segments.begin() + 3,
+                                                         segments.end()),
+                                "/");
   const uint32_t shards = environment->document.shards;
   call.program = ProgramId(ShardOf(unique, shards), unique);
   co_await RunCall(std::move(call), false, request, responder);
 }
 
 // A call that was refused for its team's rate is certain to be refused again
-// before the next grant can be earned. It is answered here, before any other work.
-// Only that very call is: of others this host cannot say that they did not run.
+// before the next grant can be earned. It is answered here, before any other
+// work. Only that very call is: of others this host cannot say that they did
+// not run.
 void CallerRoutes::CheckRefusalCache(const CallRequest& call) {
   if (!forwarder_.settings().refusal_cache) return;
   const auto it = refused_until_ms_.find(CallName(call));
@@ -470,8 +514,10 @@
                 "The team " + call.team + " is over its rate.", left_ms);
 }
 
-void CallerRoutes::RememberRefusal(const CallRequest& call, const Outcome& outcome) {
-  const bool certain = outcome.reason == Reason::kRateLimited && outcome.run == RunState::kNotRun;
+void CallerRoutes::RememberRefusal(const CallRequest& call,
+                                   const Outcome& outcome) {
+  const bool certain = outcome.reason == Reason::kRateLimited &&
+                       outcome.run == RunState::kNotRun;
   if (!certain) return;
   if (refused_until_ms_.size() >= kMostRemembered) refused_until_ms_.clear();
   refused_until_ms_[CallName(call)] = NowMs() + outcome.retry_after_ms;
@@ -480,12 +526,13 @@
 CallerRoutes::Async<void> CallerRoutes::RunCall(CallRequest call, bool stream,
                                                 const HttpRequest& request,
                                                 HttpResponder& responder) {
-  const uint32_t shard = ShardOrThrow(call.program, forwarder_.environment()->document.shards);
+  const uint32_t shard =
+      ShardOrThrow(call.program, forwarder_.environment()->document.shards);
   CheckRefusalCache(call);
   call.request_id = NewRequestId();
   if (call.read_only || !call.single) {
-    kLog.Debug() << "Request " << call.request_id << " is " << request.method << " " << request.path
-                 << ".";
+    kLog.Debug() << "Request " << call.request_id << " is " << request.method
+                 << " " << request.path << ".";
   }
   if (stream) {
     co_await StreamCall(shard, std::move(call), responder);
@@ -494,7 +541,8 @@
   }
 }
 
-CallerRoutes::Async<void> CallerRoutes::AnswerCall(uint32_t shard, CallRequest call,
+CallerRoutes::Async<void> CallerRoutes::AnswerCall(uint32_t shard,
+                                                   CallRequest call,
                                                    HttpResponder& responder) {
   const CallReply reply = co_await forwarder_.Call(
       shard, call, [](CallRequest&) {}, PieceSink([](auto...) {}));
@@ -514,16 +562,18 @@
   co_await responder.Send(std::move(answer));
 }
 
-CallerRoutes::Async<void> CallerRoutes::ForwardInto(std::shared_ptr<Stream> stream, uint32_t shard,
-                                                    CallRequest call) {
+CallerRoutes::Async<void> CallerRoutes::ForwardInto(
+    std::shared_ptr<Stream> stream, uint32_t shard, CallRequest call) {
   const auto prepare = [stream](CallRequest& request) {
     request.attempt = stream->answer.attempt();
     request.offset = stream->answer.delivered();
   };
   boost::asio::io_context* io = &io_;
-  const PieceSink sink = [stream, io](uint32_t attempt, uint64_t offset, const std::string& text) {
+  const PieceSink sink = [stream, io](uint32_t attempt, uint64_t offset,
+                                      const std::string& text) {
     const std::lock_guard lock(stream->mutex);
-    stream->pieces.push_back({.attempt = attempt, .offset = offset, .text = text});
+    stream->pieces.push_back(
+        {.attempt = attempt, .offset = offset, .text = text});
     if (stream->woken) return;
     stream->woken = true;
     boost::asio::post(*io, [stream] { stream->changed.Notify(); });
@@ -537,18 +587,22 @@
   stream->changed.Notify();
 }
 
-CallerRoutes::Async<void> CallerRoutes::StreamCall(uint32_t shard, CallRequest call,
+CallerRoutes::Async<void> CallerRoutes::StreamCall(uint32_t shard,
+                                                   CallRequest call,
                                                    HttpResponder& responder) {
   auto stream = std::make_shared<Stream>();
   stream->answer = AnswerStream(call.attempt, call.offset);
   Spawn(io_, "entry", ForwardInto(stream, shard, call));
   HttpAnswer head{.content_type = "text/event-stream",
-                  .headers = {{"X-Request-Id", call.request_id}, {"Cache-Control", "no-store"}}};
-  const auto output_events = [](const AnswerStream::Output& output, uint32_t attempt) {
+                  .headers = {{"X-Request-Id", call.request_id},
+                              {"Cache-Control", "no-store"}}};
+  const auto output_events = [](const AnswerStream::Output& output,
+                                uint32_t attempt) {
     std::string events;
     if (output.restart) events += Event("restart", {{"attempt", attempt}});
     if (!output.text.empty()) {
-      events += Event("piece", {{"offset", output.offset}, {"text", output.text}});
+      events +=
+          Event("piece", {{"offset", output.offset}, {"text", output.text}});
     }
     return events;
   };
@@ -580,7 +634,8 @@
     throw Refusal(Reason::kOutcomeUnknown, RunState::kUnknown,
                   "The call may have run; its outcome is not known.");
   }
-  const AnswerStream::Output rest = stream->answer.Finish(reply.attempt, reply.output);
+  const AnswerStream::Output rest =
+      stream->answer.Finish(reply.attempt, reply.output);
   std::string events = output_events(rest, reply.attempt);
   events += "event: done\ndata: " + ReplyJson(call, reply, false) + "\n\n";
   if (!responder.begun()) co_await responder.Begin(head);
--- a/src/caller_routes.h
+++ b/src/caller_routes.h
@@ -20,8 +20,8 @@
   template <class T>
   using Async = boost::asio::awaitable<T>;
 
-  CallerRoutes(boost::asio::io_context& io, EntryForwarder& forwarder, Metrics& metrics,
-               std::string host);
+  CallerRoutes(boost::asio::io_context& io, EntryForwarder& forwarder,
+               Metrics& metrics, std::string host);
 
   Async<void> Handle(const HttpRequest& request, HttpResponder& responder);
   // Cuts the connections of keys that the document does not know any more.
@@ -38,7 +38,8 @@
     std::string digest;
   };
   struct Stream;
-  using Route = Async<void> (CallerRoutes::*)(const HttpRequest&, HttpResponder&);
+  using Route = Async<void> (CallerRoutes::*)(const HttpRequest&,
+                                              HttpResponder&);
   struct RouteRow {
     const char* method;
     const char* pattern;
@@ -49,7 +50,8 @@
   Async<void> Health(const HttpRequest& request, HttpResponder& responder);
   Async<void> MetricsText(const HttpRequest& request, HttpResponder& responder);
   Async<void> Address(const HttpRequest& request, HttpResponder& responder);
-  Async<void> CreateProgram(const HttpRequest& request, HttpResponder& responder);
+  Async<void> CreateProgram(const HttpRequest& request,
+                            HttpResponder& responder);
   Async<void> MakeCall(const HttpRequest& request, HttpResponder& responder);
   Async<void> ReadCall(const HttpRequest& request, HttpResponder& responder);
   Async<void> History(const HttpRequest& request, HttpResponder& responder);
@@ -60,9 +62,12 @@
   Caller Identify(const HttpRequest& request, const std::string& service) const;
   Async<void> RunCall(CallRequest call, bool stream, const HttpRequest& request,
                       HttpResponder& responder);
-  Async<void> StreamCall(uint32_t shard, CallRequest call, HttpResponder& responder);
-  Async<void> AnswerCall(uint32_t shard, CallRequest call, HttpResponder& responder);
-  Async<void> ForwardInto(std::shared_ptr<Stream> stream, uint32_t shard, CallRequest call);
+  Async<void> StreamCall(uint32_t shard, CallRequest call,
+                         HttpResponder& responder);
+  Async<void> AnswerCall(uint32_t shard, CallRequest call,
+                         HttpResponder& responder);
+  Async<void> ForwardInto(std::shared_ptr<Stream> stream, uint32_t shard,
+                          CallRequest call);
   Async<void> Refuse(const Refusal& refusal, HttpResponder& responder);
   void CheckRefusalCache(const CallRequest& call);
   void RememberRefusal(const CallRequest& call, const Outcome& outcome);
--- a/src/config_watch.cc
+++ b/src/config_watch.cc
@@ -39,22 +39,26 @@
   if (!newer || document.environment != options_.environment) return false;
   auto next = std::make_shared<EnvironmentState>();
   try {
-    next->document = Document::Parse(document.text, "environment/" + document.environment);
+    next->document =
+        Document::Parse(document.text, "environment/" + document.environment);
   } catch (const UserError& e) {
-    kLog.Error() << "Generation " << document.generation << " is not usable: " << e.what();
+    kLog.Error() << "Generation " << document.generation
+                 << " is not usable: " << e.what();
     return false;
   }
   // The number of shards is part of every program's name.
-  const bool resized =
-      present->generation != 0 && present->document.shards != next->document.shards;
+  const bool resized = present->generation != 0 &&
+                       present->document.shards != next->document.shards;
   if (resized) {
-    kLog.Error() << "Generation " << document.generation << " changes the number of shards.";
+    kLog.Error() << "Generation " << document.generation
+                 << " changes the number of shards.";
     return false;
   }
   next->generation = document.generation;
   next->environment = document.environment;
   next->text = document.text;
-  context_.environment = std::shared_ptr<const EnvironmentState>(std::move(next));
+  context_.environment =
+      std::shared_ptr<const EnvironmentState>(std::move(next));
   kLog.Info() << "Generation " << document.generation << " is in force.";
   return true;
 }
@@ -64,7 +68,8 @@
   const auto view = context_.view.load();
   size_t before = 0;
   for (const HostNews& news : view->hosts()) {
-    const bool peer = news.info.zone == context_.zone && news.state == HostState::kAlive &&
+    const bool peer = news.info.zone == context_.zone &&
+                      news.state == HostState::kAlive &&
                       news.info.host < context_.self.host;
     if (peer) ++before;
   }
@@ -78,7 +83,8 @@
     const bool watches = HoldsWatch();
     try {
       const int64_t wait_ms = watches ? options_.watch_ms : 0;
-      const auto object = co_await context_.platform->Watch(name, seen_version_, wait_ms);
+      const auto object =
+          co_await context_.platform->Watch(name, seen_version_, wait_ms);
       if (object) {
         seen_version_ = object->version;
         const Generation generation = DecodeGeneration(object->body);
@@ -103,14 +109,15 @@
     std::string address;
     uint64_t best = present;
     for (const HostNews& news : view->hosts()) {
-      if (news.state == HostState::kDead || news.info.generation <= best) continue;
+      if (news.state == HostState::kDead || news.info.generation <= best)
+        continue;
       best = news.info.generation;
       address = news.info.rpc_address;
     }
     if (address.empty()) continue;
     try {
-      const DocumentReply document =
-          co_await context_.peers->Document(address, present, 0, context_.timing.rpc_ms);
+      const DocumentReply document = co_await context_.peers->Document(
+          address, present, 0, context_.timing.rpc_ms);
       Offer(document);
     } catch (const TransportError&) {
       // Another peer, or the platform, has it too.
--- a/src/credit_broker.cc
+++ b/src/credit_broker.cc
@@ -29,33 +29,39 @@
   });
 }
 
-CreditBroker::Bucket& CreditBroker::BucketOf(const std::string& team, uint32_t shard) {
+CreditBroker::Bucket& CreditBroker::BucketOf(const std::string& team,
+                                             uint32_t shard) {
   Bucket& entry = buckets_[team];
   entry.shard = shard;
   const auto environment = context_.environment.load();
   const auto declared = environment->document.teams.find(team);
-  const RateLimit limit =
-      declared == environment->document.teams.end() ? RateLimit{} : declared->second.rate;
+  const RateLimit limit = declared == environment->document.teams.end()
+                              ? RateLimit{}
+                              : declared->second.rate;
   if (entry.bucket) {
     entry.bucket->set_limit(limit);
     return entry;
   }
   const auto& records = shards_.Records(shard);
   const auto mark = records.find(MarkKey(team));
-  const int64_t mark_us = mark == records.end() ? 0 : std::stoll(mark->second.value);
+  const int64_t mark_us =
+      mark == records.end() ? 0 : std::stoll(mark->second.value);
   entry.bucket = std::make_unique<RateBucket>(limit, mark_us);
   return entry;
 }
 
-CreditBroker::Async<void> CreditBroker::RecordMark(Bucket& bucket, std::string team,
+CreditBroker::Async<void> CreditBroker::RecordMark(Bucket& bucket,
+                                                   std::string team,
                                                    uint32_t wanted) {
   while (bucket.recording) co_await bucket.recorded.Wait(5'000);
   if (!bucket.bucket) co_return;
   const int64_t mark_us = bucket.bucket->MarkFor(NowUs(), wanted);
   if (mark_us <= bucket.bucket->mark_us()) co_return;
   bucket.recording = true;
-  std::vector<Record> records = {
-      {.key = MarkKey(team), .epoch = {}, .version = 0, .value = std::to_string(mark_us)}};
+  std::vector<Record> records = {{.key = MarkKey(team),
+                                  .epoch = {},
+                                  .version = 0,
+                                  .value = std::to_string(mark_us)}};
   std::exception_ptr failure;
   try {
     co_await shards_.Commit(bucket.shard, std::move(records));
@@ -75,7 +81,8 @@
   uint32_t left = std::max(1U, request.wanted);
   for (int round = 0; round < 3; ++round) {
     if (!shards_.Admits(shard)) {
-      throw Refusal(Reason::kNotOwner, RunState::kNotRun, "Another host keeps this bucket.");
+      throw Refusal(Reason::kNotOwner, RunState::kNotRun,
+                    "Another host keeps this bucket.");
     }
     Bucket& bucket = BucketOf(request.team, shard);
     const RateBucket::Outcome outcome = bucket.bucket->Take(NowUs(), left);
@@ -105,7 +112,8 @@
   }
   if (asking.refused > 0) {
     --asking.refused;
-    const int64_t wait_ms = std::max<int64_t>(1, (asking.next_us - NowUs()) / 1000);
+    const int64_t wait_ms =
+        std::max<int64_t>(1, (asking.next_us - NowUs()) / 1000);
     throw Refusal(Reason::kRateLimited, RunState::kNotRun,
                   "The team " + team + " is over its rate.", wait_ms);
   }
--- a/src/credit_broker.h
+++ b/src/credit_broker.h
@@ -1,8 +1,8 @@
 // Grants calls to teams under their rate and burst.
 //
 // On the owner of a team's shard: keeps the bucket, and records its mark with
-// witnesses before it hands out grants that the mark covers. Elsewhere: asks that
-// owner, one request at a time for each team, for as many as wait.
+// witnesses before it hands out grants that the mark covers. Elsewhere: asks
+// that owner, one request at a time for each team, for as many as wait.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -25,8 +25,8 @@
 
   CreditBroker(SchedulerContext& context, ShardHost& shards);
 
-  // Takes one grant for `team`. Throws Refusal: kRateLimited with the time of the
-  // next grant, or kOwnerUnreachable. Nothing has run in either case.
+  // Takes one grant for `team`. Throws Refusal: kRateLimited with the time of
+  // the next grant, or kOwnerUnreachable. Nothing has run in either case.
   Async<void> TakeOne(std::string team);
   // Serves other hosts; throws Refusal(kNotOwner).
   Async<CreditReply> Grant(CreditRequest request);
--- a/src/document.cc
+++ b/src/document.cc
@@ -24,7 +24,8 @@
 
 Team ReadTeam(const IniSection& section, IniFile& file) {
   Team team{.name = section.name,
-            .rate = {.per_second = section.Number("rate"), .burst = section.Number("burst")},
+            .rate = {.per_second = section.Number("rate"),
+                     .burst = section.Number("burst")},
             .weight = section.Number("weight"),
             .key_digests = {},
             .services = {}};
@@ -55,10 +56,11 @@
 }
 
 Upstream ReadUpstream(const IniSection& section) {
-  const WindowOptions window{.cold_window = static_cast<uint32_t>(section.Count("cold_window")),
-                             .full_window = static_cast<uint32_t>(section.Count("window")),
-                             .cold_start_ms = section.Milliseconds("cold_start"),
-                             .idle_ms = section.Milliseconds("idle")};
+  const WindowOptions window{
+      .cold_window = static_cast<uint32_t>(section.Count("cold_window")),
+      .full_window = static_cast<uint32_t>(section.Count("window")),
+      .cold_start_ms = section.Milliseconds("cold_start"),
+      .idle_ms = section.Milliseconds("idle")};
   return {.name = section.name,
           .service = section.Text("service"),
           .address = section.Text("address"),
@@ -74,27 +76,31 @@
     const Team& team = document.teams.at(section->name);
     for (const std::string& service : team.services) {
       if (document.services.contains(service)) continue;
-      file.AddFault(*section, "services", "The service \"" + service + "\" is not declared.");
+      file.AddFault(*section, "services",
+                    "The service \"" + service + "\" is not declared.");
     }
     for (const std::string& digest : team.key_digests) {
       const auto [it, inserted] = key_owner.emplace(digest, team.name);
       if (inserted) continue;
-      file.AddFault(
-          *section, "keys",
-          "The key digest \"" + digest + "\" belongs to the team \"" + it->second + "\" already.");
+      file.AddFault(*section, "keys",
+                    "The key digest \"" + digest + "\" belongs to the team \"" +
+                        it->second + "\" already.");
     }
   }
   for (const IniSection* section : file.OfKind("upstream")) {
     const Upstream& upstream = document.upstreams.at(section->name);
     if (!document.services.contains(upstream.service)) {
-      file.AddFault(*section, "service",
-                    "The service \"" + upstream.service + "\" is not declared.");
+      file.AddFault(
+          *section, "service",
+          "The service \"" + upstream.service + "\" is not declared.");
     }
     if (!document.zones.contains(upstream.zone)) {
-      file.AddFault(*section, "zone", "The zone \"" + upstream.zone + "\" is not declared.");
+      file.AddFault(*section, "zone",
+                    "The zone \"" + upstream.zone + "\" is not declared.");
     }
     if (upstream.window.cold_window > upstream.window.full_window) {
-      file.AddFault(*section, "cold_window", "The cold window is larger than the window.");
+      file.AddFault(*section, "cold_window",
+                    "The cold window is larger than the window.");
     }
   }
 }
@@ -113,27 +119,32 @@
                  .most = 4096}}},
       {.kind = "team",
        .named = true,
-       .keys =
-           {{.name = "rate",
-             .kind = ValueKind::kRate,
-             .required = true,
-             .least = 0.01,
-             .most = 1e6},
-            {.name = "burst", .kind = ValueKind::kCount, .required = true, .least = 1, .most = 1e6},
-            {.name = "weight",
-             .kind = ValueKind::kNumber,
-             .fallback = "1",
-             .least = 0.01,
-             .most = 1000},
-            {.name = "keys", .kind = ValueKind::kList},
-            {.name = "services", .kind = ValueKind::kList}}},
+       .keys = {{.name = "rate",
+                 .kind = ValueKind::kRate,
+                 .required = true,
+                 .least = 0.01,
+                 .most = 1e6},
+                {.name = "burst",
+                 .kind = ValueKind::kCount,
+                 .required = true,
+                 .least = 1,
+                 .most = 1e6},
+                {.name = "weight",
+                 .kind = ValueKind::kNumber,
+                 .fallback = "1",
+                 .least = 0.01,
+                 .most = 1000},
+                {.name = "keys", .kind = ValueKind::kList},
+                {.name = "services", .kind = ValueKind::kList}}},
       {.kind = "service",
        .named = true,
        .keys = {{.name = "kind",
                  .kind = ValueKind::kChoice,
                  .required = true,
                  .choices = "engine|plain"},
-                {.name = "idempotent", .kind = ValueKind::kBool, .fallback = "true"},
+                {.name = "idempotent",
+                 .kind = ValueKind::kBool,
+                 .fallback = "true"},
                 {.name = "open", .kind = ValueKind::kBool, .fallback = "false"},
                 {.name = "fencing",
                  .kind = ValueKind::kChoice,
@@ -156,15 +167,20 @@
                  .most = 100000}}},
       {.kind = "zone",
        .named = true,
-       .keys = {{.name = "drained", .kind = ValueKind::kBool, .fallback = "false"}}},
+       .keys = {{.name = "drained",
+                 .kind = ValueKind::kBool,
+                 .fallback = "false"}}},
       {.kind = "host",
        .named = true,
-       .keys = {{.name = "drained", .kind = ValueKind::kBool, .fallback = "false"},
-                {.name = "lost", .kind = ValueKind::kBool, .fallback = "false"}}},
+       .keys =
+           {{.name = "drained", .kind = ValueKind::kBool, .fallback = "false"},
+            {.name = "lost", .kind = ValueKind::kBool, .fallback = "false"}}},
       {.kind = "upstream",
        .named = true,
        .keys = {{.name = "service", .required = true},
-                {.name = "address", .kind = ValueKind::kAddress, .required = true},
+                {.name = "address",
+                 .kind = ValueKind::kAddress,
+                 .required = true},
                 {.name = "zone", .required = true},
                 {.name = "window",
                  .kind = ValueKind::kCount,
@@ -186,12 +202,15 @@
                  .fallback = "30s",
                  .least = 100,
                  .most = 3.6e6},
-                {.name = "leaving", .kind = ValueKind::kBool, .fallback = "false"}}},
+                {.name = "leaving",
+                 .kind = ValueKind::kBool,
+                 .fallback = "false"}}},
   };
   return rules;
 }
 
-Document Document::Parse(const std::string& text, const std::string& file_name) {
+Document Document::Parse(const std::string& text,
+                         const std::string& file_name) {
   IniFile file = IniFile::Parse(text, file_name, DocumentRules());
   file.ThrowIfFaulty();
   Document document;
@@ -224,8 +243,9 @@
   const Team* found = nullptr;
   for (const auto& [name, team] : teams) {
     for (const std::string& known : team.key_digests) {
-      const bool same = known.size() == digest.size() &&
-                        CRYPTO_memcmp(known.data(), digest.data(), digest.size()) == 0;
+      const bool same =
+          known.size() == digest.size() &&
+          CRYPTO_memcmp(known.data(), digest.data(), digest.size()) == 0;
       if (same) found = &team;
     }
   }
@@ -243,14 +263,16 @@
 
 std::string KeyDigest(const std::string& key) {
   unsigned char digest[SHA256_DIGEST_LENGTH];
-  SHA256(reinterpret_cast<const unsigned char*>(key.data()), key.size(), digest);
+  SHA256(reinterpret_cast<const unsigned char*>(key.data()), key.size(),
+         digest);
   std::string text;
-  boost::algorithm::hex_lower(std::begin(digest), std::end(digest), std::back_inserter(text));
+  boost::algorithm::hex_lower(std::begin(digest), std::end(digest),
+                              std::back_inserter(text));
   return text;
 }
 
-std::string WithSetting(const std::string& text, const std::string& section, const std::string& key,
-                        const std::string& value) {
+std::string WithSetting(const std::string& text, const std::string& section,
+                        const std::string& key, const std::string& value) {
   const std::string header = "[" + section + "]";
   const std::string setting = key + " = " + value;
   std::istringstream in(text);
@@ -261,7 +283,8 @@
   while (std::getline(in, line)) {
     const std::string trimmed = boost::trim_copy(line);
     if (boost::starts_with(trimmed, "[")) inside = trimmed == header;
-    const std::string named = boost::trim_copy(trimmed.substr(0, trimmed.find('=')));
+    const std::string named =
+        boost::trim_copy(trimmed.substr(0, trimmed.find('=')));
     if (inside && named == key) continue;
     out += line + "\n";
     if (inside && trimmed == header) {
@@ -273,7 +296,9 @@
   return out;
 }
 
-std::string GenerationName(const std::string& environment) { return "environment/" + environment; }
+std::string GenerationName(const std::string& environment) {
+  return "environment/" + environment;
+}
 
 std::string EncodeGeneration(const Generation& generation) {
   return boost::json::serialize(boost::json::value_from(generation));
@@ -283,7 +308,8 @@
   try {
     return boost::json::value_to<Generation>(boost::json::parse(text));
   } catch (const std::exception& e) {
-    throw StateError("The environment object cannot be read: " + std::string(e.what()));
+    throw StateError("The environment object cannot be read: " +
+                     std::string(e.what()));
   }
 }
 
--- a/src/document.h
+++ b/src/document.h
@@ -81,10 +81,10 @@
 // SHA-256 of a caller's key, lower-case hexadecimal.
 std::string KeyDigest(const std::string& key);
 
-// Returns `text` with `key` of the section [header] set to `value`. The section is
-// added when it is missing; the rest, comments too, stays as it is.
-std::string WithSetting(const std::string& text, const std::string& header, const std::string& key,
-                        const std::string& value);
+// Returns `text` with `key` of the section [header] set to `value`. The section
+// is added when it is missing; the rest, comments too, stays as it is.
+std::string WithSetting(const std::string& text, const std::string& header,
+                        const std::string& key, const std::string& value);
 
 // One accepted state of an environment's document. Hosts never go back to a
 // lower generation.
--- a/src/duty.cc
+++ b/src/duty.cc
@@ -38,7 +38,8 @@
 
 bool Duty::Offer(Task task) {
   auto owned = std::make_unique<Task>(std::move(task));
-  // bounded_push never allocates: a full ring is an answer, not a reason to grow.
+  // bounded_push never allocates: a full ring is an answer, not a reason to
+  // grow.
   if (!ring_.bounded_push(owned.get())) return false;
   owned.release();
   if (!draining_.exchange(true)) boost::asio::post(io_, [this] { Drain(); });
@@ -83,7 +84,8 @@
   duty.set_on_failure([this, name](const std::string& what) {
     kLog.Error() << "The duty " << name << " failed and goes on: " << what;
     if (++failures_ > kMostFailures) {
-      kLog.Error() << "The process " << name_ << " has failed too often and ends.";
+      kLog.Error() << "The process " << name_
+                   << " has failed too often and ends.";
       std::abort();
     }
   });
@@ -119,7 +121,8 @@
 void Spawn(boost::asio::io_context& io, const std::string& part,
            boost::asio::awaitable<void> work) {
   boost::asio::co_spawn(io, std::move(work), [part](std::exception_ptr error) {
-    if (error) Log(part).Error() << "A task ended with an error: " << TextOf(error);
+    if (error)
+      Log(part).Error() << "A task ended with an error: " << TextOf(error);
   });
 }
 
--- a/src/duty.h
+++ b/src/duty.h
@@ -4,7 +4,8 @@
 // offered says so to its own caller. Nothing queues without bound.
 //
 //   Duty dispatch("dispatch", 1024);
-//   const Reply reply = co_await RunOn<Reply>(dispatch, [&] { return Send(call); });
+//   const Reply reply = co_await RunOn<Reply>(dispatch, [&] { return
+//   Send(call); });
 #pragma once
 
 #include <atomic>
@@ -49,7 +50,8 @@
 
   std::string name_;
   boost::asio::io_context io_;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_;
   boost::lockfree::queue<Task*> ring_;
   // True while a Drain() is posted: one wake-up serves many offers.
   std::atomic<bool> draining_{false};
@@ -76,17 +78,19 @@
   bool running_ = false;
 };
 
-// Keeps `work` alive while its coroutine runs: a coroutine lambda's captures live
-// in the lambda, not in the coroutine.
+// Keeps `work` alive while its coroutine runs: a coroutine lambda's captures
+// live in the lambda, not in the coroutine.
 template <class T>
-boost::asio::awaitable<T> KeepAndRun(std::function<boost::asio::awaitable<T>()> work) {
+boost::asio::awaitable<T> KeepAndRun(
+    std::function<boost::asio::awaitable<T>()> work) {
   co_return co_await work();
 }
 
 // Runs `work` on `duty` and resumes the caller, on its own executor, with the
 // result. Throws Refusal(kRingFull) when the ring is full.
 template <class T>
-boost::asio::awaitable<T> RunOn(Duty& duty, std::function<boost::asio::awaitable<T>()> work) {
+boost::asio::awaitable<T> RunOn(
+    Duty& duty, std::function<boost::asio::awaitable<T>()> work) {
   namespace asio = boost::asio;
   auto initiate = [&duty, &work](auto handler) {
     using Handler = decltype(handler);
@@ -97,16 +101,18 @@
         (*shared)(error, std::move(value));
       });
     };
-    const bool offered = duty.Offer(
-        [&duty, work, finish] { asio::co_spawn(duty.io(), KeepAndRun<T>(work), finish); });
+    const bool offered = duty.Offer([&duty, work, finish] {
+      asio::co_spawn(duty.io(), KeepAndRun<T>(work), finish);
+    });
     if (offered) return;
-    finish(std::make_exception_ptr(Refusal(Reason::kRingFull, RunState::kNotRun,
-                                           "The duty " + duty.name() + " has a full ring.")),
+    finish(std::make_exception_ptr(
+               Refusal(Reason::kRingFull, RunState::kNotRun,
+                       "The duty " + duty.name() + " has a full ring.")),
            T{});
   };
   co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
-                                          void(std::exception_ptr, T)>(initiate,
-                                                                       asio::use_awaitable);
+                                          void(std::exception_ptr, T)>(
+      initiate, asio::use_awaitable);
 }
 
 // Suspends the coroutine for `milliseconds`.
@@ -117,6 +123,7 @@
 int64_t NowUs();
 
 // Starts `work` and logs what it throws under `part`.
-void Spawn(boost::asio::io_context& io, const std::string& part, boost::asio::awaitable<void> work);
+void Spawn(boost::asio::io_context& io, const std::string& part,
+           boost::asio::awaitable<void> work);
 
 }  // namespace pimento
--- a/src/entry_forwarder.cc
+++ b/src/entry_forwarder.cc
@@ -22,8 +22,8 @@
 
 }  // namespace
 
-EntryForwarder::EntryForwarder(boost::asio::io_context& io, PeerClient& peers, Metrics& metrics,
-                               const EntrySettings& settings)
+EntryForwarder::EntryForwarder(boost::asio::io_context& io, PeerClient& peers,
+                               Metrics& metrics, const EntrySettings& settings)
     : io_(io), peers_(peers), metrics_(metrics), settings_(settings) {}
 
 void EntryForwarder::Start(std::function<void()> on_document) {
@@ -32,19 +32,23 @@
 }
 
 bool EntryForwarder::fresh() const {
-  return environment_->generation > 0 && NowMs() - heard_ms_ < settings_.stale_ms;
+  return environment_->generation > 0 &&
+         NowMs() - heard_ms_ < settings_.stale_ms;
 }
 
 EntryForwarder::Async<void> EntryForwarder::DocumentLoop() {
   for (;;) {
     const size_t index = scheduler_;
-    const std::string address = settings_.schedulers[index % settings_.schedulers.size()];
+    const std::string address =
+        settings_.schedulers[index % settings_.schedulers.size()];
     bool failed = false;
     try {
-      const DocumentReply reply = co_await peers_.Document(address, environment_->generation,
-                                                           kDocumentWaitMs, kDocumentTimeoutMs);
+      const DocumentReply reply =
+          co_await peers_.Document(address, environment_->generation,
+                                   kDocumentWaitMs, kDocumentTimeoutMs);
       // A scheduler that is behind must not count as news.
-      const bool current = reply.generation >= environment_->generation && reply.generation > 0;
+      const bool current =
+          reply.generation >= environment_->generation && reply.generation > 0;
       failed = !current;
       if (current) heard_ms_ = NowMs();
       if (reply.generation > environment_->generation) {
@@ -52,13 +56,15 @@
         next->generation = reply.generation;
         next->environment = reply.environment;
         next->text = reply.text;
-        next->document = Document::Parse(reply.text, "environment/" + reply.environment);
+        next->document =
+            Document::Parse(reply.text, "environment/" + reply.environment);
         environment_ = std::shared_ptr<const EnvironmentState>(std::move(next));
         kLog.Info() << "Generation " << reply.generation << " is in force.";
         on_document_();
       }
     } catch (const std::exception& e) {
-      kLog.Debug() << "The scheduler at " << address << " has no document: " << e.what();
+      kLog.Debug() << "The scheduler at " << address
+                   << " has no document: " << e.what();
       failed = true;
     }
     if (failed) {
@@ -81,10 +87,12 @@
       metrics_.Retried(Reason::kOwnerUnreachable);
     }
   }
-  throw Refusal(Reason::kOwnerUnreachable, RunState::kUnknown, "No scheduler answers.");
+  throw Refusal(Reason::kOwnerUnreachable, RunState::kUnknown,
+                "No scheduler answers.");
 }
 
-EntryForwarder::Async<std::string> EntryForwarder::OwnerAddressOf(uint32_t shard) {
+EntryForwarder::Async<std::string> EntryForwarder::OwnerAddressOf(
+    uint32_t shard) {
   const auto it = owner_addresses_.find(shard);
   if (it != owner_addresses_.end()) co_return it->second;
   const OwnerReply owner = co_await Owner(shard);
@@ -94,7 +102,8 @@
 
 template <class Reply>
 EntryForwarder::Async<Reply> EntryForwarder::Forward(
-    uint32_t shard, int64_t patience_ms, std::function<Async<Reply>(const std::string&)> send) {
+    uint32_t shard, int64_t patience_ms,
+    std::function<Async<Reply>(const std::string&)> send) {
   const int64_t deadline_ms = NowMs() + patience_ms;
   int64_t pause_ms = kFirstPauseMs;
   Reason last = Reason::kOwnerUnreachable;
@@ -119,46 +128,54 @@
     pause_ms = std::min(kMostPauseMs, pause_ms * 2);
   }
   // Nobody who could know has said whether it ran.
-  throw Refusal(last, RunState::kUnknown, "The owner of the program cannot be reached.", 200);
+  throw Refusal(last, RunState::kUnknown,
+                "The owner of the program cannot be reached.", 200);
 }
 
-EntryForwarder::Async<ProgramView> EntryForwarder::Create(CreateRequest request) {
+EntryForwarder::Async<ProgramView> EntryForwarder::Create(
+    CreateRequest request) {
   std::function<Async<ProgramView>(const std::string&)> send =
       [this, request](const std::string& address) {
         return peers_.Create(address, request, kShortCallMs);
       };
-  co_return co_await Forward<ProgramView>(request.shard, settings_.patience_ms, std::move(send));
+  co_return co_await Forward<ProgramView>(request.shard, settings_.patience_ms,
+                                          std::move(send));
 }
 
-EntryForwarder::Async<ProgramView> EntryForwarder::View(uint32_t shard, std::string program,
+EntryForwarder::Async<ProgramView> EntryForwarder::View(uint32_t shard,
+                                                        std::string program,
                                                         std::string team) {
-  std::function<Async<ProgramView>(const std::string&)> send = [this, program,
-                                                                team](const std::string& address) {
-    return peers_.View(address, program, team, kShortCallMs);
-  };
-  co_return co_await Forward<ProgramView>(shard, settings_.patience_ms, std::move(send));
+  std::function<Async<ProgramView>(const std::string&)> send =
+      [this, program, team](const std::string& address) {
+        return peers_.View(address, program, team, kShortCallMs);
+      };
+  co_return co_await Forward<ProgramView>(shard, settings_.patience_ms,
+                                          std::move(send));
 }
 
-EntryForwarder::Async<ProgramView> EntryForwarder::End(uint32_t shard, std::string program,
+EntryForwarder::Async<ProgramView> EntryForwarder::End(uint32_t shard,
+                                                       std::string program,
                                                        std::string team) {
-  std::function<Async<ProgramView>(const std::string&)> send = [this, program,
-                                                                team](const std::string& address) {
-    return peers_.End(address, program, team, kShortCallMs);
-  };
-  co_return co_await Forward<ProgramView>(shard, settings_.patience_ms, std::move(send));
+  std::function<Async<ProgramView>(const std::string&)> send =
+      [this, program, team](const std::string& address) {
+        return peers_.End(address, program, team, kShortCallMs);
+      };
+  co_return co_await Forward<ProgramView>(shard, settings_.patience_ms,
+                                          std::move(send));
 }
 
-EntryForwarder::Async<CallReply> EntryForwarder::Call(uint32_t shard, CallRequest request,
-                                                      std::function<void(CallRequest&)> prepare,
-                                                      PieceSink sink) {
+EntryForwarder::Async<CallReply> EntryForwarder::Call(
+    uint32_t shard, CallRequest request,
+    std::function<void(CallRequest&)> prepare, PieceSink sink) {
   request.patience_ms = settings_.patience_ms;
-  std::function<Async<CallReply>(const std::string&)> send = [this, request, prepare,
-                                                              sink](const std::string& address) {
-    CallRequest now = request;
-    prepare(now);
-    return peers_.Call(address, now, sink, kLongCallMs);
-  };
-  co_return co_await Forward<CallReply>(shard, settings_.patience_ms, std::move(send));
+  std::function<Async<CallReply>(const std::string&)> send =
+      [this, request, prepare, sink](const std::string& address) {
+        CallRequest now = request;
+        prepare(now);
+        return peers_.Call(address, now, sink, kLongCallMs);
+      };
+  co_return co_await Forward<CallReply>(shard, settings_.patience_ms,
+                                        std::move(send));
 }
 
 }  // namespace pimento
--- a/src/entry_forwarder.h
+++ b/src/entry_forwarder.h
@@ -24,23 +24,28 @@
   template <class T>
   using Async = boost::asio::awaitable<T>;
 
-  EntryForwarder(boost::asio::io_context& io, PeerClient& peers, Metrics& metrics,
-                 const EntrySettings& settings);
+  EntryForwarder(boost::asio::io_context& io, PeerClient& peers,
+                 Metrics& metrics, const EntrySettings& settings);
   void Start(std::function<void()> on_document);
 
   // Each tries until an owner has answered or the patience is over, and then
   // throws Refusal(kOwnerUnreachable), unknown.
   Async<ProgramView> Create(CreateRequest request);
-  Async<ProgramView> View(uint32_t shard, std::string program, std::string team);
+  Async<ProgramView> View(uint32_t shard, std::string program,
+                          std::string team);
   Async<ProgramView> End(uint32_t shard, std::string program, std::string team);
   // `prepare` fills in, before each try, what the caller has of the answer.
   Async<CallReply> Call(uint32_t shard, CallRequest request,
-                        std::function<void(CallRequest&)> prepare, PieceSink sink);
+                        std::function<void(CallRequest&)> prepare,
+                        PieceSink sink);
 
-  // Where a caller should connect for `shard`. Throws Refusal(kOwnerUnreachable).
+  // Where a caller should connect for `shard`. Throws
+  // Refusal(kOwnerUnreachable).
   Async<OwnerReply> Owner(uint32_t shard);
 
-  std::shared_ptr<const EnvironmentState> environment() const { return environment_; }
+  std::shared_ptr<const EnvironmentState> environment() const {
+    return environment_;
+  }
   // False when no scheduler has been heard for too long to trust the document.
   bool fresh() const;
   const EntrySettings& settings() const { return settings_; }
@@ -56,7 +61,8 @@
   PeerClient& peers_;
   Metrics& metrics_;
   const EntrySettings& settings_;
-  std::shared_ptr<const EnvironmentState> environment_ = std::make_shared<const EnvironmentState>();
+  std::shared_ptr<const EnvironmentState> environment_ =
+      std::make_shared<const EnvironmentState>();
   std::function<void()> on_document_;
   std::map<uint32_t, std::string> owner_addresses_;
   size_t scheduler_ = 0;
--- a/src/errors.h
+++ b/src/errors.h
@@ -22,8 +22,10 @@
 // A connection to an upstream, the platform or a peer failed.
 class TransportError : public std::runtime_error {
  public:
-  // `sent` tells whether any byte of the request may have reached the other end.
-  explicit TransportError(const std::string& message, bool sent = true, bool silent = false)
+  // `sent` tells whether any byte of the request may have reached the other
+  // end.
+  explicit TransportError(const std::string& message, bool sent = true,
+                          bool silent = false)
       : std::runtime_error(message), sent_(sent), silent_(silent) {}
   bool sent() const { return sent_; }
   // True when the other end stayed connected and said nothing.
--- a/src/explain_log.cc
+++ b/src/explain_log.cc
@@ -4,12 +4,14 @@
 
 namespace pimento {
 
-void ExplainLog::Note(const std::string& request_id, const std::string& program, uint32_t sequence,
-                      const std::string& text) {
+void ExplainLog::Note(const std::string& request_id, const std::string& program,
+                      uint32_t sequence, const std::string& text) {
   const std::string line = std::to_string(NowMs()) + " " + program + "/" +
-                           std::to_string(sequence) + " " + request_id + ": " + text;
+                           std::to_string(sequence) + " " + request_id + ": " +
+                           text;
   const std::lock_guard lock(mutex_);
-  lines_.push_back({.request_id = request_id, .program = program, .text = line});
+  lines_.push_back(
+      {.request_id = request_id, .program = program, .text = line});
   if (lines_.size() > most_lines_) lines_.pop_front();
 }
 
--- a/src/explain_log.h
+++ b/src/explain_log.h
@@ -15,8 +15,8 @@
   explicit ExplainLog(size_t most_lines) : most_lines_(most_lines) {}
 
   // Notes one step of the request. Safe from every thread.
-  void Note(const std::string& request_id, const std::string& program, uint32_t sequence,
-            const std::string& text);
+  void Note(const std::string& request_id, const std::string& program,
+            uint32_t sequence, const std::string& text);
   // Lines about a request or a program, oldest first.
   std::vector<std::string> Find(const std::string& id) const;
 
--- a/src/fair_queue.cc
+++ b/src/fair_queue.cc
@@ -15,10 +15,12 @@
 constexpr double kAgeingTokensPerSecond = 400;
 
 std::vector<WaitingCall> TakeOut(std::deque<WaitingCall>& calls,
-                                 bool (*leaves)(const WaitingCall&, const void*),
+                                 bool (*leaves)(const WaitingCall&,
+                                                const void*),
                                  const void* context) {
   const auto middle = std::stable_partition(
-      calls.begin(), calls.end(), [&](const WaitingCall& call) { return !leaves(call, context); });
+      calls.begin(), calls.end(),
+      [&](const WaitingCall& call) { return !leaves(call, context); });
   std::vector<WaitingCall> left(std::make_move_iterator(middle),
                                 std::make_move_iterator(calls.end()));
   calls.erase(middle, calls.end());
@@ -37,7 +39,8 @@
   }
   void Settle(const std::string&, double, double, double) override {}
   size_t size() const override { return calls_.size(); }
-  std::vector<WaitingCall> Remove(bool (*leaves)(const WaitingCall&, const void*),
+  std::vector<WaitingCall> Remove(bool (*leaves)(const WaitingCall&,
+                                                 const void*),
                                   const void* context) override {
     return TakeOut(calls_, leaves, context);
   }
@@ -61,10 +64,11 @@
     Team* least = LeastServed();
     if (least == nullptr) return std::nullopt;
     floor_ = least->served;
-    const auto best = std::min_element(least->calls.begin(), least->calls.end(),
-                                       [now_ms](const WaitingCall& a, const WaitingCall& b) {
-                                         return Rank(a, now_ms) < Rank(b, now_ms);
-                                       });
+    const auto best =
+        std::min_element(least->calls.begin(), least->calls.end(),
+                         [now_ms](const WaitingCall& a, const WaitingCall& b) {
+                           return Rank(a, now_ms) < Rank(b, now_ms);
+                         });
     WaitingCall call = std::move(*best);
     least->calls.erase(best);
     least->served += call.cost / call.weight;
@@ -72,14 +76,16 @@
     return call;
   }
 
-  void Settle(const std::string& team, double weight, double charged, double actual) override {
+  void Settle(const std::string& team, double weight, double charged,
+              double actual) override {
     const auto it = teams_.find(team);
     if (it != teams_.end()) it->second.served += (actual - charged) / weight;
   }
 
   size_t size() const override { return size_; }
 
-  std::vector<WaitingCall> Remove(bool (*leaves)(const WaitingCall&, const void*),
+  std::vector<WaitingCall> Remove(bool (*leaves)(const WaitingCall&,
+                                                 const void*),
                                   const void* context) override {
     std::vector<WaitingCall> all;
     for (auto& [name, team] : teams_) {
@@ -98,7 +104,8 @@
   };
 
   static double Rank(const WaitingCall& call, int64_t now_ms) {
-    const double waited_s = static_cast<double>(now_ms - call.arrived_ms) / 1000.0;
+    const double waited_s =
+        static_cast<double>(now_ms - call.arrived_ms) / 1000.0;
     return call.attained - waited_s * kAgeingTokensPerSecond;
   }
 
--- a/src/fair_queue.h
+++ b/src/fair_queue.h
@@ -36,10 +36,12 @@
   virtual void Push(WaitingCall call) = 0;
   virtual std::optional<WaitingCall> Pop(int64_t now_ms) = 0;
   // Corrects the charge made at Pop once the true cost is known.
-  virtual void Settle(const std::string& team, double weight, double charged, double actual) = 0;
+  virtual void Settle(const std::string& team, double weight, double charged,
+                      double actual) = 0;
   virtual size_t size() const = 0;
   // Removes and returns calls for which `leaves` is true.
-  virtual std::vector<WaitingCall> Remove(bool (*leaves)(const WaitingCall&, const void*),
+  virtual std::vector<WaitingCall> Remove(bool (*leaves)(const WaitingCall&,
+                                                         const void*),
                                           const void* context) = 0;
 };
 
--- a/src/host_view.cc
+++ b/src/host_view.cc
@@ -50,16 +50,20 @@
   std::vector<Candidate> candidates;
   for (const HostNews& news : hosts_) {
     const HostInfo& info = news.info;
-    const bool usable = news.state == HostState::kAlive && !info.leaving && info.boot != 0 &&
+    const bool usable = news.state == HostState::kAlive && !info.leaving &&
+                        info.boot != 0 &&
                         InService(document, info.host, info.zone);
     if (!usable) continue;
-    candidates.push_back({.member = {.host = info.host, .boot = info.boot}, .zone = info.zone});
+    candidates.push_back(
+        {.member = {.host = info.host, .boot = info.boot}, .zone = info.zone});
   }
   return candidates;
 }
 
-bool InService(const Document& document, const std::string& host, const std::string& zone) {
-  return !document.drained_hosts.contains(host) && !document.lost_hosts.contains(host) &&
+bool InService(const Document& document, const std::string& host,
+               const std::string& zone) {
+  return !document.drained_hosts.contains(host) &&
+         !document.lost_hosts.contains(host) &&
          !document.drained_zones.contains(zone);
 }
 
--- a/src/host_view.h
+++ b/src/host_view.h
@@ -20,7 +20,8 @@
   // True unless the run of the process that `member` names is known to be dead
   // or replaced.
   bool MayLive(const Member& member) const;
-  // True when the host has been seen in a later run: that member's memory is gone.
+  // True when the host has been seen in a later run: that member's memory is
+  // gone.
   bool Restarted(const Member& member) const;
   const HostNews* Find(const std::string& host) const;
   // RPC address of `host`, or empty.
@@ -37,6 +38,7 @@
 };
 
 // True when `host` in `zone` may take new work under `document`.
-bool InService(const Document& document, const std::string& host, const std::string& zone);
+bool InService(const Document& document, const std::string& host,
+               const std::string& zone);
 
 }  // namespace pimento
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -38,27 +38,32 @@
   Clock::time_point end_;
 };
 
-asio::awaitable<void> ReadBody(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+asio::awaitable<void> ReadBody(beast::tcp_stream& stream,
+                               beast::flat_buffer& buffer,
                                http::response_parser<http::buffer_body>& parser,
-                               const HttpCall& call, Deadline& deadline, HttpResult& result) {
+                               const HttpCall& call, Deadline& deadline,
+                               HttpResult& result) {
   char piece[4096];
   while (!parser.is_done()) {
     parser.get().body().data = piece;
     parser.get().body().size = sizeof piece;
     deadline.Next();
     beast::error_code error;
-    co_await http::async_read_some(stream, buffer, parser,
-                                   asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read_some(
+        stream, buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
     if (error == http::error::need_buffer) error = {};
     if (error) throw boost::system::system_error(error);
     const std::string got(piece, sizeof piece - parser.get().body().size);
     if (got.empty()) continue;
     if (call.on_piece) {
-      if (!call.on_piece(got)) throw TransportError("The call was given up.", true);
+      if (!call.on_piece(got))
+        throw TransportError("The call was given up.", true);
     } else {
       result.body += got;
     }
-    if (result.body.size() > call.most_bytes) throw TransportError("The answer is too large.");
+    if (result.body.size() > call.most_bytes)
+      throw TransportError("The answer is too large.");
   }
 }
 
@@ -98,7 +103,8 @@
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
     deadline.Next();
-    co_await http::async_read_header(stream, buffer, parser, asio::use_awaitable);
+    co_await http::async_read_header(stream, buffer, parser,
+                                     asio::use_awaitable);
     // Without a length the end of the answer cannot be told from a broken one.
     if (!parser.chunked() && !parser.content_length()) {
       throw TransportError("The answer has no length.");
@@ -117,8 +123,9 @@
     silent = e.code() == beast::error::timeout;
     failure = e.code().message();
   }
-  throw TransportError(call.method + " " + call.address + call.target + " failed: " + failure, sent,
-                       silent);
+  throw TransportError(
+      call.method + " " + call.address + call.target + " failed: " + failure,
+      sent, silent);
 }
 
 }  // namespace pimento
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -22,7 +22,8 @@
 std::string Decoded(const std::string& text) {
   std::string out;
   for (size_t i = 0; i < text.size(); ++i) {
-    const bool escape = text[i] == '%' && i + 2 < text.size() && isxdigit(text[i + 1]) != 0 &&
+    const bool escape = text[i] == '%' && i + 2 < text.size() &&
+                        isxdigit(text[i + 1]) != 0 &&
                         isxdigit(text[i + 2]) != 0;
     if (!escape) {
       out += text[i];
@@ -47,7 +48,8 @@
     for (const std::string& pair : pairs) {
       const size_t equals = pair.find('=');
       if (equals == std::string::npos) continue;
-      request.query[Decoded(pair.substr(0, equals))] = Decoded(pair.substr(equals + 1));
+      request.query[Decoded(pair.substr(0, equals))] =
+          Decoded(pair.substr(equals + 1));
     }
   }
   for (const auto& field : message) {
@@ -67,12 +69,14 @@
 
 class Responder final : public HttpResponder {
  public:
-  Responder(beast::tcp_stream& stream, const HttpLimits& limits, bool keep_alive)
+  Responder(beast::tcp_stream& stream, const HttpLimits& limits,
+            bool keep_alive)
       : stream_(stream), limits_(limits), keep_alive_(keep_alive) {}
 
   asio::awaitable<void> Send(HttpAnswer answer) override {
     begun_ = true;
-    http::response<http::string_body> message(static_cast<http::status>(answer.status), 11);
+    http::response<http::string_body> message(
+        static_cast<http::status>(answer.status), 11);
     FillHead(message, answer, keep_alive_);
     message.body() = std::move(answer.body);
     message.prepare_payload();
@@ -82,7 +86,8 @@
 
   asio::awaitable<void> Begin(HttpAnswer head) override {
     begun_ = true;
-    http::response<http::empty_body> message(static_cast<http::status>(head.status), 11);
+    http::response<http::empty_body> message(
+        static_cast<http::status>(head.status), 11);
     FillHead(message, head, keep_alive_);
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
@@ -99,7 +104,8 @@
 
   asio::awaitable<void> End() override {
     StartClock();
-    co_await asio::async_write(stream_, http::make_chunk_last(), asio::use_awaitable);
+    co_await asio::async_write(stream_, http::make_chunk_last(),
+                               asio::use_awaitable);
   }
 
   void Abort() override {
@@ -111,7 +117,9 @@
   bool keep_alive() const { return keep_alive_; }
 
  private:
-  void StartClock() { stream_.expires_after(std::chrono::milliseconds(limits_.write_ms)); }
+  void StartClock() {
+    stream_.expires_after(std::chrono::milliseconds(limits_.write_ms));
+  }
 
   beast::tcp_stream& stream_;
   const HttpLimits& limits_;
@@ -121,13 +129,15 @@
 
 std::string ErrorBody(const std::string& reason, const std::string& message) {
   return R"({"error":{"reason":")" + reason +
-         R"(","run":"not_run","retry_after_ms":0,"message":")" + message + R"("}})";
+         R"(","run":"not_run","retry_after_ms":0,"message":")" + message +
+         R"("}})";
 }
 
 }  // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
-  State(asio::io_context& server_io, HttpLimits server_limits, HttpHandler server_handler)
+  State(asio::io_context& server_io, HttpLimits server_limits,
+        HttpHandler server_handler)
       : io(server_io),
         limits(server_limits),
         handler(std::move(server_handler)),
@@ -136,8 +146,8 @@
   asio::awaitable<void> Accept() {
     while (acceptor.is_open()) {
       beast::error_code error;
-      Tcp::socket socket =
-          co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+      Tcp::socket socket = co_await acceptor.async_accept(
+          asio::redirect_error(asio::use_awaitable, error));
       if (error) {
         if (acceptor.is_open()) co_await Sleep(10);
         continue;
@@ -153,11 +163,12 @@
     }
   }
 
-  static asio::awaitable<void> Reject(std::shared_ptr<State> state,
-                                      std::shared_ptr<beast::tcp_stream> stream) {
+  static asio::awaitable<void> Reject(
+      std::shared_ptr<State> state, std::shared_ptr<beast::tcp_stream> stream) {
     Responder responder(*stream, state->limits, false);
     HttpAnswer answer{.status = 503,
-                      .body = ErrorBody("connection_limit", "This host has enough connections."),
+                      .body = ErrorBody("connection_limit",
+                                        "This host has enough connections."),
                       .headers = {{"Retry-After", "1"}}};
     try {
       co_await responder.Send(answer);
@@ -166,8 +177,8 @@
     }
   }
 
-  static asio::awaitable<void> Serve(std::shared_ptr<State> state,
-                                     std::shared_ptr<beast::tcp_stream> stream) {
+  static asio::awaitable<void> Serve(
+      std::shared_ptr<State> state, std::shared_ptr<beast::tcp_stream> stream) {
     try {
       beast::flat_buffer buffer;
       bool open = true;
@@ -186,7 +197,8 @@
     // follows it may not.
     stream.expires_after(std::chrono::milliseconds(state.limits.idle_ms));
     if (buffer.size() == 0) {
-      const size_t got = co_await stream.async_read_some(buffer.prepare(4096), asio::use_awaitable);
+      const size_t got = co_await stream.async_read_some(buffer.prepare(4096),
+                                                         asio::use_awaitable);
       buffer.commit(got);
     }
     http::request_parser<http::string_body> parser;
@@ -203,7 +215,8 @@
     stream.expires_never();
     const http::request<http::string_body> message = parser.release();
     const HttpRequest request = ToRequest(message);
-    Responder responder(stream, state.limits, message.keep_alive() && !state.draining);
+    Responder responder(stream, state.limits,
+                        message.keep_alive() && !state.draining);
     ++state.busy;
     std::exception_ptr failure;
     try {
@@ -216,19 +229,24 @@
     co_return responder.keep_alive();
   }
 
-  static asio::awaitable<void> RefuseMalformed(State& state, beast::tcp_stream& stream,
+  static asio::awaitable<void> RefuseMalformed(State& state,
+                                               beast::tcp_stream& stream,
                                                beast::error_code error) {
     const bool silent = error == beast::error::timeout;
-    const bool closed = error == http::error::end_of_stream || error == asio::error::eof ||
+    const bool closed = error == http::error::end_of_stream ||
+                        error == asio::error::eof ||
                         error == asio::error::connection_reset;
     if (closed) co_return;
     HttpAnswer answer{
         .status = 400,
-        .body = ErrorBody("bad_request", "The request cannot be read: " + error.message() + ".")};
+        .body = ErrorBody("bad_request", "The request cannot be read: " +
+                                             error.message() + ".")};
     if (silent) answer.status = 408;
-    if (error == http::error::body_limit || error == http::error::header_limit) {
+    if (error == http::error::body_limit ||
+        error == http::error::header_limit) {
       answer.status = error == http::error::body_limit ? 413 : 431;
-      answer.body = ErrorBody("too_large", "The request is larger than this host takes.");
+      answer.body =
+          ErrorBody("too_large", "The request is larger than this host takes.");
     }
     if (silent) co_return;
     Responder responder(stream, state.limits, false);
@@ -244,7 +262,8 @@
   std::atomic<bool> draining{false};
 };
 
-HttpServer::HttpServer(asio::io_context& io, HttpLimits limits, HttpHandler handler)
+HttpServer::HttpServer(asio::io_context& io, HttpLimits limits,
+                       HttpHandler handler)
     : state_(std::make_shared<State>(io, limits, std::move(handler))) {}
 
 void HttpServer::Listen(const std::string& address) {
@@ -255,11 +274,13 @@
     state_->acceptor.bind(endpoint);
     state_->acceptor.listen();
   } catch (const boost::system::system_error& e) {
-    throw TransportError("Cannot listen on " + address + ": " + e.what(), false);
+    throw TransportError("Cannot listen on " + address + ": " + e.what(),
+                         false);
   }
-  Spawn(state_->io, "http", [](std::shared_ptr<State> state) -> asio::awaitable<void> {
-    co_await state->Accept();
-  }(state_));
+  Spawn(state_->io, "http",
+        [](std::shared_ptr<State> state) -> asio::awaitable<void> {
+          co_await state->Accept();
+        }(state_));
 }
 
 void HttpServer::Drain() {
@@ -277,7 +298,8 @@
   return it == headers.end() ? "" : it->second;
 }
 
-std::string HttpRequest::Query(const std::string& name, const std::string& fallback) const {
+std::string HttpRequest::Query(const std::string& name,
+                               const std::string& fallback) const {
   const auto it = query.find(name);
   return it == query.end() ? fallback : it->second;
 }
@@ -289,7 +311,8 @@
     const auto ip = asio::ip::make_address(address.substr(0, colon));
     return {ip, static_cast<uint16_t>(std::stoi(address.substr(colon + 1)))};
   } catch (const std::exception& e) {
-    throw TransportError("The address " + address + " cannot be used: " + e.what(), false);
+    throw TransportError(
+        "The address " + address + " cannot be used: " + e.what(), false);
   }
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -30,7 +30,8 @@
   std::string body;
 
   std::string Header(const std::string& name) const;
-  std::string Query(const std::string& name, const std::string& fallback = "") const;
+  std::string Query(const std::string& name,
+                    const std::string& fallback = "") const;
 };
 
 struct HttpAnswer {
@@ -40,7 +41,8 @@
   std::map<std::string, std::string> headers = {};
 };
 
-// Where a handler sends its answer: one Send(), or Begin(), Write()... and End().
+// Where a handler sends its answer: one Send(), or Begin(), Write()... and
+// End().
 class HttpResponder {
  public:
   virtual ~HttpResponder() = default;
@@ -54,13 +56,16 @@
   virtual bool begun() const = 0;
 };
 
-using HttpHandler = std::function<boost::asio::awaitable<void>(const HttpRequest&, HttpResponder&)>;
+using HttpHandler = std::function<boost::asio::awaitable<void>(
+    const HttpRequest&, HttpResponder&)>;
 
 class HttpServer {
  public:
-  HttpServer(boost::asio::io_context& io, HttpLimits limits, HttpHandler handler);
+  HttpServer(boost::asio::io_context& io, HttpLimits limits,
+             HttpHandler handler);
 
-  // Throws TransportError when `address` ("127.0.0.1:8080") cannot be listened on.
+  // Throws TransportError when `address` ("127.0.0.1:8080") cannot be listened
+  // on.
   void Listen(const std::string& address);
   // Stops accepting and lets open requests finish.
   void Drain();
--- a/src/ini_file.cc
+++ b/src/ini_file.cc
@@ -21,8 +21,10 @@
   double factor;
 };
 
-const std::vector<Unit> kDurationUnits = {{"ms", 1}, {"s", 1'000}, {"m", 60'000}, {"h", 3'600'000}};
-const std::vector<Unit> kSizeUnits = {{"KiB", 1'024}, {"MiB", 1'048'576}, {"B", 1}};
+const std::vector<Unit> kDurationUnits = {
+    {"ms", 1}, {"s", 1'000}, {"m", 60'000}, {"h", 3'600'000}};
+const std::vector<Unit> kSizeUnits = {
+    {"KiB", 1'024}, {"MiB", 1'048'576}, {"B", 1}};
 const std::vector<Unit> kRateUnits = {{"/s", 1}};
 
 std::optional<double> PlainNumber(const std::string& text) {
@@ -31,10 +33,12 @@
   return value;
 }
 
-std::optional<double> WithUnit(const std::string& text, const std::vector<Unit>& units) {
+std::optional<double> WithUnit(const std::string& text,
+                               const std::vector<Unit>& units) {
   for (const Unit& unit : units) {
     if (!boost::ends_with(text, unit.suffix)) continue;
-    const std::string digits = text.substr(0, text.size() - std::string(unit.suffix).size());
+    const std::string digits =
+        text.substr(0, text.size() - std::string(unit.suffix).size());
     const std::optional<double> value = PlainNumber(boost::trim_copy(digits));
     if (value) return *value * unit.factor;
   }
@@ -79,7 +83,8 @@
   boost::system::error_code error;
   boost::asio::ip::make_address(text.substr(0, colon), error);
   const std::optional<double> port = PlainNumber(text.substr(colon + 1));
-  return !error && port && *port >= 0 && *port <= 65'535 && *port == static_cast<int>(*port);
+  return !error && port && *port >= 0 && *port <= 65'535 &&
+         *port == static_cast<int>(*port);
 }
 
 std::string Shortest(double value) {
@@ -90,8 +95,10 @@
 }
 
 // Returns what is wrong with `value`, or nothing.
-std::optional<std::string> Wrong(const KeyRule& rule, const std::string& value) {
-  const std::string quoted = "The value \"" + value + "\" is not allowed; expected ";
+std::optional<std::string> Wrong(const KeyRule& rule,
+                                 const std::string& value) {
+  const std::string quoted =
+      "The value \"" + value + "\" is not allowed; expected ";
   switch (rule.kind) {
     case ValueKind::kText:
     case ValueKind::kList:
@@ -101,30 +108,34 @@
       if (value == "true" || value == "false") return std::nullopt;
       return quoted + Expectation(rule.kind) + ".";
     case ValueKind::kAddress:
-      if (IsAddress(value) || (!rule.required && value.empty())) return std::nullopt;
+      if (IsAddress(value) || (!rule.required && value.empty()))
+        return std::nullopt;
       return quoted + Expectation(rule.kind) + ".";
     case ValueKind::kChoice: {
       std::vector<std::string> words;
       boost::split(words, rule.choices, boost::is_any_of("|"));
-      if (std::find(words.begin(), words.end(), value) != words.end()) return std::nullopt;
+      if (std::find(words.begin(), words.end(), value) != words.end())
+        return std::nullopt;
       return quoted + "one of " + boost::join(words, ", ") + ".";
     }
     default:
       break;
   }
   const std::optional<double> number = NumberOf(rule.kind, value);
-  const bool whole = rule.kind != ValueKind::kCount ||
-                     (number && *number == static_cast<double>(static_cast<int64_t>(*number)));
+  const bool whole =
+      rule.kind != ValueKind::kCount ||
+      (number && *number == static_cast<double>(static_cast<int64_t>(*number)));
   if (!number || !whole) return quoted + Expectation(rule.kind) + ".";
   if (*number >= rule.least && *number <= rule.most) return std::nullopt;
-  return quoted + "a value from " + Shortest(rule.least) + " to " + Shortest(rule.most) +
+  return quoted + "a value from " + Shortest(rule.least) + " to " +
+         Shortest(rule.most) +
          (rule.kind == ValueKind::kDuration ? " ms."
           : rule.kind == ValueKind::kSize   ? " B."
                                             : ".");
 }
 
-// Lines of sections ("[team a]") and keys ("[team a]\nrate"), which the library's
-// tree does not keep.
+// Lines of sections ("[team a]") and keys ("[team a]\nrate"), which the
+// library's tree does not keep.
 std::map<std::string, int> LineNumbers(const std::string& text) {
   std::map<std::string, int> lines;
   std::istringstream in(text);
@@ -135,15 +146,18 @@
     if (boost::starts_with(line, "[")) {
       section = line;
       lines.emplace(section, number);
-    } else if (const size_t equals = line.find('='); equals != std::string::npos) {
-      lines.emplace(section + "\n" + boost::trim_copy(line.substr(0, equals)), number);
+    } else if (const size_t equals = line.find('=');
+               equals != std::string::npos) {
+      lines.emplace(section + "\n" + boost::trim_copy(line.substr(0, equals)),
+                    number);
     }
   }
   return lines;
 }
 
 std::string Header(const IniSection& section) {
-  return "[" + section.kind + (section.name.empty() ? "" : " " + section.name) + "]";
+  return "[" + section.kind + (section.name.empty() ? "" : " " + section.name) +
+         "]";
 }
 
 const IniEntry* FindEntry(const IniSection& section, const std::string& key) {
@@ -153,7 +167,8 @@
   return nullptr;
 }
 
-const SectionRule* FindRule(const std::vector<SectionRule>& rules, const std::string& kind) {
+const SectionRule* FindRule(const std::vector<SectionRule>& rules,
+                            const std::string& kind) {
   for (const SectionRule& rule : rules) {
     if (kind == rule.kind) return &rule;
   }
@@ -169,7 +184,8 @@
 std::string KnownSections(const std::vector<SectionRule>& rules) {
   std::vector<std::string> names;
   for (const SectionRule& rule : rules) {
-    names.push_back(std::string("[") + rule.kind + (rule.named ? " NAME]" : "]"));
+    names.push_back(std::string("[") + rule.kind +
+                    (rule.named ? " NAME]" : "]"));
   }
   return boost::join(names, ", ");
 }
@@ -192,14 +208,18 @@
 }
 
 int64_t IniSection::Milliseconds(const std::string& key) const {
-  return static_cast<int64_t>(NumberOf(ValueKind::kDuration, Text(key)).value_or(0));
+  return static_cast<int64_t>(
+      NumberOf(ValueKind::kDuration, Text(key)).value_or(0));
 }
 
 int64_t IniSection::Bytes(const std::string& key) const {
-  return static_cast<int64_t>(NumberOf(ValueKind::kSize, Text(key)).value_or(0));
+  return static_cast<int64_t>(
+      NumberOf(ValueKind::kSize, Text(key)).value_or(0));
 }
 
-bool IniSection::Bool(const std::string& key) const { return Text(key) == "true"; }
+bool IniSection::Bool(const std::string& key) const {
+  return Text(key) == "true";
+}
 
 std::vector<std::string> IniSection::List(const std::string& key) const {
   std::vector<std::string> words;
@@ -235,8 +255,10 @@
   try {
     boost::property_tree::read_ini(in, tree);
   } catch (const boost::property_tree::ini_parser_error& e) {
-    const std::string message = "The file cannot be read as INI: " + e.message() + ".";
-    parsed.faults_.push_back({file, static_cast<int>(e.line()), "", "", message});
+    const std::string message =
+        "The file cannot be read as INI: " + e.message() + ".";
+    parsed.faults_.push_back(
+        {file, static_cast<int>(e.line()), "", "", message});
     return parsed;
   }
   const std::map<std::string, int> lines = LineNumbers(text);
@@ -248,13 +270,15 @@
   for (const auto& [at, line] : lines) {
     const bool header = at.starts_with("[") && at.ends_with("]");
     const std::string name = header ? at.substr(1, at.size() - 2) : "";
-    if (header && tree.find(name) == tree.not_found()) tree.push_back({name, {}});
+    if (header && tree.find(name) == tree.not_found())
+      tree.push_back({name, {}});
   }
   for (const auto& [header, body] : tree) {
     IniSection section;
     const size_t space = header.find(' ');
     section.kind = header.substr(0, space);
-    if (space != std::string::npos) section.name = boost::trim_copy(header.substr(space));
+    if (space != std::string::npos)
+      section.name = boost::trim_copy(header.substr(space));
     section.line = line_of("[" + header + "]");
     for (const auto& [key, value] : body) {
       const int line = line_of("[" + header + "]\n" + key);
@@ -263,7 +287,8 @@
     const SectionRule* rule = FindRule(rules, section.kind);
     if (rule == nullptr || rule->named != !section.name.empty()) {
       parsed.AddFault(section, "",
-                      "This section is not known; allowed are " + KnownSections(rules) + ".");
+                      "This section is not known; allowed are " +
+                          KnownSections(rules) + ".");
       continue;
     }
     parsed.CheckSection(section, *rule);
@@ -280,11 +305,13 @@
 
 void IniFile::CheckSection(IniSection& section, const SectionRule& rule) {
   for (const IniEntry& entry : section.entries) {
-    const bool known = std::any_of(rule.keys.begin(), rule.keys.end(),
-                                   [&](const KeyRule& key) { return entry.key == key.name; });
+    const bool known =
+        std::any_of(rule.keys.begin(), rule.keys.end(),
+                    [&](const KeyRule& key) { return entry.key == key.name; });
     if (!known) {
       AddFault(section, entry.key,
-               "The key \"" + entry.key + "\" is not known; allowed are " + KnownKeys(rule) + ".");
+               "The key \"" + entry.key + "\" is not known; allowed are " +
+                   KnownKeys(rule) + ".");
     }
   }
   for (const KeyRule& key : rule.keys) {
@@ -317,7 +344,8 @@
   empty.kind = kind;
   const SectionRule* rule = FindRule(rules_, kind);
   if (rule == nullptr) return empty;
-  for (const KeyRule& key : rule->keys) empty.entries.push_back({key.name, key.fallback, 0});
+  for (const KeyRule& key : rule->keys)
+    empty.entries.push_back({key.name, key.fallback, 0});
   return empty;
 }
 
@@ -329,7 +357,8 @@
 void IniFile::ThrowIfFaulty() const {
   if (faults_.empty()) return;
   std::string all;
-  for (const IniFault& fault : faults_) all += (all.empty() ? "" : "\n") + Describe(fault);
+  for (const IniFault& fault : faults_)
+    all += (all.empty() ? "" : "\n") + Describe(fault);
   throw UserError(all);
 }
 
--- a/src/ini_file.h
+++ b/src/ini_file.h
@@ -97,7 +97,8 @@
   std::vector<const IniSection*> OfKind(const std::string& kind) const;
   // The only section of `kind`, or an empty one with its fallbacks.
   IniSection Only(const std::string& kind) const;
-  void AddFault(const IniSection& section, const std::string& key, const std::string& message);
+  void AddFault(const IniSection& section, const std::string& key,
+                const std::string& message);
   // Throws UserError that lists every fault, if there is one.
   void ThrowIfFaulty() const;
 
--- a/src/log.cc
+++ b/src/log.cc
@@ -26,23 +26,26 @@
   return log4cxx::Level::getInfo();
 }
 
-constexpr std::array<std::pair<const char*, LogLevel>, 4> kLevels = {{{"debug", LogLevel::kDebug},
-                                                                      {"info", LogLevel::kInfo},
-                                                                      {"warn", LogLevel::kWarn},
-                                                                      {"error", LogLevel::kError}}};
+constexpr std::array<std::pair<const char*, LogLevel>, 4> kLevels = {
+    {{"debug", LogLevel::kDebug},
+     {"info", LogLevel::kInfo},
+     {"warn", LogLevel::kWarn},
+     {"error", LogLevel::kError}}};
 
 std::string Pattern(const std::string& format, const std::string& process) {
   if (format == "json") {
-    return "{\"time\":\"%d{ISO8601}\",\"level\":\"%p\",\"process\":\"" + process +
-           "\",\"part\":\"%c\",\"text\":\"%m\"}%n";
+    return "{\"time\":\"%d{ISO8601}\",\"level\":\"%p\",\"process\":\"" +
+           process + "\",\"part\":\"%c\",\"text\":\"%m\"}%n";
   }
   return "%d{HH:mm:ss.SSS} %-5p " + process + " %c: %m%n";
 }
 
 }  // namespace
 
-void SetUpLogging(const std::string& level, const std::string& format, const std::string& process) {
-  const auto layout = std::make_shared<log4cxx::PatternLayout>(Pattern(format, process));
+void SetUpLogging(const std::string& level, const std::string& format,
+                  const std::string& process) {
+  const auto layout =
+      std::make_shared<log4cxx::PatternLayout>(Pattern(format, process));
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout);
   appender->setTarget("System.err");
   log4cxx::helpers::Pool pool;
@@ -58,7 +61,8 @@
 LogLine::LogLine(const std::string& part, LogLevel level)
     : part_(part),
       level_(level),
-      enabled_(log4cxx::Logger::getLogger(part)->isEnabledFor(LevelOf(level))) {}
+      enabled_(log4cxx::Logger::getLogger(part)->isEnabledFor(LevelOf(level))) {
+}
 
 LogLine::~LogLine() {
   if (!enabled_) return;
--- a/src/log.h
+++ b/src/log.h
@@ -15,7 +15,8 @@
 
 // Sets level ("debug", "info", "warn", "error"), format ("text" or "json") and
 // the name of this process, once, before the first line.
-void SetUpLogging(const std::string& level, const std::string& format, const std::string& process);
+void SetUpLogging(const std::string& level, const std::string& format,
+                  const std::string& process);
 
 // Collects one line and writes it when it goes out of scope.
 class LogLine {
--- a/src/main/entry_main.cc
+++ b/src/main/entry_main.cc
@@ -36,10 +36,11 @@
   PeerClient peers(rpc, metrics);
   EntryForwarder forwarder(callers.io(), peers, metrics, settings);
   CallerRoutes routes(callers.io(), forwarder, metrics, settings.host);
-  HttpServer server(callers.io(), settings.limits,
-                    [&routes](const HttpRequest& request, HttpResponder& responder) {
-                      return routes.Handle(request, responder);
-                    });
+  HttpServer server(
+      callers.io(), settings.limits,
+      [&routes](const HttpRequest& request, HttpResponder& responder) {
+        return routes.Handle(request, responder);
+      });
   rpc.Start();
   server.Listen(settings.http_address);
   forwarder.Start([&routes] { routes.CutWithdrawn(); });
--- a/src/main/pimentoctl_main.cc
+++ b/src/main/pimentoctl_main.cc
@@ -26,7 +26,8 @@
     "pimentoctl status\n"
     "pimentoctl drain   zone|host NAME       takes it out of service\n"
     "pimentoctl restore zone|host NAME       brings it back\n"
-    "pimentoctl lost    host NAME            says that its memory is gone for good\n"
+    "pimentoctl lost    host NAME            says that its memory is gone for "
+    "good\n"
     "pimentoctl explain REQUEST|PROGRAM\n";
 
 struct Arguments {
@@ -41,11 +42,15 @@
   static const std::vector<SectionRule> rules = {
       {.kind = "platform",
        .required = true,
-       .keys = {{.name = "address", .kind = ValueKind::kAddress, .required = true},
+       .keys = {{.name = "address",
+                 .kind = ValueKind::kAddress,
+                 .required = true},
                 {.name = "environment", .fallback = "production"}}},
       {.kind = "schedulers",
        .required = true,
-       .keys = {{.name = "admin_addresses", .kind = ValueKind::kList, .required = true}}},
+       .keys = {{.name = "admin_addresses",
+                 .kind = ValueKind::kList,
+                 .required = true}}},
   };
   return rules;
 }
@@ -61,20 +66,23 @@
 // Runs a command of OperatorCommands to its end.
 CommandReport RunRemote(
     const Arguments& arguments,
-    const std::function<boost::asio::awaitable<CommandReport>(OperatorCommands&)>& command) {
+    const std::function<
+        boost::asio::awaitable<CommandReport>(OperatorCommands&)>& command) {
   Metrics metrics;
   Duty duty("operator", 64);
-  PlatformClient platform(duty, metrics, {.address = arguments.platform, .timeout_ms = 2'000});
+  PlatformClient platform(duty, metrics,
+                          {.address = arguments.platform, .timeout_ms = 2'000});
   OperatorCommands commands(platform, {.admins = arguments.admins});
   std::promise<CommandReport> result;
-  boost::asio::co_spawn(duty.io(), command(commands),
-                        [&result](std::exception_ptr error, CommandReport report) {
-                          if (error) {
-                            result.set_exception(error);
-                          } else {
-                            result.set_value(std::move(report));
-                          }
-                        });
+  boost::asio::co_spawn(
+      duty.io(), command(commands),
+      [&result](std::exception_ptr error, CommandReport report) {
+        if (error) {
+          result.set_exception(error);
+        } else {
+          result.set_value(std::move(report));
+        }
+      });
   duty.Start();
   auto future = result.get_future();
   future.wait();
@@ -84,17 +92,21 @@
 
 void Expect(const Arguments& arguments, size_t words) {
   if (arguments.words.size() != words) {
-    throw UserError(std::string("These arguments are not understood. Usage:\n") + kUsage);
+    throw UserError(
+        std::string("These arguments are not understood. Usage:\n") + kUsage);
   }
 }
 
-CommandReport Flag(const Arguments& arguments, const std::string& key, bool value) {
+CommandReport Flag(const Arguments& arguments, const std::string& key,
+                   bool value) {
   Expect(arguments, 3);
   const std::string kind = arguments.words[1];
   const bool known = kind == "host" || (kind == "zone" && key == "drained");
-  if (!known) throw UserError("\"" + kind + "\" cannot be given here; see --help.");
+  if (!known)
+    throw UserError("\"" + kind + "\" cannot be given here; see --help.");
   return RunRemote(arguments, [&](OperatorCommands& commands) {
-    return commands.SetFlag(arguments.environment, kind, arguments.words[2], key, value);
+    return commands.SetFlag(arguments.environment, kind, arguments.words[2],
+                            key, value);
   });
 }
 
@@ -116,19 +128,22 @@
   const bool named = arguments.words.size() == 3;
   const std::string from = named ? arguments.words[1] : "trial";
   const std::string to = named ? arguments.words[2] : "production";
-  return RunRemote(arguments,
-                   [&](OperatorCommands& commands) { return commands.Promote(from, to); });
+  return RunRemote(arguments, [&](OperatorCommands& commands) {
+    return commands.Promote(from, to);
+  });
 }
 
 CommandReport Status(const Arguments& arguments) {
   Expect(arguments, 1);
-  return RunRemote(arguments, [](OperatorCommands& commands) { return commands.Status(); });
+  return RunRemote(
+      arguments, [](OperatorCommands& commands) { return commands.Status(); });
 }
 
 CommandReport Explain(const Arguments& arguments) {
   Expect(arguments, 2);
-  return RunRemote(
-      arguments, [&](OperatorCommands& commands) { return commands.Explain(arguments.words[1]); });
+  return RunRemote(arguments, [&](OperatorCommands& commands) {
+    return commands.Explain(arguments.words[1]);
+  });
 }
 
 const std::map<std::string, CommandReport (*)(const Arguments&)> kCommands = {
@@ -153,8 +168,9 @@
 }
 
 int Run(const Arguments& arguments) {
-  const auto command =
-      arguments.words.empty() ? kCommands.end() : kCommands.find(arguments.words.front());
+  const auto command = arguments.words.empty()
+                           ? kCommands.end()
+                           : kCommands.find(arguments.words.front());
   if (command == kCommands.end()) Expect(arguments, SIZE_MAX);
   const CommandReport report = command->second(arguments);
   std::cout << (arguments.json ? report.json : report.text) << "\n";
@@ -165,12 +181,15 @@
 
 int main(int argc, char** argv) {
   cxxopts::Options options("pimentoctl", "Operates pimentopulley.");
-  options.add_options()("config", "settings file, INI", cxxopts::value<std::string>())(
+  options.add_options()("config", "settings file, INI",
+                        cxxopts::value<std::string>())(
       "platform", "address of the object API", cxxopts::value<std::string>())(
       "environment", "environment to change", cxxopts::value<std::string>())(
-      "admin", "admin addresses of schedulers, with commas", cxxopts::value<std::string>())(
-      "json", "answer as JSON")("version", "show the version")("help", "show this text")(
-      "words", "command and its arguments", cxxopts::value<std::vector<std::string>>());
+      "admin", "admin addresses of schedulers, with commas",
+      cxxopts::value<std::string>())("json", "answer as JSON")(
+      "version", "show the version")("help", "show this text")(
+      "words", "command and its arguments",
+      cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"words"});
   options.positional_help("COMMAND");
   Arguments arguments;
@@ -188,8 +207,10 @@
     SetUpLogging("error", "text", "pimentoctl");
     arguments.json = parsed.count("json") != 0;
     arguments.environment = "production";
-    if (parsed.count("config") != 0) ReadConfig(parsed["config"].as<std::string>(), arguments);
-    if (parsed.count("platform") != 0) arguments.platform = parsed["platform"].as<std::string>();
+    if (parsed.count("config") != 0)
+      ReadConfig(parsed["config"].as<std::string>(), arguments);
+    if (parsed.count("platform") != 0)
+      arguments.platform = parsed["platform"].as<std::string>();
     if (parsed.count("environment") != 0) {
       arguments.environment = parsed["environment"].as<std::string>();
     }
--- a/src/main/program_main.h
+++ b/src/main/program_main.h
@@ -1,5 +1,5 @@
-// What the daemons' main functions share: arguments, exit codes, and waiting for
-// a signal.
+// What the daemons' main functions share: arguments, exit codes, and waiting
+// for a signal.
 //
 // Exit codes: 0 done, 1 failed while running, 2 wrong arguments or settings.
 #pragma once
@@ -36,26 +36,30 @@
   sigwait(&set, &signal_number);
 }
 
-// Parses --config, --check, --help and --version. `check` reads the settings and
-// throws UserError; `run` serves until the process should end.
-inline int RunDaemon(int argc, char** argv, const std::string& name, const std::string& purpose,
+// Parses --config, --check, --help and --version. `check` reads the settings
+// and throws UserError; `run` serves until the process should end.
+inline int RunDaemon(int argc, char** argv, const std::string& name,
+                     const std::string& purpose,
                      const std::function<void(const std::string&)>& check,
                      const std::function<void(const std::string&)>& run) {
   cxxopts::Options options(name, purpose);
-  options.add_options()("config", "settings file, INI", cxxopts::value<std::string>())(
-      "check", "check the settings and exit")("version", "show the version")("help",
-                                                                             "show this text");
+  options.add_options()("config", "settings file, INI",
+                        cxxopts::value<std::string>())(
+      "check", "check the settings and exit")("version", "show the version")(
+      "help", "show this text");
   try {
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") != 0) {
-      std::cout << options.help() << "\nExit codes: 0 done, 1 failed, 2 wrong use.\n";
+      std::cout << options.help()
+                << "\nExit codes: 0 done, 1 failed, 2 wrong use.\n";
       return kExitDone;
     }
     if (arguments.count("version") != 0) {
       std::cout << name << " " << kVersion << "\n";
       return kExitDone;
     }
-    if (arguments.count("config") == 0) throw UserError("The option --config is missing.");
+    if (arguments.count("config") == 0)
+      throw UserError("The option --config is missing.");
     const std::string path = arguments["config"].as<std::string>();
     check(path);
     if (arguments.count("check") != 0) {
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -23,7 +23,8 @@
   self_.counter = 1;
 }
 
-void Membership::Seed(const std::string& host, const std::string& rpc_address, int64_t now_ms) {
+void Membership::Seed(const std::string& host, const std::string& rpc_address,
+                      int64_t now_ms) {
   if (host == self_.host || hosts_.contains(host)) return;
   Entry entry;
   entry.news.info.host = host;
@@ -49,10 +50,12 @@
   return std::nullopt;
 }
 
-std::vector<HostInfo> Membership::Helpers(const std::string& host, size_t count) {
+std::vector<HostInfo> Membership::Helpers(const std::string& host,
+                                          size_t count) {
   std::vector<HostInfo> live;
   for (const auto& [name, entry] : hosts_) {
-    if (name != host && entry.news.state == HostState::kAlive) live.push_back(entry.news.info);
+    if (name != host && entry.news.state == HostState::kAlive)
+      live.push_back(entry.news.info);
   }
   std::shuffle(live.begin(), live.end(), random_);
   if (live.size() > count) live.resize(count);
@@ -72,8 +75,9 @@
   for (auto& [host, entry] : hosts_) {
     if (entry.times_told < TellLimit()) fresh.push_back(&entry);
   }
-  std::sort(fresh.begin(), fresh.end(),
-            [](const Entry* a, const Entry* b) { return a->times_told < b->times_told; });
+  std::sort(fresh.begin(), fresh.end(), [](const Entry* a, const Entry* b) {
+    return a->times_told < b->times_told;
+  });
   // A host always tells about itself: that is its heartbeat.
   std::vector<HostNews> news = {{.info = self_, .state = HostState::kAlive}};
   for (Entry* entry : fresh) {
@@ -113,18 +117,23 @@
   for (auto it = hosts_.begin(); it != hosts_.end();) {
     Entry& entry = it->second;
     const int64_t age_ms = now_ms - entry.since_ms;
-    if (entry.news.state == HostState::kSuspect && age_ms >= options_.suspect_ms) {
+    if (entry.news.state == HostState::kSuspect &&
+        age_ms >= options_.suspect_ms) {
       entry.news.state = HostState::kDead;
       entry.since_ms = now_ms;
       entry.times_told = 0;
     }
-    const bool forget = entry.news.state == HostState::kDead && age_ms >= options_.forget_ms;
+    const bool forget =
+        entry.news.state == HostState::kDead && age_ms >= options_.forget_ms;
     it = forget ? hosts_.erase(it) : std::next(it);
   }
 }
 
-void Membership::UpdateSelf(bool leaving, uint64_t generation, std::vector<OwnedShard> owned) {
-  if (leaving == self_.leaving && generation == self_.generation && owned == self_.owned) return;
+void Membership::UpdateSelf(bool leaving, uint64_t generation,
+                            std::vector<OwnedShard> owned) {
+  if (leaving == self_.leaving && generation == self_.generation &&
+      owned == self_.owned)
+    return;
   self_.leaving = leaving;
   self_.generation = generation;
   self_.owned = std::move(owned);
--- a/src/membership.h
+++ b/src/membership.h
@@ -60,7 +60,8 @@
   Membership(HostInfo self, MembershipOptions options, uint64_t seed);
 
   // Adds a host known only by its address, from settings or the host list.
-  void Seed(const std::string& host, const std::string& rpc_address, int64_t now_ms);
+  void Seed(const std::string& host, const std::string& rpc_address,
+            int64_t now_ms);
 
   // The next host to probe, or nothing when there is no other.
   std::optional<HostInfo> NextProbe();
@@ -75,7 +76,8 @@
   void Tick(int64_t now_ms);
 
   // Changes what this host says of itself.
-  void UpdateSelf(bool leaving, uint64_t generation, std::vector<OwnedShard> owned);
+  void UpdateSelf(bool leaving, uint64_t generation,
+                  std::vector<OwnedShard> owned);
 
   const HostInfo& self() const { return self_; }
   // Every other host and this one, by name.
--- a/src/membership_duty.cc
+++ b/src/membership_duty.cc
@@ -17,7 +17,8 @@
 
 }  // namespace
 
-MembershipDuty::MembershipDuty(Duty& duty, SchedulerContext& context, MembershipDutyOptions options)
+MembershipDuty::MembershipDuty(Duty& duty, SchedulerContext& context,
+                               MembershipDutyOptions options)
     : duty_(duty),
       context_(context),
       options_(std::move(options)),
@@ -42,10 +43,12 @@
 }
 
 void MembershipDuty::Publish() {
-  context_.view = std::make_shared<const HostView>(membership_.All(), options_.self.host);
+  context_.view =
+      std::make_shared<const HostView>(membership_.All(), options_.self.host);
 }
 
-boost::asio::awaitable<std::vector<HostNews>> MembershipDuty::Exchange(std::vector<HostNews> news) {
+boost::asio::awaitable<std::vector<HostNews>> MembershipDuty::Exchange(
+    std::vector<HostNews> news) {
   std::function<boost::asio::awaitable<std::vector<HostNews>>()> work =
       [this, news]() -> boost::asio::awaitable<std::vector<HostNews>> {
     last_contact_ms_ = NowMs();
@@ -67,8 +70,10 @@
     if (target) Spawn(duty_.io(), "membership", ProbeOne(*target));
     const bool lonely = membership_.size() == 1 || period % kSeedEvery == 0;
     if (lonely && !options_.seeds.empty()) {
-      const std::string seed = options_.seeds[next_seed_++ % options_.seeds.size()];
-      if (seed != options_.self.rpc_address) Spawn(duty_.io(), "membership", ProbeAddress(seed));
+      const std::string seed =
+          options_.seeds[next_seed_++ % options_.seeds.size()];
+      if (seed != options_.self.rpc_address)
+        Spawn(duty_.io(), "membership", ProbeAddress(seed));
     }
   }
 }
@@ -90,15 +95,17 @@
   std::vector<HostNews> news = membership_.News();
   bool answered = false;
   try {
-    const std::vector<HostNews> answer = co_await context_.peers->Gossip(
-        target.rpc_address, options_.self.host, news, options_.probe_timeout_ms);
+    const std::vector<HostNews> answer =
+        co_await context_.peers->Gossip(target.rpc_address, options_.self.host,
+                                        news, options_.probe_timeout_ms);
     last_contact_ms_ = NowMs();
     membership_.Learn(answer, NowMs());
     answered = true;
   } catch (const TransportError&) {
     // Others may still reach it.
   }
-  if (!answered) answered = co_await AskHelpers(target.host, target.rpc_address);
+  if (!answered)
+    answered = co_await AskHelpers(target.host, target.rpc_address);
   if (!answered) {
     kLog.Debug() << "The host " << target.host << " does not answer.";
     membership_.ProbeFailed(target.host, NowMs());
@@ -106,11 +113,12 @@
   Publish();
 }
 
-boost::asio::awaitable<bool> MembershipDuty::AskHelpers(std::string target, std::string address) {
+boost::asio::awaitable<bool> MembershipDuty::AskHelpers(std::string target,
+                                                        std::string address) {
   for (const HostInfo& helper : membership_.Helpers(target, kHelpers)) {
     try {
-      const bool alive = co_await context_.peers->Probe(helper.rpc_address, address,
-                                                        2 * options_.probe_timeout_ms);
+      const bool alive = co_await context_.peers->Probe(
+          helper.rpc_address, address, 2 * options_.probe_timeout_ms);
       if (alive) co_return true;
     } catch (const TransportError&) {
       // The next helper may do.
--- a/src/membership_duty.h
+++ b/src/membership_duty.h
@@ -25,11 +25,13 @@
 
 class MembershipDuty {
  public:
-  MembershipDuty(Duty& duty, SchedulerContext& context, MembershipDutyOptions options);
+  MembershipDuty(Duty& duty, SchedulerContext& context,
+                 MembershipDutyOptions options);
   void Start();
 
   // Answers another host's news. Call from any duty.
-  boost::asio::awaitable<std::vector<HostNews>> Exchange(std::vector<HostNews> news);
+  boost::asio::awaitable<std::vector<HostNews>> Exchange(
+      std::vector<HostNews> news);
   // Tells the fleet what this host owns now. Call from any thread.
   void Announce(std::vector<OwnedShard> owned);
   // When a peer or the platform was last heard, milliseconds since 1970.
@@ -39,7 +41,8 @@
   boost::asio::awaitable<void> ProbeLoop();
   boost::asio::awaitable<void> ProbeOne(HostInfo target);
   boost::asio::awaitable<void> ProbeAddress(std::string address);
-  boost::asio::awaitable<bool> AskHelpers(std::string target, std::string address);
+  boost::asio::awaitable<bool> AskHelpers(std::string target,
+                                          std::string address);
   boost::asio::awaitable<void> HostListLoop();
   void UpdateSelf();
   void Publish();
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -8,31 +8,36 @@
 namespace pimento {
 namespace {
 
-constexpr std::array<std::string_view, static_cast<size_t>(Counter::kCount)> kCounterNames = {
-    "calls_answered",     "calls_joined",      "calls_replayed",
-    "programs_created",   "programs_ended",    "programs_expired",
-    "records_counted",    "record_batches",    "takeovers",
-    "handovers",          "replacements",      "fenced",
-    "releases_confirmed", "releases_repeated", "streams_cut",
-    "platform_reads",     "platform_writes",   "platform_errors",
-    "rpc_calls",          "rpc_errors",        "flushes",
-    "tokens_streamed",    "tokens_wasted",     "cached_refusals"};
-
-constexpr std::array<std::string_view, static_cast<size_t>(Latency::kCount)> kLatencyNames = {
-    "program", "call", "first_token", "queue_wait", "commit"};
+constexpr std::array<std::string_view, static_cast<size_t>(Counter::kCount)>
+    kCounterNames = {
+        "calls_answered",     "calls_joined",      "calls_replayed",
+        "programs_created",   "programs_ended",    "programs_expired",
+        "records_counted",    "record_batches",    "takeovers",
+        "handovers",          "replacements",      "fenced",
+        "releases_confirmed", "releases_repeated", "streams_cut",
+        "platform_reads",     "platform_writes",   "platform_errors",
+        "rpc_calls",          "rpc_errors",        "flushes",
+        "tokens_streamed",    "tokens_wasted",     "cached_refusals"};
+
+constexpr std::array<std::string_view, static_cast<size_t>(Latency::kCount)>
+    kLatencyNames = {"program", "call", "first_token", "queue_wait", "commit"};
 
 constexpr int kBins = 48;
 constexpr double kLeastMs = 0.1;
 constexpr double kMostMs = 1'000'000;
 
-using LogAxis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-using Counts = decltype(boost::histogram::make_histogram(LogAxis(kBins, kLeastMs, kMostMs)));
+using LogAxis =
+    boost::histogram::axis::regular<double,
+                                    boost::histogram::axis::transform::log>;
+using Counts = decltype(boost::histogram::make_histogram(
+    LogAxis(kBins, kLeastMs, kMostMs)));
 
 }  // namespace
 
 struct Metrics::Histogram {
   mutable std::mutex mutex;
-  Counts counts = boost::histogram::make_histogram(LogAxis(kBins, kLeastMs, kMostMs));
+  Counts counts =
+      boost::histogram::make_histogram(LogAxis(kBins, kLeastMs, kMostMs));
   double sum = 0;
   uint64_t total = 0;
 };
@@ -43,9 +48,13 @@
 
 Metrics::~Metrics() = default;
 
-void Metrics::Refused(Reason reason) { ++refused_[static_cast<size_t>(reason)]; }
+void Metrics::Refused(Reason reason) {
+  ++refused_[static_cast<size_t>(reason)];
+}
 
-void Metrics::Retried(Reason reason) { ++retried_[static_cast<size_t>(reason)]; }
+void Metrics::Retried(Reason reason) {
+  ++retried_[static_cast<size_t>(reason)];
+}
 
 void Metrics::Add(Counter counter, uint64_t amount) {
   counters_[static_cast<size_t>(counter)] += amount;
@@ -84,34 +93,38 @@
   std::ostringstream out;
   out << "# TYPE pimento_refused_total counter\n";
   for (size_t i = 1; i < kReasons; ++i) {
-    out << "pimento_refused_total{reason=\"" << Name(static_cast<Reason>(i)) << "\"} "
-        << refused_[i].load() << "\n";
+    out << "pimento_refused_total{reason=\"" << Name(static_cast<Reason>(i))
+        << "\"} " << refused_[i].load() << "\n";
   }
   out << "# TYPE pimento_retried_total counter\n";
   for (size_t i = 1; i < kReasons; ++i) {
-    out << "pimento_retried_total{reason=\"" << Name(static_cast<Reason>(i)) << "\"} "
-        << retried_[i].load() << "\n";
+    out << "pimento_retried_total{reason=\"" << Name(static_cast<Reason>(i))
+        << "\"} " << retried_[i].load() << "\n";
   }
   for (size_t i = 0; i < kCounters; ++i) {
     out << "# TYPE pimento_" << kCounterNames[i] << "_total counter\n"
-        << "pimento_" << kCounterNames[i] << "_total " << counters_[i].load() << "\n";
+        << "pimento_" << kCounterNames[i] << "_total " << counters_[i].load()
+        << "\n";
   }
   {
     const std::lock_guard lock(gauge_mutex_);
     for (const auto& [name, value] : gauges_) {
-      out << "# TYPE pimento_" << name << " gauge\npimento_" << name << " " << value << "\n";
+      out << "# TYPE pimento_" << name << " gauge\npimento_" << name << " "
+          << value << "\n";
     }
   }
   for (size_t i = 0; i < kLatencies; ++i) {
     const Histogram& histogram = *histograms_[i];
-    const std::string name = "pimento_" + std::string(kLatencyNames[i]) + "_milliseconds";
+    const std::string name =
+        "pimento_" + std::string(kLatencyNames[i]) + "_milliseconds";
     const std::lock_guard lock(histogram.mutex);
     out << "# TYPE " << name << " histogram\n";
     double seen = 0;
     for (auto&& bin : boost::histogram::indexed(histogram.counts)) {
       seen += static_cast<double>(*bin);
       if (*bin == 0) continue;
-      out << name << "_bucket{le=\"" << bin.bin().upper() << "\"} " << seen << "\n";
+      out << name << "_bucket{le=\"" << bin.bin().upper() << "\"} " << seen
+          << "\n";
     }
     out << name << "_bucket{le=\"+Inf\"} " << histogram.total << "\n"
         << name << "_sum " << histogram.sum << "\n"
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -1,6 +1,7 @@
 // Counters and latency histograms of one process, and their Prometheus text.
 //
-// Safe to use from every thread: counters are atomic, each histogram has a lock.
+// Safe to use from every thread: counters are atomic, each histogram has a
+// lock.
 #pragma once
 
 #include <array>
@@ -43,7 +44,14 @@
   kCount,
 };
 
-enum class Latency : uint8_t { kProgram, kCall, kFirstToken, kQueueWait, kCommit, kCount };
+enum class Latency : uint8_t {
+  kProgram,
+  kCall,
+  kFirstToken,
+  kQueueWait,
+  kCommit,
+  kCount
+};
 
 class Metrics {
  public:
--- a/src/operator_commands.h
+++ b/src/operator_commands.h
@@ -1,5 +1,6 @@
-// What operators do: check, apply and promote documents, take zones and hosts out
-// and back in, and ask what the fleet does. pimentoctl is their command line.
+// What operators do: check, apply and promote documents, take zones and hosts
+// out and back in, and ask what the fleet does. pimentoctl is their command
+// line.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -34,14 +35,14 @@
   OperatorCommands(PlatformClient& platform, OperatorOptions options);
 
   // Writes `text` as the next generation of its environment, and waits until it
-  // is in force. Throws UserError when the text is wrong or another operator was
-  // faster, PlatformError when the platform cannot be reached.
+  // is in force. Throws UserError when the text is wrong or another operator
+  // was faster, PlatformError when the platform cannot be reached.
   Async<CommandReport> Apply(std::string text, std::string file);
   // Copies the trial document, once in force there, to production.
   Async<CommandReport> Promote(std::string from, std::string to);
   // Sets `key` of [kind name] in the environment's document.
-  Async<CommandReport> SetFlag(std::string environment, std::string kind, std::string name,
-                               std::string key, bool value);
+  Async<CommandReport> SetFlag(std::string environment, std::string kind,
+                               std::string name, std::string key, bool value);
   Async<CommandReport> Status();
   // What was decided about a request or a program, from all hosts.
   Async<CommandReport> Explain(std::string id);
@@ -52,9 +53,12 @@
     Generation generation;
   };
   Async<Present> ReadPresent(std::string environment);
-  Async<CommandReport> WriteNext(Present present, std::string environment, std::string text);
-  Async<CommandReport> WaitInForce(std::string environment, uint64_t generation);
-  // Lowest generation among live hosts of `environment`, and how many there are.
+  Async<CommandReport> WriteNext(Present present, std::string environment,
+                                 std::string text);
+  Async<CommandReport> WaitInForce(std::string environment,
+                                   uint64_t generation);
+  // Lowest generation among live hosts of `environment`, and how many there
+  // are.
   struct Spread {
     size_t hosts = 0;
     uint64_t lowest = 0;
--- a/src/owner_view.cc
+++ b/src/owner_view.cc
@@ -4,12 +4,14 @@
 
 namespace pimento {
 
-std::string OwnerAddress(const SchedulerContext& context, const ShardHost& shards, uint32_t shard) {
+std::string OwnerAddress(const SchedulerContext& context,
+                         const ShardHost& shards, uint32_t shard) {
   if (shards.Owns(shard)) return "";
   const auto view = context.view.load();
   const HostNews* owner = view->OwnerOf(shard);
   if (owner == nullptr || owner->info.host == context.self.host) {
-    throw Refusal(Reason::kOwnerUnreachable, RunState::kNotRun, "The shard has no owner now.");
+    throw Refusal(Reason::kOwnerUnreachable, RunState::kNotRun,
+                  "The shard has no owner now.");
   }
   return owner->info.rpc_address;
 }
@@ -20,11 +22,13 @@
   return ShardOf(kind + "/" + name, shards);
 }
 
-OwnerReply FindOwner(const SchedulerContext& context, const ShardHost& shards, uint32_t shard) {
+OwnerReply FindOwner(const SchedulerContext& context, const ShardHost& shards,
+                     uint32_t shard) {
   const auto view = context.view.load();
   const auto environment = context.environment.load();
   OwnerReply reply;
-  const HostNews* owner = shards.Owns(shard) ? view->Find(context.self.host) : view->OwnerOf(shard);
+  const HostNews* owner =
+      shards.Owns(shard) ? view->Find(context.self.host) : view->OwnerOf(shard);
   if (owner != nullptr) {
     reply.host = owner->info.host;
     reply.rpc_address = owner->info.rpc_address;
@@ -35,7 +39,8 @@
     const bool usable = news.state == HostState::kAlive && !info.leaving &&
                         !info.http_address.empty() &&
                         InService(environment->document, info.host, info.zone);
-    if (usable && info.host != reply.host) reply.alternates.push_back(info.http_address);
+    if (usable && info.host != reply.host)
+      reply.alternates.push_back(info.http_address);
     // An owner on its way out serves, but nobody is sent to its entry any more.
     if (!usable && info.host == reply.host) reply.http_address.clear();
   }
--- a/src/owner_view.h
+++ b/src/owner_view.h
@@ -11,13 +11,16 @@
 
 // RPC address of the shard's owner; empty when this host owns it. Throws
 // Refusal(kOwnerUnreachable) when no owner is known.
-std::string OwnerAddress(const SchedulerContext& context, const ShardHost& shards, uint32_t shard);
+std::string OwnerAddress(const SchedulerContext& context,
+                         const ShardHost& shards, uint32_t shard);
 
-// The shard that keeps the state named `kind`/`name` under the present document.
+// The shard that keeps the state named `kind`/`name` under the present
+// document.
 uint32_t ShardFor(const SchedulerContext& context, const std::string& kind,
                   const std::string& name);
 
 // Where callers of a program on `shard` should connect.
-OwnerReply FindOwner(const SchedulerContext& context, const ShardHost& shards, uint32_t shard);
+OwnerReply FindOwner(const SchedulerContext& context, const ShardHost& shards,
+                     uint32_t shard);
 
 }  // namespace pimento
--- a/src/ownership.cc
+++ b/src/ownership.cc
@@ -22,11 +22,13 @@
   try {
     return boost::json::value_to<Ownership>(boost::json::parse(text));
   } catch (const std::exception& e) {
-    throw StateError("The ownership object cannot be read: " + std::string(e.what()));
+    throw StateError("The ownership object cannot be read: " +
+                     std::string(e.what()));
   }
 }
 
-Ownership ClaimedByPlatform(const Ownership& present, const Member& claimant, std::string nonce) {
+Ownership ClaimedByPlatform(const Ownership& present, const Member& claimant,
+                            std::string nonce) {
   Ownership claimed = present;
   claimed.epoch = {.major = present.epoch.major + 1, .minor = 0};
   claimed.holder = claimant;
