--- a/src/peer_client.cc
+++ b/src/peer_client.cc
@@ -47,7 +47,8 @@
   kj::Promise<void> write(WriteContext context) override {
     const auto params = context.getParams();
     const auto text = params.getText();
-    sink_(params.getAttempt(), params.getOffset(), std::string(text.cStr(), text.size()));
+    sink_(params.getAttempt(), params.getOffset(),
+          std::string(text.cStr(), text.size()));
     return kj::READY_NOW;
   }
 
@@ -59,7 +60,8 @@
 
 // Lives on the RPC thread, but for `loop` and `metrics`.
 struct PeerClient::State : std::enable_shared_from_this<PeerClient::State> {
-  State(RpcLoop& rpc_loop, Metrics& process_metrics) : loop(rpc_loop), metrics(process_metrics) {}
+  State(RpcLoop& rpc_loop, Metrics& process_metrics)
+      : loop(rpc_loop), metrics(process_metrics) {}
 
   kj::Timer& Timer() { return loop.context().io->provider->getTimer(); }
 
@@ -73,40 +75,49 @@
     connection->break_it = kj::mv(paf.fulfiller);
     auto& network = loop.context().io->provider->getNetwork();
     const std::weak_ptr<Connection> weak = connection;
-    auto connecting = network.parseAddress(address)
-                          .then([](kj::Own<kj::NetworkAddress> parsed) {
-                            auto promise = parsed->connect();
-                            return promise.attach(kj::mv(parsed));
-                          })
-                          .then([this, weak](kj::Own<kj::AsyncIoStream> stream) {
-                            const auto opened = weak.lock();
-                            if (!opened) return;
-                            opened->stream = kj::mv(stream);
-                            opened->client = kj::heap<capnp::TwoPartyClient>(*opened->stream);
-                            opened->peer = opened->client->bootstrap().castAs<wire::Peer>();
-                            opened->watching =
-                                opened->client->onDisconnect()
-                                    .then([this, weak] { Drop(weak); })
-                                    .eagerlyEvaluate([this, weak](kj::Exception&&) { Drop(weak); });
-                          });
-    connection->ready =
-        Timer().timeoutAfter(kConnectTimeoutMs * kj::MILLISECONDS, kj::mv(connecting)).fork();
-    connection->probing = connection->ready.addBranch()
-                              .then([this, weak] { return ProbeLoop(weak); })
-                              .eagerlyEvaluate([this, weak](kj::Exception&&) { Drop(weak); });
+    auto connecting =
+        network.parseAddress(address)
+            .then([](kj::Own<kj::NetworkAddress> parsed) {
+              auto promise = parsed->connect();
+              return promise.attach(kj::mv(parsed));
+            })
+            .then([this, weak](kj::Own<kj::AsyncIoStream> stream) {
+              const auto opened = weak.lock();
+              if (!opened) return;
+              opened->stream = kj::mv(stream);
+              opened->client = kj::heap<capnp::TwoPartyClient>(*opened->stream);
+              opened->peer = opened->client->bootstrap().castAs<wire::Peer>();
+              opened->watching =
+                  opened->client->onDisconnect()
+                      .then([this, weak] { Drop(weak); })
+                      .eagerlyEvaluate(
+                          [this, weak](kj::Exception&&) { Drop(weak); });
+            });
+    connection->ready = Timer()
+                            .timeoutAfter(kConnectTimeoutMs * kj::MILLISECONDS,
+                                          kj::mv(connecting))
+                            .fork();
+    connection->probing =
+        connection->ready.addBranch()
+            .then([this, weak] { return ProbeLoop(weak); })
+            .eagerlyEvaluate([this, weak](kj::Exception&&) { Drop(weak); });
     return *(connections[address] = connection);
   }
 
   kj::Promise<void> ProbeLoop(const std::weak_ptr<Connection>& weak) {
-    return Timer().afterDelay(kProbeEveryMs * kj::MILLISECONDS).then([this, weak] {
-      const auto connection = weak.lock();
-      if (!connection) return kj::Promise<void>(kj::READY_NOW);
-      if (cut.contains(connection->address)) KJ_FAIL_REQUIRE("connection is cut");
-      auto request = connection->Peer().probeRequest();
-      return Timer()
-          .timeoutAfter(kProbeTimeoutMs * kj::MILLISECONDS, request.send().ignoreResult())
-          .then([this, weak] { return ProbeLoop(weak); });
-    });
+    return Timer()
+        .afterDelay(kProbeEveryMs * kj::MILLISECONDS)
+        .then([this, weak] {
+          const auto connection = weak.lock();
+          if (!connection) return kj::Promise<void>(kj::READY_NOW);
+          if (cut.contains(connection->address))
+            KJ_FAIL_REQUIRE("connection is cut");
+          auto request = connection->Peer().probeRequest();
+          return Timer()
+              .timeoutAfter(kProbeTimeoutMs * kj::MILLISECONDS,
+                            request.send().ignoreResult())
+              .then([this, weak] { return ProbeLoop(weak); });
+        });
   }
 
   void Drop(const std::weak_ptr<Connection>& weak) {
@@ -116,7 +127,8 @@
     if (it == connections.end() || it->second != connection) return;
     connections.erase(it);
     connection->peer = nullptr;
-    connection->break_it->reject(KJ_EXCEPTION(DISCONNECTED, "connection dropped"));
+    connection->break_it->reject(
+        KJ_EXCEPTION(DISCONNECTED, "connection dropped"));
     // The connection's own probe may have called us: let go of it a turn later.
     graveyard.push_back(connection);
     loop.Deliver([state = shared_from_this()] { state->graveyard.clear(); });
@@ -140,9 +152,11 @@
   state_->loop.Deliver([state = state_, addresses] { state->cut = addresses; });
 }
 
-// `send` runs on the RPC thread with the peer's stub and returns a promise of T.
+// `send` runs on the RPC thread with the peer's stub and returns a promise of
+// T.
 template <class T, class Send>
-PeerClient::Async<T> PeerClient::Invoke(Address to, int64_t timeout_ms, Send send) {
+PeerClient::Async<T> PeerClient::Invoke(Address to, int64_t timeout_ms,
+                                        Send send) {
   auto initiate = [state = state_, to, timeout_ms, send](auto handler) {
     using Handler = decltype(handler);
     auto shared = std::make_shared<Handler>(std::move(handler));
@@ -152,79 +166,99 @@
         (*shared)(error, std::move(value));
       });
     };
-    auto fail = [state, finish, to](const std::string& why, bool sent, bool silent) {
+    auto fail = [state, finish, to](const std::string& why, bool sent,
+                                    bool silent) {
       state->metrics.Add(Counter::kRpcErrors);
       const std::string message = "The peer at " + to + " failed: " + why + ".";
-      finish(std::make_exception_ptr(TransportError(message, sent, silent)), T{});
+      finish(std::make_exception_ptr(TransportError(message, sent, silent)),
+             T{});
     };
-    const bool offered = state->loop.Offer([state, to, timeout_ms, send, finish, fail] {
+    const bool offered = state->loop.Offer([state, to, timeout_ms, send, finish,
+                                            fail] {
       state->metrics.Add(Counter::kRpcCalls);
       const uint64_t id = state->next_call++;
-      auto done = [state, id] { state->loop.Deliver([state, id] { state->calls.erase(id); }); };
+      auto done = [state, id] {
+        state->loop.Deliver([state, id] { state->calls.erase(id); });
+      };
       kj::Promise<void> work = nullptr;
       if (state->cut.contains(to)) {
-        work = state->Timer().afterDelay(timeout_ms * kj::MILLISECONDS).then([fail] {
-          fail("no answer in time", true, true);
-        });
+        work = state->Timer()
+                   .afterDelay(timeout_ms * kj::MILLISECONDS)
+                   .then([fail] { fail("no answer in time", true, true); });
       } else {
         Connection& connection = state->Open(to);
         const std::weak_ptr<Connection> weak = state->connections[to];
         auto broken = connection.broken.addBranch().then(
             []() -> T { KJ_FAIL_REQUIRE("connection dropped"); });
-        auto answer = connection.ready.addBranch().then([weak, send]() -> kj::Promise<T> {
-          const auto open = weak.lock();
-          KJ_REQUIRE(open != nullptr, "connection dropped");
-          return send(open->Peer());
-        });
+        auto answer =
+            connection.ready.addBranch().then([weak, send]() -> kj::Promise<T> {
+              const auto open = weak.lock();
+              KJ_REQUIRE(open != nullptr, "connection dropped");
+              return send(open->Peer());
+            });
         work =
             state->Timer()
-                .timeoutAfter(timeout_ms * kj::MILLISECONDS, answer.exclusiveJoin(kj::mv(broken)))
-                .then([finish](T&& value) { finish(nullptr, std::move(value)); },
-                      [state, weak, fail](kj::Exception&& e) {
-                        const bool overdue = e.getType() == kj::Exception::Type::OVERLOADED;
-                        const bool gone = e.getType() == kj::Exception::Type::DISCONNECTED;
-                        if (gone) state->Drop(weak);
-                        fail(e.getDescription().cStr(), true, overdue);
-                      });
+                .timeoutAfter(timeout_ms * kj::MILLISECONDS,
+                              answer.exclusiveJoin(kj::mv(broken)))
+                .then(
+                    [finish](T&& value) { finish(nullptr, std::move(value)); },
+                    [state, weak, fail](kj::Exception&& e) {
+                      const bool overdue =
+                          e.getType() == kj::Exception::Type::OVERLOADED;
+                      const bool gone =
+                          e.getType() == kj::Exception::Type::DISCONNECTED;
+                      if (gone) state->Drop(weak);
+                      fail(e.getDescription().cStr(), true, overdue);
+                    });
       }
-      state->calls.emplace(id, work.then(kj::mv(done)).eagerlyEvaluate([](kj::Exception&&) {}));
+      state->calls.emplace(
+          id, work.then(kj::mv(done)).eagerlyEvaluate([](kj::Exception&&) {}));
     });
     if (!offered) fail("the RPC ring is full", false, false);
   };
   co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
-                                          void(std::exception_ptr, T)>(initiate,
-                                                                       asio::use_awaitable);
+                                          void(std::exception_ptr, T)>(
+      initiate, asio::use_awaitable);
 }
 
-PeerClient::Async<AppendReply> PeerClient::Append(Address to, AppendRequest request,
+PeerClient::Async<AppendReply> PeerClient::Append(Address to,
+                                                  AppendRequest request,
                                                   int64_t timeout_ms) {
-  return Invoke<AppendReply>(to, timeout_ms, [request](wire::Peer::Client peer) {
-    auto call = peer.appendRequest();
-    ToWire(request, call.initRequest());
-    return call.send().then([](auto&& result) { return FromWire(result.getReply()); });
-  });
+  return Invoke<AppendReply>(
+      to, timeout_ms, [request](wire::Peer::Client peer) {
+        auto call = peer.appendRequest();
+        ToWire(request, call.initRequest());
+        return call.send().then(
+            [](auto&& result) { return FromWire(result.getReply()); });
+      });
 }
 
-PeerClient::Async<SealReply> PeerClient::Seal(Address to, SealRequest request, int64_t timeout_ms) {
+PeerClient::Async<SealReply> PeerClient::Seal(Address to, SealRequest request,
+                                              int64_t timeout_ms) {
   return Invoke<SealReply>(to, timeout_ms, [request](wire::Peer::Client peer) {
     auto call = peer.sealRequest();
     ToWire(request, call.initRequest());
-    return call.send().then([](auto&& result) { return FromWire(result.getReply()); });
+    return call.send().then(
+        [](auto&& result) { return FromWire(result.getReply()); });
   });
 }
 
-PeerClient::Async<std::vector<HostNews>> PeerClient::Gossip(Address to, std::string from,
-                                                            std::vector<HostNews> news,
-                                                            int64_t timeout_ms) {
-  return Invoke<std::vector<HostNews>>(to, timeout_ms, [from, news](wire::Peer::Client peer) {
-    auto call = peer.gossipRequest();
-    call.setFrom(from.c_str());
-    ToWireList(news, call.initNews(news.size()));
-    return call.send().then([](auto&& result) { return FromWireList<HostNews>(result.getNews()); });
-  });
+PeerClient::Async<std::vector<HostNews>> PeerClient::Gossip(
+    Address to, std::string from, std::vector<HostNews> news,
+    int64_t timeout_ms) {
+  return Invoke<std::vector<HostNews>>(
+      to, timeout_ms, [from, news](wire::Peer::Client peer) {
+        auto call = peer.gossipRequest();
+        call.setFrom(from.c_str());
+        ToWireList(news, call.initNews(news.size()));
+        return call.send().then([](auto&& result) {
+          return FromWireList<HostNews>(result.getNews());
+        });
+      });
 }
 
-PeerClient::Async<bool> PeerClient::Probe(Address to, Address target, int64_t timeout_ms) {
+PeerClient::Async<bool> PeerClient::Probe(Address to, Address target,
+                                          int64_t timeout_ms) {
   return Invoke<bool>(to, timeout_ms, [target](wire::Peer::Client peer) {
     auto call = peer.probeRequest();
     call.setRpcAddress(target.c_str());
@@ -232,63 +266,81 @@
   });
 }
 
-PeerClient::Async<ProgramView> PeerClient::Create(Address to, CreateRequest request,
+PeerClient::Async<ProgramView> PeerClient::Create(Address to,
+                                                  CreateRequest request,
                                                   int64_t timeout_ms) {
-  return Invoke<ProgramView>(to, timeout_ms, [request](wire::Peer::Client peer) {
-    auto call = peer.createRequest();
-    ToWire(request, call.initRequest());
-    return call.send().then([](auto&& result) { return FromWire(result.getView()); });
-  });
+  return Invoke<ProgramView>(
+      to, timeout_ms, [request](wire::Peer::Client peer) {
+        auto call = peer.createRequest();
+        ToWire(request, call.initRequest());
+        return call.send().then(
+            [](auto&& result) { return FromWire(result.getView()); });
+      });
 }
 
-PeerClient::Async<CallReply> PeerClient::Call(Address to, CallRequest request, PieceSink on_piece,
+PeerClient::Async<CallReply> PeerClient::Call(Address to, CallRequest request,
+                                              PieceSink on_piece,
                                               int64_t timeout_ms) {
-  return Invoke<CallReply>(to, timeout_ms, [request, on_piece](wire::Peer::Client peer) {
-    auto call = peer.callRequest();
-    ToWire(request, call.initRequest());
-    call.setSink(kj::heap<SinkServer>(on_piece));
-    return call.send().then([](auto&& result) { return FromWire(result.getReply()); });
-  });
+  return Invoke<CallReply>(
+      to, timeout_ms, [request, on_piece](wire::Peer::Client peer) {
+        auto call = peer.callRequest();
+        ToWire(request, call.initRequest());
+        call.setSink(kj::heap<SinkServer>(on_piece));
+        return call.send().then(
+            [](auto&& result) { return FromWire(result.getReply()); });
+      });
 }
 
-PeerClient::Async<ProgramView> PeerClient::View(Address to, std::string program, std::string team,
+PeerClient::Async<ProgramView> PeerClient::View(Address to, std::string program,
+                                                std::string team,
                                                 int64_t timeout_ms) {
-  return Invoke<ProgramView>(to, timeout_ms, [program, team](wire::Peer::Client peer) {
-    auto call = peer.viewRequest();
-    call.setProgram(program.c_str());
-    call.setTeam(team.c_str());
-    return call.send().then([](auto&& result) { return FromWire(result.getView()); });
-  });
+  return Invoke<ProgramView>(
+      to, timeout_ms, [program, team](wire::Peer::Client peer) {
+        auto call = peer.viewRequest();
+        call.setProgram(program.c_str());
+        call.setTeam(team.c_str());
+        return call.send().then(
+            [](auto&& result) { return FromWire(result.getView()); });
+      });
 }
 
-PeerClient::Async<ProgramView> PeerClient::End(Address to, std::string program, std::string team,
+PeerClient::Async<ProgramView> PeerClient::End(Address to, std::string program,
+                                               std::string team,
                                                int64_t timeout_ms) {
-  return Invoke<ProgramView>(to, timeout_ms, [program, team](wire::Peer::Client peer) {
-    auto call = peer.endRequest();
-    call.setProgram(program.c_str());
-    call.setTeam(team.c_str());
-    return call.send().then([](auto&& result) { return FromWire(result.getView()); });
-  });
+  return Invoke<ProgramView>(
+      to, timeout_ms, [program, team](wire::Peer::Client peer) {
+        auto call = peer.endRequest();
+        call.setProgram(program.c_str());
+        call.setTeam(team.c_str());
+        return call.send().then(
+            [](auto&& result) { return FromWire(result.getView()); });
+      });
 }
 
-PeerClient::Async<CreditReply> PeerClient::Credits(Address to, CreditRequest request,
+PeerClient::Async<CreditReply> PeerClient::Credits(Address to,
+                                                   CreditRequest request,
                                                    int64_t timeout_ms) {
-  return Invoke<CreditReply>(to, timeout_ms, [request](wire::Peer::Client peer) {
-    auto call = peer.creditsRequest();
-    ToWire(request, call.initRequest());
-    return call.send().then([](auto&& result) { return FromWire(result.getReply()); });
-  });
+  return Invoke<CreditReply>(
+      to, timeout_ms, [request](wire::Peer::Client peer) {
+        auto call = peer.creditsRequest();
+        ToWire(request, call.initRequest());
+        return call.send().then(
+            [](auto&& result) { return FromWire(result.getReply()); });
+      });
 }
 
-PeerClient::Async<SlotReply> PeerClient::Slot(Address to, SlotRequest request, int64_t timeout_ms) {
+PeerClient::Async<SlotReply> PeerClient::Slot(Address to, SlotRequest request,
+                                              int64_t timeout_ms) {
   return Invoke<SlotReply>(to, timeout_ms, [request](wire::Peer::Client peer) {
     auto call = peer.slotRequest();
     ToWire(request, call.initRequest());
-    return call.send().then([](auto&& result) { return FromWire(result.getReply()); });
+    return call.send().then(
+        [](auto&& result) { return FromWire(result.getReply()); });
   });
 }
 
-PeerClient::Async<bool> PeerClient::Done(Address to, SlotDone request, int64_t timeout_ms) {
+PeerClient::Async<bool> PeerClient::Done(Address to, SlotDone request,
+                                         int64_t timeout_ms) {
   return Invoke<bool>(to, timeout_ms, [request](wire::Peer::Client peer) {
     auto call = peer.slotDoneRequest();
     ToWire(request, call.initRequest());
@@ -296,35 +348,44 @@
   });
 }
 
-PeerClient::Async<std::vector<SlotRequest>> PeerClient::InFlight(Address to, std::string upstream,
-                                                                 int64_t timeout_ms) {
-  return Invoke<std::vector<SlotRequest>>(to, timeout_ms, [upstream](wire::Peer::Client peer) {
-    auto call = peer.inFlightRequest();
-    call.setUpstream(upstream.c_str());
-    return call.send().then(
-        [](auto&& result) { return FromWireList<SlotRequest>(result.getSlots()); });
-  });
+PeerClient::Async<std::vector<SlotRequest>> PeerClient::InFlight(
+    Address to, std::string upstream, int64_t timeout_ms) {
+  return Invoke<std::vector<SlotRequest>>(
+      to, timeout_ms, [upstream](wire::Peer::Client peer) {
+        auto call = peer.inFlightRequest();
+        call.setUpstream(upstream.c_str());
+        return call.send().then([](auto&& result) {
+          return FromWireList<SlotRequest>(result.getSlots());
+        });
+      });
 }
 
-PeerClient::Async<DocumentReply> PeerClient::Document(Address to, uint64_t after, int64_t wait_ms,
+PeerClient::Async<DocumentReply> PeerClient::Document(Address to,
+                                                      uint64_t after,
+                                                      int64_t wait_ms,
                                                       int64_t timeout_ms) {
-  return Invoke<DocumentReply>(to, timeout_ms, [after, wait_ms](wire::Peer::Client peer) {
-    auto call = peer.documentRequest();
-    call.setAfter(after);
-    call.setWaitMs(wait_ms);
-    return call.send().then([](auto&& result) { return FromWire(result.getDocument()); });
-  });
+  return Invoke<DocumentReply>(
+      to, timeout_ms, [after, wait_ms](wire::Peer::Client peer) {
+        auto call = peer.documentRequest();
+        call.setAfter(after);
+        call.setWaitMs(wait_ms);
+        return call.send().then(
+            [](auto&& result) { return FromWire(result.getDocument()); });
+      });
 }
 
-PeerClient::Async<OwnerReply> PeerClient::Owner(Address to, uint32_t shard, int64_t timeout_ms) {
+PeerClient::Async<OwnerReply> PeerClient::Owner(Address to, uint32_t shard,
+                                                int64_t timeout_ms) {
   return Invoke<OwnerReply>(to, timeout_ms, [shard](wire::Peer::Client peer) {
     auto call = peer.ownerRequest();
     call.setShard(shard);
-    return call.send().then([](auto&& result) { return FromWire(result.getReply()); });
+    return call.send().then(
+        [](auto&& result) { return FromWire(result.getReply()); });
   });
 }
 
-PeerClient::Async<bool> PeerClient::TakeOver(Address to, TakeOverRequest request,
+PeerClient::Async<bool> PeerClient::TakeOver(Address to,
+                                             TakeOverRequest request,
                                              int64_t timeout_ms) {
   return Invoke<bool>(to, timeout_ms, [request](wire::Peer::Client peer) {
     auto call = peer.takeOverRequest();
--- a/src/peer_client.h
+++ b/src/peer_client.h
@@ -38,25 +38,35 @@
   template <class T>
   using Async = boost::asio::awaitable<T>;
 
-  Async<AppendReply> Append(Address to, AppendRequest request, int64_t timeout_ms);
+  Async<AppendReply> Append(Address to, AppendRequest request,
+                            int64_t timeout_ms);
   Async<SealReply> Seal(Address to, SealRequest request, int64_t timeout_ms);
-  Async<std::vector<HostNews>> Gossip(Address to, std::string from, std::vector<HostNews> news,
+  Async<std::vector<HostNews>> Gossip(Address to, std::string from,
+                                      std::vector<HostNews> news,
                                       int64_t timeout_ms);
   Async<bool> Probe(Address to, Address target, int64_t timeout_ms);
-  Async<ProgramView> Create(Address to, CreateRequest request, int64_t timeout_ms);
+  Async<ProgramView> Create(Address to, CreateRequest request,
+                            int64_t timeout_ms);
   // `on_piece` runs on the RPC thread.
-  Async<CallReply> Call(Address to, CallRequest request, PieceSink on_piece, int64_t timeout_ms);
-  Async<ProgramView> View(Address to, std::string program, std::string team, int64_t timeout_ms);
-  Async<ProgramView> End(Address to, std::string program, std::string team, int64_t timeout_ms);
-  Async<CreditReply> Credits(Address to, CreditRequest request, int64_t timeout_ms);
+  Async<CallReply> Call(Address to, CallRequest request, PieceSink on_piece,
+                        int64_t timeout_ms);
+  Async<ProgramView> View(Address to, std::string program, std::string team,
+                          int64_t timeout_ms);
+  Async<ProgramView> End(Address to, std::string program, std::string team,
+                         int64_t timeout_ms);
+  Async<CreditReply> Credits(Address to, CreditRequest request,
+                             int64_t timeout_ms);
   Async<SlotReply> Slot(Address to, SlotRequest request, int64_t timeout_ms);
   Async<bool> Done(Address to, SlotDone request, int64_t timeout_ms);
-  Async<std::vector<SlotRequest>> InFlight(Address to, std::string upstream, int64_t timeout_ms);
-  Async<DocumentReply> Document(Address to, uint64_t after, int64_t wait_ms, int64_t timeout_ms);
+  Async<std::vector<SlotRequest>> InFlight(Address to, std::string upstream,
+                                           int64_t timeout_ms);
+  Async<DocumentReply> Document(Address to, uint64_t after, int64_t wait_ms,
+                                int64_t timeout_ms);
   Async<OwnerReply> Owner(Address to, uint32_t shard, int64_t timeout_ms);
   Async<bool> TakeOver(Address to, TakeOverRequest request, int64_t timeout_ms);
 
-  // Faults for scenarios: nothing is sent to a cut address, nothing fails at once.
+  // Faults for scenarios: nothing is sent to a cut address, nothing fails at
+  // once.
   void SetCut(const std::set<std::string>& addresses);
 
  private:
--- a/src/peer_codec.cc
+++ b/src/peer_codec.cc
@@ -5,7 +5,9 @@
 namespace pimento {
 namespace {
 
-std::string Text(capnp::Text::Reader text) { return {text.cStr(), text.size()}; }
+std::string Text(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
 
 kj::ArrayPtr<const kj::byte> Bytes(const std::string& text) {
   return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
@@ -16,7 +18,9 @@
 }
 
 // Text fields take a NUL-terminated view of the string's own bytes.
-capnp::Text::Reader View(const std::string& text) { return {text.c_str(), text.size()}; }
+capnp::Text::Reader View(const std::string& text) {
+  return {text.c_str(), text.size()};
+}
 
 void ToWire(const Record& from, wire::Record::Builder to) {
   to.setKey(View(from.key));
@@ -71,7 +75,8 @@
 }
 
 MemberList FromWire(wire::MemberList::Reader from) {
-  return {.since = FromWire(from.getSince()), .members = FromWireList<Member>(from.getMembers())};
+  return {.since = FromWire(from.getSince()),
+          .members = FromWireList<Member>(from.getMembers())};
 }
 
 void ToWire(const AppendRequest& from, wire::AppendRequest::Builder to) {
@@ -82,6 +87,7 @@
   ToWire(from.list, to.initList());
   RecordsToWire(from.records, to.initRecords(from.records.size()));
   to.setReplaceAll(from.replace_all);
+  to.setNumber(from.number);
 }
 
 AppendRequest FromWire(wire::AppendRequest::Reader from) {
@@ -91,7 +97,8 @@
           .target = FromWire(from.getTarget()),
           .list = FromWire(from.getList()),
           .records = RecordsFromWire(from.getRecords()),
-          .replace_all = from.getReplaceAll()};
+          .replace_all = from.getReplaceAll(),
+          .number = from.getNumber()};
 }
 
 void ToWire(const AppendReply& from, wire::AppendReply::Builder to) {
@@ -166,7 +173,8 @@
   to.info.leaving = from.getLeaving();
   to.info.generation = from.getGeneration();
   for (auto owned : from.getOwned()) {
-    to.info.owned.push_back({.shard = owned.getShard(), .epoch = FromWire(owned.getEpoch())});
+    to.info.owned.push_back(
+        {.shard = owned.getShard(), .epoch = FromWire(owned.getEpoch())});
   }
   to.state = from.getState() > static_cast<uint8_t>(HostState::kDead)
                  ? HostState::kSuspect
@@ -183,7 +191,8 @@
 }
 
 Outcome FromWire(wire::Outcome::Reader from) {
-  // An answer that a newer version words differently is never read as "not run".
+  // An answer that a newer version words differently is never read as "not
+  // run".
   const uint8_t run = from.getRun();
   return {.reason = ReasonFromName(Text(from.getReason())),
           .run = run > 2 ? RunState::kUnknown : static_cast<RunState>(run),
@@ -385,7 +394,8 @@
                 .rpc_address = Text(from.getRpcAddress()),
                 .http_address = Text(from.getHttpAddress()),
                 .alternates = {}};
-  for (auto address : from.getAlternates()) to.alternates.push_back(Text(address));
+  for (auto address : from.getAlternates())
+    to.alternates.push_back(Text(address));
   return to;
 }
 
--- a/src/peer_server.cc
+++ b/src/peer_server.cc
@@ -77,77 +77,99 @@
     auto request = FromWire(context.getParams().getRequest());
     return Serve<AppendReply>(
         [this, request] { return state_.handler.OnAppend(request); },
-        [context](const AppendReply& r) mutable { ToWire(r, context.getResults().initReply()); });
+        [context](const AppendReply& r) mutable {
+          ToWire(r, context.getResults().initReply());
+        });
   }
   kj::Promise<void> seal(SealContext context) override {
     auto request = FromWire(context.getParams().getRequest());
     return Serve<SealReply>(
         [this, request] { return state_.handler.OnSeal(request); },
-        [context](const SealReply& r) mutable { ToWire(r, context.getResults().initReply()); });
+        [context](const SealReply& r) mutable {
+          ToWire(r, context.getResults().initReply());
+        });
   }
   kj::Promise<void> gossip(GossipContext context) override {
     auto news = FromWireList<HostNews>(context.getParams().getNews());
-    return Serve<std::vector<HostNews>>([this, news] { return state_.handler.OnGossip(news); },
-                                        [context](const std::vector<HostNews>& r) mutable {
-                                          ToWireList(r, context.getResults().initNews(r.size()));
-                                        });
+    return Serve<std::vector<HostNews>>(
+        [this, news] { return state_.handler.OnGossip(news); },
+        [context](const std::vector<HostNews>& r) mutable {
+          ToWireList(r, context.getResults().initNews(r.size()));
+        });
   }
   kj::Promise<void> probe(ProbeContext context) override {
     const std::string target = Text(context.getParams().getRpcAddress());
-    return Serve<bool>([this, target] { return state_.handler.OnProbe(target); },
-                       [context](bool alive) mutable { context.getResults().setAlive(alive); });
+    return Serve<bool>(
+        [this, target] { return state_.handler.OnProbe(target); },
+        [context](bool alive) mutable {
+          context.getResults().setAlive(alive);
+        });
   }
   kj::Promise<void> create(CreateContext context) override {
     auto request = FromWire(context.getParams().getRequest());
     return Serve<ProgramView>(
         [this, request] { return state_.handler.OnCreate(request); },
-        [context](const ProgramView& r) mutable { ToWire(r, context.getResults().initView()); });
+        [context](const ProgramView& r) mutable {
+          ToWire(r, context.getResults().initView());
+        });
   }
   kj::Promise<void> call(CallContext context) override {
     auto request = FromWire(context.getParams().getRequest());
     const uint64_t id = state_.next_id++;
     state_.sinks.emplace(id, context.getParams().getSink());
     State* state = &state_;
-    PieceSink sink = [state, id](uint32_t attempt, uint64_t offset, const std::string& text) {
-      state->loop.Deliver(
-          [state, id, attempt, offset, text] { Write(*state, id, attempt, offset, text); });
+    PieceSink sink = [state, id](uint32_t attempt, uint64_t offset,
+                                 const std::string& text) {
+      state->loop.Deliver([state, id, attempt, offset, text] {
+        Write(*state, id, attempt, offset, text);
+      });
     };
-    return Serve<CallReply>([this, request, sink] { return state_.handler.OnCall(request, sink); },
-                            [context, state, id](const CallReply& r) mutable {
-                              state->sinks.erase(id);
-                              ToWire(r, context.getResults().initReply());
-                            });
+    return Serve<CallReply>(
+        [this, request, sink] { return state_.handler.OnCall(request, sink); },
+        [context, state, id](const CallReply& r) mutable {
+          state->sinks.erase(id);
+          ToWire(r, context.getResults().initReply());
+        });
   }
   kj::Promise<void> view(ViewContext context) override {
     const std::string program = Text(context.getParams().getProgram());
     const std::string team = Text(context.getParams().getTeam());
     return Serve<ProgramView>(
         [this, program, team] { return state_.handler.OnView(program, team); },
-        [context](const ProgramView& r) mutable { ToWire(r, context.getResults().initView()); });
+        [context](const ProgramView& r) mutable {
+          ToWire(r, context.getResults().initView());
+        });
   }
   kj::Promise<void> end(EndContext context) override {
     const std::string program = Text(context.getParams().getProgram());
     const std::string team = Text(context.getParams().getTeam());
     return Serve<ProgramView>(
         [this, program, team] { return state_.handler.OnEnd(program, team); },
-        [context](const ProgramView& r) mutable { ToWire(r, context.getResults().initView()); });
+        [context](const ProgramView& r) mutable {
+          ToWire(r, context.getResults().initView());
+        });
   }
   kj::Promise<void> credits(CreditsContext context) override {
     auto request = FromWire(context.getParams().getRequest());
     return Serve<CreditReply>(
         [this, request] { return state_.handler.OnCredits(request); },
-        [context](const CreditReply& r) mutable { ToWire(r, context.getResults().initReply()); });
+        [context](const CreditReply& r) mutable {
+          ToWire(r, context.getResults().initReply());
+        });
   }
   kj::Promise<void> slot(SlotContext context) override {
     auto request = FromWire(context.getParams().getRequest());
     return Serve<SlotReply>(
         [this, request] { return state_.handler.OnSlot(request); },
-        [context](const SlotReply& r) mutable { ToWire(r, context.getResults().initReply()); });
+        [context](const SlotReply& r) mutable {
+          ToWire(r, context.getResults().initReply());
+        });
   }
   kj::Promise<void> slotDone(SlotDoneContext context) override {
     auto request = FromWire(context.getParams().getRequest());
-    return Serve<bool>([this, request] { return state_.handler.OnSlotDone(request); },
-                       [context](bool) mutable { context.getResults(); });
+    return Serve<bool>(
+        [this, request] { return state_.handler.OnSlotDone(request); },
+        [context](bool) mutable { context.getResults(); });
   }
   kj::Promise<void> inFlight(InFlightContext context) override {
     const std::string upstream = Text(context.getParams().getUpstream());
@@ -161,7 +183,9 @@
     const uint64_t after = context.getParams().getAfter();
     const int64_t wait_ms = context.getParams().getWaitMs();
     return Serve<DocumentReply>(
-        [this, after, wait_ms] { return state_.handler.OnDocument(after, wait_ms); },
+        [this, after, wait_ms] {
+          return state_.handler.OnDocument(after, wait_ms);
+        },
         [context](const DocumentReply& r) mutable {
           ToWire(r, context.getResults().initDocument());
         });
@@ -170,7 +194,9 @@
     const uint32_t shard = context.getParams().getShard();
     return Serve<OwnerReply>(
         [this, shard] { return state_.handler.OnOwner(shard); },
-        [context](const OwnerReply& r) mutable { ToWire(r, context.getResults().initReply()); });
+        [context](const OwnerReply& r) mutable {
+          ToWire(r, context.getResults().initReply());
+        });
   }
   kj::Promise<void> takeOver(TakeOverContext context) override {
     const auto params = context.getParams();
@@ -180,14 +206,18 @@
                                   .list = FromWire(params.getList())};
     return Serve<bool>(
         [this, request] { return state_.handler.OnTakeOver(request); },
-        [context](bool accepted) mutable { context.getResults().setAccepted(accepted); });
+        [context](bool accepted) mutable {
+          context.getResults().setAccepted(accepted);
+        });
   }
 
  private:
-  static std::string Text(capnp::Text::Reader text) { return {text.cStr(), text.size()}; }
+  static std::string Text(capnp::Text::Reader text) {
+    return {text.cStr(), text.size()};
+  }
 
-  static void Write(State& state, uint64_t id, uint32_t attempt, uint64_t offset,
-                    const std::string& text) {
+  static void Write(State& state, uint64_t id, uint32_t attempt,
+                    uint64_t offset, const std::string& text) {
     const auto sink = state.sinks.find(id);
     if (sink == state.sinks.end()) return;
     auto request = sink->second.writeRequest();
@@ -199,24 +229,28 @@
     const auto done = [owner, write] {
       owner->loop.Deliver([owner, write] { owner->writes.erase(write); });
     };
-    state.writes.emplace(write, request.send()
-                                    .ignoreResult()
-                                    .then([done] { done(); })
-                                    .eagerlyEvaluate([owner, id, done](kj::Exception&&) {
-                                      owner->loop.Deliver([owner, id] { owner->sinks.erase(id); });
-                                      done();
-                                    }));
+    state.writes.emplace(
+        write,
+        request.send()
+            .ignoreResult()
+            .then([done] { done(); })
+            .eagerlyEvaluate([owner, id, done](kj::Exception&&) {
+              owner->loop.Deliver([owner, id] { owner->sinks.erase(id); });
+              done();
+            }));
   }
 
-  // Runs `work` on the duty and `write` on the RPC thread. What holds RPC objects
-  // stays in `pending`, so that only the RPC thread ever destroys it.
+  // Runs `work` on the duty and `write` on the RPC thread. What holds RPC
+  // objects stays in `pending`, so that only the RPC thread ever destroys it.
   template <class Reply>
   kj::Promise<void> Serve(std::function<asio::awaitable<Reply>()> work,
                           std::function<void(const Reply&)> write) {
     const uint64_t id = state_.next_id++;
     auto paf = kj::newPromiseAndFulfiller<void>();
-    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(paf.fulfiller));
-    state_.pending[id] = [fulfiller, write](const std::exception_ptr& error, void* reply) {
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+        kj::mv(paf.fulfiller));
+    state_.pending[id] = [fulfiller, write](const std::exception_ptr& error,
+                                            void* reply) {
       if (error) {
         (*fulfiller)->reject(KJ_EXCEPTION(FAILED, TextOf(error)));
         return;
@@ -257,14 +291,16 @@
   state_->loop.Deliver([this, &result, address] {
     State& state = *state_;
     auto& network = state.loop.context().io->provider->getNetwork();
-    state.server = kj::heap<capnp::TwoPartyServer>(kj::heap<PeerImplementation<State>>(state));
+    state.server = kj::heap<capnp::TwoPartyServer>(
+        kj::heap<PeerImplementation<State>>(state));
     state.listening =
         network.parseAddress(address)
             .then([&state, &result](kj::Own<kj::NetworkAddress> parsed) {
               auto receiver = parsed->listen();
               result.set_value("");
               auto& kept = *receiver;
-              return state.server->listen(kept).attach(kj::mv(receiver), kj::mv(parsed));
+              return state.server->listen(kept).attach(kj::mv(receiver),
+                                                       kj::mv(parsed));
             })
             .eagerlyEvaluate([&result](kj::Exception&& e) {
               kLog.Error() << "Listening ended: " << e.getDescription().cStr();
@@ -275,7 +311,8 @@
             });
   });
   const std::string error = result.get_future().get();
-  if (!error.empty()) throw TransportError("Cannot listen on " + address + ": " + error, false);
+  if (!error.empty())
+    throw TransportError("Cannot listen on " + address + ": " + error, false);
 }
 
 void PeerServer::Close() {
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -20,13 +20,14 @@
 
 void ExpectStatus(const HttpResult& result, const std::string& what) {
   if (result.status == 200) return;
-  throw PlatformError("The platform answered " + std::to_string(result.status) + " to " + what +
-                      ".");
+  throw PlatformError("The platform answered " + std::to_string(result.status) +
+                      " to " + what + ".");
 }
 
 }  // namespace
 
-PlatformClient::PlatformClient(Duty& duty, Metrics& metrics, PlatformOptions options)
+PlatformClient::PlatformClient(Duty& duty, Metrics& metrics,
+                               PlatformOptions options)
     : duty_(duty), metrics_(metrics), options_(std::move(options)) {}
 
 // Runs on the platform duty and turns transport errors into PlatformError.
@@ -54,7 +55,8 @@
   throw PlatformError(failure);
 }
 
-PlatformClient::Async<std::optional<PlatformObject>> PlatformClient::Read(std::string name) {
+PlatformClient::Async<std::optional<PlatformObject>> PlatformClient::Read(
+    std::string name) {
   metrics_.Add(Counter::kPlatformReads);
   std::function<Async<std::optional<PlatformObject>>()> work =
       [this, name]() -> Async<std::optional<PlatformObject>> {
@@ -65,15 +67,18 @@
     const HttpResult result = co_await Fetch(std::move(call));
     if (result.status == 404) co_return std::nullopt;
     ExpectStatus(result, "a read of " + name);
-    co_return PlatformObject{.name = name, .version = VersionOf(result), .body = result.body};
+    co_return PlatformObject{
+        .name = name, .version = VersionOf(result), .body = result.body};
   };
   co_return co_await Run<std::optional<PlatformObject>>(std::move(work));
 }
 
-PlatformClient::Async<WriteReply> PlatformClient::Write(std::string name, std::string body,
+PlatformClient::Async<WriteReply> PlatformClient::Write(std::string name,
+                                                        std::string body,
                                                         uint64_t if_version) {
   metrics_.Add(Counter::kPlatformWrites);
-  std::function<Async<WriteReply>()> work = [this, name, body, if_version]() -> Async<WriteReply> {
+  std::function<Async<WriteReply>()> work =
+      [this, name, body, if_version]() -> Async<WriteReply> {
     HttpCall call{.address = options_.address,
                   .method = "PUT",
                   .target = "/objects/" + name,
@@ -84,10 +89,12 @@
     try {
       const HttpResult result = co_await Fetch(std::move(call));
       if (result.status == 409) {
-        co_return WriteReply{.result = WriteResult::kConflict, .version = VersionOf(result)};
+        co_return WriteReply{.result = WriteResult::kConflict,
+                             .version = VersionOf(result)};
       }
       if (result.status == 200) {
-        co_return WriteReply{.result = WriteResult::kWritten, .version = VersionOf(result)};
+        co_return WriteReply{.result = WriteResult::kWritten,
+                             .version = VersionOf(result)};
       }
       ExpectStatus(result, "a write of " + name);
     } catch (const TransportError& e) {
@@ -112,7 +119,8 @@
   co_return co_await Run<bool>(std::move(work));
 }
 
-PlatformClient::Async<std::vector<PlatformObject>> PlatformClient::List(std::string prefix) {
+PlatformClient::Async<std::vector<PlatformObject>> PlatformClient::List(
+    std::string prefix) {
   metrics_.Add(Counter::kPlatformReads);
   std::function<Async<std::vector<PlatformObject>>()> work =
       [this, prefix]() -> Async<std::vector<PlatformObject>> {
@@ -134,14 +142,13 @@
   co_return co_await Run<std::vector<PlatformObject>>(std::move(work));
 }
 
-PlatformClient::Async<std::optional<PlatformObject>> PlatformClient::Watch(std::string name,
-                                                                           uint64_t after,
-                                                                           int64_t wait_ms) {
+PlatformClient::Async<std::optional<PlatformObject>> PlatformClient::Watch(
+    std::string name, uint64_t after, int64_t wait_ms) {
   metrics_.Add(Counter::kPlatformReads);
   std::function<Async<std::optional<PlatformObject>>()> work =
       [this, name, after, wait_ms]() -> Async<std::optional<PlatformObject>> {
-    const std::string query =
-        "?after=" + std::to_string(after) + "&wait_ms=" + std::to_string(wait_ms);
+    const std::string query = "?after=" + std::to_string(after) +
+                              "&wait_ms=" + std::to_string(wait_ms);
     HttpCall call{.address = options_.address,
                   .target = "/watch/" + name + query,
                   .silence_ms = wait_ms + options_.timeout_ms,
@@ -149,7 +156,8 @@
     const HttpResult result = co_await Fetch(std::move(call));
     if (result.status == 204 || result.status == 404) co_return std::nullopt;
     ExpectStatus(result, "a watch of " + name);
-    co_return PlatformObject{.name = name, .version = VersionOf(result), .body = result.body};
+    co_return PlatformObject{
+        .name = name, .version = VersionOf(result), .body = result.body};
   };
   co_return co_await Run<std::optional<PlatformObject>>(std::move(work));
 }
@@ -167,9 +175,10 @@
     std::vector<ListedHost> hosts;
     const json::value parsed = json::parse(result.body);
     for (const json::value& item : parsed.as_array()) {
-      hosts.push_back({.host = item.at("host").as_string().c_str(),
-                       .rpc_address = item.at("rpc_address").as_string().c_str(),
-                       .leaving = item.at("leaving").as_bool()});
+      hosts.push_back(
+          {.host = item.at("host").as_string().c_str(),
+           .rpc_address = item.at("rpc_address").as_string().c_str(),
+           .leaving = item.at("leaving").as_bool()});
     }
     co_return hosts;
   };
@@ -179,7 +188,8 @@
 PlatformClient::Async<bool> PlatformClient::Register(ListedHost host) {
   metrics_.Add(Counter::kPlatformWrites);
   std::function<Async<bool>()> work = [this, host]() -> Async<bool> {
-    const json::object body = {{"rpc_address", host.rpc_address}, {"leaving", host.leaving}};
+    const json::object body = {{"rpc_address", host.rpc_address},
+                               {"leaving", host.leaving}};
     HttpCall call{.address = options_.address,
                   .method = "PUT",
                   .target = "/hosts/" + host.host,
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -1,5 +1,5 @@
-// The platform's object API: versioned objects, conditional updates, watches and
-// the lagging list of hosts.
+// The platform's object API: versioned objects, conditional updates, watches
+// and the lagging list of hosts.
 //
 // All calls run on the platform duty and throw PlatformError when the platform
 // is down or slow. The answer to a write can be lost after the write took
@@ -51,12 +51,14 @@
 
   Async<std::optional<PlatformObject>> Read(std::string name);
   // Writes `body` if the object is at `if_version`; 0 stands for "absent".
-  Async<WriteReply> Write(std::string name, std::string body, uint64_t if_version);
+  Async<WriteReply> Write(std::string name, std::string body,
+                          uint64_t if_version);
   Async<bool> Remove(std::string name);
   // Names and versions, without bodies.
   Async<std::vector<PlatformObject>> List(std::string prefix);
   // Returns once the object is newer than `after`, or nothing after `wait_ms`.
-  Async<std::optional<PlatformObject>> Watch(std::string name, uint64_t after, int64_t wait_ms);
+  Async<std::optional<PlatformObject>> Watch(std::string name, uint64_t after,
+                                             int64_t wait_ms);
   Async<std::vector<ListedHost>> Hosts();
   Async<bool> Register(ListedHost host);
 
--- a/src/program_ledger.cc
+++ b/src/program_ledger.cc
@@ -25,7 +25,8 @@
 
 std::string Hex(uint64_t value, int digits) {
   char text[24];
-  std::snprintf(text, sizeof text, "%0*llx", digits, static_cast<unsigned long long>(value));
+  std::snprintf(text, sizeof text, "%0*llx", digits,
+                static_cast<unsigned long long>(value));
   return text;
 }
 
@@ -35,7 +36,8 @@
   if (!key.starts_with("c/") || slash <= 2) return false;
   id = key.substr(2, slash - 2);
   const char* begin = key.data() + slash + 1;
-  return std::from_chars(begin, key.data() + key.size(), sequence).ec == std::errc{};
+  return std::from_chars(begin, key.data() + key.size(), sequence).ec ==
+         std::errc{};
 }
 
 }  // namespace
@@ -49,20 +51,30 @@
 }
 
 Record MakeRecord(const std::string& id, const ProgramRecord& program) {
-  return {.key = ProgramKey(id), .epoch = {}, .version = 0, .value = Encode(program)};
+  return {.key = ProgramKey(id),
+          .epoch = {},
+          .version = 0,
+          .value = Encode(program)};
 }
 
-Record MakeRecord(const std::string& id, uint32_t sequence, const CallRecord& call) {
-  return {.key = CallKey(id, sequence), .epoch = {}, .version = 0, .value = Encode(call)};
+Record MakeRecord(const std::string& id, uint32_t sequence,
+                  const CallRecord& call) {
+  return {.key = CallKey(id, sequence),
+          .epoch = {},
+          .version = 0,
+          .value = Encode(call)};
 }
 
 std::string ProgramId(uint32_t shard, const std::string& unique) {
-  return Hex(shard, kShardDigits) + "-" + Hex(XXH3_64bits(unique.data(), unique.size()), 16);
+  return Hex(shard, kShardDigits) + "-" +
+         Hex(XXH3_64bits(unique.data(), unique.size()), 16);
 }
 
 std::optional<uint32_t> ShardOfProgram(const std::string& id) {
-  const bool shaped = id.size() == kShardDigits + 1 + kUniqueDigits && id[kShardDigits] == '-' &&
-                      id.find_first_not_of("0123456789abcdef-") == std::string::npos;
+  const bool shaped =
+      id.size() == kShardDigits + 1 + kUniqueDigits &&
+      id[kShardDigits] == '-' &&
+      id.find_first_not_of("0123456789abcdef-") == std::string::npos;
   if (!shaped) return std::nullopt;
   uint32_t shard = 0;
   std::from_chars(id.data(), id.data() + kShardDigits, shard, 16);
@@ -71,7 +83,8 @@
 
 std::string CallDigest(const std::string& service, const std::string& path,
                        const std::string& input, uint64_t max_tokens) {
-  const std::string all = service + "\n" + path + "\n" + std::to_string(max_tokens) + "\n" + input;
+  const std::string all =
+      service + "\n" + path + "\n" + std::to_string(max_tokens) + "\n" + input;
   return Hex(XXH3_64bits(all.data(), all.size()), 16);
 }
 
@@ -85,14 +98,17 @@
     if (key.starts_with("c/")) Apply(record);
   }
   // A child may have come before its parent.
-  for (const auto& [id, program] : programs_) LinkToParent(id, program.record.parent);
+  for (const auto& [id, program] : programs_)
+    LinkToParent(id, program.record.parent);
 }
 
-void ProgramLedger::LinkToParent(const std::string& id, const std::string& parent) {
+void ProgramLedger::LinkToParent(const std::string& id,
+                                 const std::string& parent) {
   const auto it = programs_.find(parent);
   if (it == programs_.end()) return;
   std::vector<std::string>& children = it->second.children;
-  if (std::find(children.begin(), children.end(), id) == children.end()) children.push_back(id);
+  if (std::find(children.begin(), children.end(), id) == children.end())
+    children.push_back(id);
 }
 
 void ProgramLedger::Apply(const Record& record) {
@@ -135,12 +151,15 @@
   if (it != program.calls.end()) {
     if (it->second.digest != digest) return Turn::kMismatch;
     if (program.running == sequence) return Turn::kRunning;
-    return it->second.state == CallState::kIntent ? Turn::kReopened : Turn::kRecorded;
+    return it->second.state == CallState::kIntent ? Turn::kReopened
+                                                  : Turn::kRecorded;
   }
   if (program.running == sequence) return Turn::kRunning;
-  if (program.running != 0 || sequence != program.NextSequence()) return Turn::kAhead;
+  if (program.running != 0 || sequence != program.NextSequence())
+    return Turn::kAhead;
   const auto last = program.calls.rbegin();
-  const bool open = last != program.calls.rend() && last->second.state == CallState::kIntent;
+  const bool open =
+      last != program.calls.rend() && last->second.state == CallState::kIntent;
   return open ? Turn::kAhead : Turn::kNext;
 }
 
@@ -148,9 +167,11 @@
   Usage used;
   for (const auto& [sequence, call] : program.calls) {
     ++used.calls;
-    used.tokens += call.state == CallState::kDone ? call.tokens : call.max_tokens;
+    used.tokens +=
+        call.state == CallState::kDone ? call.tokens : call.max_tokens;
   }
-  const bool reserved = program.running != 0 && !program.calls.contains(program.running);
+  const bool reserved =
+      program.running != 0 && !program.calls.contains(program.running);
   if (reserved) {
     ++used.calls;
     used.tokens += program.reserved_tokens;
@@ -160,7 +181,8 @@
   for (const std::string& id : program.children) {
     const Program* child = Find(id);
     if (child == nullptr) continue;
-    const bool live = child->record.state == ProgramState::kLive || child->running != 0;
+    const bool live =
+        child->record.state == ProgramState::kLive || child->running != 0;
     const Usage spent = Used(*child);
     used.calls += live ? child->record.budget_calls : spent.calls;
     used.tokens += live ? child->record.budget_tokens : spent.tokens;
@@ -168,17 +190,22 @@
   return used;
 }
 
-std::optional<Reason> ProgramLedger::OverBudget(const Program& program, uint64_t tokens,
+std::optional<Reason> ProgramLedger::OverBudget(const Program& program,
+                                                uint64_t tokens,
                                                 int64_t now_ms) const {
   return OverBudgetForChild(program, 1, tokens, now_ms);
 }
 
-std::optional<Reason> ProgramLedger::OverBudgetForChild(const Program& program, uint32_t calls,
-                                                        uint64_t tokens, int64_t now_ms) const {
+std::optional<Reason> ProgramLedger::OverBudgetForChild(const Program& program,
+                                                        uint32_t calls,
+                                                        uint64_t tokens,
+                                                        int64_t now_ms) const {
   const Usage used = Used(program);
   if (now_ms >= program.record.deadline_ms) return Reason::kBudgetTime;
-  if (used.calls + calls > program.record.budget_calls) return Reason::kBudgetCalls;
-  if (used.tokens + tokens > program.record.budget_tokens) return Reason::kBudgetTokens;
+  if (used.calls + calls > program.record.budget_calls)
+    return Reason::kBudgetCalls;
+  if (used.tokens + tokens > program.record.budget_tokens)
+    return Reason::kBudgetTokens;
   return std::nullopt;
 }
 
@@ -188,17 +215,22 @@
     // Plain services keep no session: only calls with tokens leave memory.
     if (call.max_tokens == 0) continue;
     if (!call.upstream.empty()) engines.insert(call.upstream);
-    engines.insert(call.earlier_upstreams.begin(), call.earlier_upstreams.end());
+    engines.insert(call.earlier_upstreams.begin(),
+                   call.earlier_upstreams.end());
   }
-  for (const std::string& upstream : program.record.released) engines.erase(upstream);
+  for (const std::string& upstream : program.record.released)
+    engines.erase(upstream);
   return engines;
 }
 
-std::vector<std::pair<std::string, std::string>> ProgramLedger::Unreleased() const {
+std::vector<std::pair<std::string, std::string>> ProgramLedger::Unreleased()
+    const {
   std::vector<std::pair<std::string, std::string>> all;
   for (const auto& [id, program] : programs_) {
-    if (program.record.state == ProgramState::kLive || program.running != 0) continue;
-    for (const std::string& upstream : Residences(program)) all.emplace_back(id, upstream);
+    if (program.record.state == ProgramState::kLive || program.running != 0)
+      continue;
+    for (const std::string& upstream : Residences(program))
+      all.emplace_back(id, upstream);
   }
   return all;
 }
@@ -215,8 +247,10 @@
 std::vector<std::string> ProgramLedger::Forgettable(int64_t before_ms) const {
   std::vector<std::string> ids;
   for (const auto& [id, program] : programs_) {
-    if (program.record.state == ProgramState::kLive || program.running != 0) continue;
-    if (program.record.ended_ms < before_ms && Residences(program).empty()) ids.push_back(id);
+    if (program.record.state == ProgramState::kLive || program.running != 0)
+      continue;
+    if (program.record.ended_ms < before_ms && Residences(program).empty())
+      ids.push_back(id);
   }
   return ids;
 }
@@ -224,9 +258,11 @@
 std::vector<std::pair<std::string, uint32_t>> ProgramLedger::Reopened() const {
   std::vector<std::pair<std::string, uint32_t>> open;
   for (const auto& [id, program] : programs_) {
-    if (program.calls.empty() || program.record.state != ProgramState::kLive) continue;
+    if (program.calls.empty() || program.record.state != ProgramState::kLive)
+      continue;
     const auto& [sequence, call] = *program.calls.rbegin();
-    if (call.state == CallState::kIntent && program.running == 0) open.emplace_back(id, sequence);
+    if (call.state == CallState::kIntent && program.running == 0)
+      open.emplace_back(id, sequence);
   }
   return open;
 }
--- a/src/program_ledger.h
+++ b/src/program_ledger.h
@@ -41,8 +41,8 @@
   std::vector<std::string> released = {};
 };
 BOOST_DESCRIBE_STRUCT(ProgramRecord, (),
-                      (team, parent, digest, created_ms, deadline_ms, budget_calls, budget_tokens,
-                       state, ended_ms, released))
+                      (team, parent, digest, created_ms, deadline_ms,
+                       budget_calls, budget_tokens, state, ended_ms, released))
 
 struct CallRecord {
   CallState state = CallState::kIntent;
@@ -63,8 +63,9 @@
   int64_t finished_ms = 0;
 };
 BOOST_DESCRIBE_STRUCT(CallRecord, (),
-                      (state, service, path, input, digest, max_tokens, upstream, earlier_upstreams,
-                       attempt, output, tokens, http_status, content_type, started_ms, finished_ms))
+                      (state, service, path, input, digest, max_tokens,
+                       upstream, earlier_upstreams, attempt, output, tokens,
+                       http_status, content_type, started_ms, finished_ms))
 
 // What a program has used or set aside.
 struct Usage {
@@ -86,7 +87,9 @@
   Usage pending_children;
   int64_t touched_ms = 0;
 
-  uint32_t NextSequence() const { return static_cast<uint32_t>(calls.size()) + 1; }
+  uint32_t NextSequence() const {
+    return static_cast<uint32_t>(calls.size()) + 1;
+  }
 };
 
 // Where a call stands in its program's order.
@@ -108,13 +111,16 @@
   Program* Find(const std::string& id);
   const Program* Find(const std::string& id) const;
 
-  Turn TurnOf(const Program& program, uint32_t sequence, const std::string& digest) const;
+  Turn TurnOf(const Program& program, uint32_t sequence,
+              const std::string& digest) const;
 
   Usage Used(const Program& program) const;
   // Why the budget does not allow one more call of `tokens`, or nothing.
-  std::optional<Reason> OverBudget(const Program& program, uint64_t tokens, int64_t now_ms) const;
+  std::optional<Reason> OverBudget(const Program& program, uint64_t tokens,
+                                   int64_t now_ms) const;
   // Why the budget does not allow a child with this budget, or nothing.
-  std::optional<Reason> OverBudgetForChild(const Program& program, uint32_t calls, uint64_t tokens,
+  std::optional<Reason> OverBudgetForChild(const Program& program,
+                                           uint32_t calls, uint64_t tokens,
                                            int64_t now_ms) const;
 
   // Engines that may still hold memory of the program.
@@ -140,7 +146,8 @@
 std::string ProgramKey(const std::string& id);
 std::string CallKey(const std::string& id, uint32_t sequence);
 Record MakeRecord(const std::string& id, const ProgramRecord& program);
-Record MakeRecord(const std::string& id, uint32_t sequence, const CallRecord& call);
+Record MakeRecord(const std::string& id, uint32_t sequence,
+                  const CallRecord& call);
 
 // Program names carry their shard: "0007-9f86d081884c7d65".
 std::string ProgramId(uint32_t shard, const std::string& unique);
--- a/src/program_sweeper.h
+++ b/src/program_sweeper.h
@@ -1,10 +1,10 @@
-// Ends programs whose time is over, frees the memory that engines hold for ended
-// ones, and forgets them after a while.
+// Ends programs whose time is over, frees the memory that engines hold for
+// ended ones, and forgets them after a while.
 //
-// What is left to free follows from the records, so a new owner goes on where the
-// former one stopped. An order is repeated until the engine confirms it. Engines
-// that ignore fencing numbers are told twice, a while apart: a former owner's
-// last order may have come between.
+// What is left to free follows from the records, so a new owner goes on where
+// the former one stopped. An order is repeated until the engine confirms it.
+// Engines that ignore fencing numbers are told twice, a while apart: a former
+// owner's last order may have come between.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -22,8 +22,8 @@
 
 class ProgramSweeper {
  public:
-  ProgramSweeper(SchedulerContext& context, ShardHost& shards, CallPipeline& pipeline,
-                 UpstreamClient& upstreams);
+  ProgramSweeper(SchedulerContext& context, ShardHost& shards,
+                 CallPipeline& pipeline, UpstreamClient& upstreams);
   void Start();
 
  private:
--- a/src/rate_bucket.cc
+++ b/src/rate_bucket.cc
@@ -12,7 +12,9 @@
 }  // namespace
 
 RateBucket::RateBucket(RateLimit limit, int64_t mark_us)
-    : limit_(limit), earned_us_(static_cast<double>(mark_us)), mark_us_(mark_us) {}
+    : limit_(limit),
+      earned_us_(static_cast<double>(mark_us)),
+      mark_us_(mark_us) {}
 
 int64_t RateBucket::Ceiling(int64_t now_us) const {
   return now_us + static_cast<int64_t>(limit_.burst * UsEach());
@@ -35,7 +37,8 @@
   }
   const double idle_from = std::max(earned_us_, static_cast<double>(now_us));
   const double wait = idle_from + UsEach() - ceiling;
-  outcome.next_us = now_us + static_cast<int64_t>(std::ceil(std::max(0.0, wait)));
+  outcome.next_us =
+      now_us + static_cast<int64_t>(std::ceil(std::max(0.0, wait)));
   return outcome;
 }
 
@@ -43,10 +46,13 @@
   const double base = std::max(earned_us_, static_cast<double>(now_us));
   const double needed = base + wanted * UsEach();
   const double ahead = base + static_cast<double>(kMarkAheadUs);
-  const double mark = std::min(std::max(needed, ahead), static_cast<double>(Ceiling(now_us)));
+  const double mark =
+      std::min(std::max(needed, ahead), static_cast<double>(Ceiling(now_us)));
   return std::max(mark_us_, static_cast<int64_t>(std::ceil(mark)));
 }
 
-void RateBucket::Recorded(int64_t mark_us) { mark_us_ = std::max(mark_us_, mark_us); }
+void RateBucket::Recorded(int64_t mark_us) {
+  mark_us_ = std::max(mark_us_, mark_us);
+}
 
 }  // namespace pimento
--- a/src/rate_bucket.h
+++ b/src/rate_bucket.h
@@ -1,10 +1,10 @@
 // A team's rate and burst, across all hosts together.
 //
 // The bucket keeps one number: the time at which all that was granted will have
-// been earned (the theoretical arrival time of the generic cell rate algorithm).
-// A grant moves it forward by 1/rate; a grant that would move it further than
-// burst/rate past now is refused. So no window of time T sees more than
-// rate * T + burst grants.
+// been earned (the theoretical arrival time of the generic cell rate
+// algorithm). A grant moves it forward by 1/rate; a grant that would move it
+// further than burst/rate past now is refused. So no window of time T sees more
+// than rate * T + burst grants.
 //
 // A new owner must not grant the same burst twice. It starts from the recorded
 // mark, which the old owner moved ahead of its grants, with witnesses, before
--- a/src/reason.cc
+++ b/src/reason.cc
@@ -22,8 +22,10 @@
     ReasonRow{Reason::kKeyUnknown, "key_unknown", 401, false},
     ReasonRow{Reason::kKeyWithdrawn, "key_withdrawn", 401, false},
     ReasonRow{Reason::kServiceNotAllowed, "service_not_allowed", 403, false},
-    ReasonRow{Reason::kIdempotencyKeyMissing, "idempotency_key_missing", 400, false},
-    ReasonRow{Reason::kIdempotencyKeyReused, "idempotency_key_reused", 422, false},
+    ReasonRow{Reason::kIdempotencyKeyMissing, "idempotency_key_missing", 400,
+              false},
+    ReasonRow{Reason::kIdempotencyKeyReused, "idempotency_key_reused", 422,
+              false},
     ReasonRow{Reason::kRateLimited, "rate_limited", 429, false},
     ReasonRow{Reason::kQueueFull, "queue_full", 503, false},
     ReasonRow{Reason::kQueueTimeout, "queue_timeout", 503, false},
@@ -66,13 +68,16 @@
   return index < kReasons.size() ? kReasons[index] : kReasons.back();
 }
 
-constexpr std::array<std::string_view, 3> kRunStates = {"not_run", "unknown", "done"};
+constexpr std::array<std::string_view, 3> kRunStates = {"not_run", "unknown",
+                                                        "done"};
 
 }  // namespace
 
 std::string_view Name(Reason reason) { return Row(reason).name; }
 
-std::string_view Name(RunState state) { return kRunStates[static_cast<size_t>(state)]; }
+std::string_view Name(RunState state) {
+  return kRunStates[static_cast<size_t>(state)];
+}
 
 Reason ReasonFromName(std::string_view name) {
   for (const ReasonRow& row : kReasons) {
@@ -85,7 +90,11 @@
 
 bool WorthRetry(Reason reason) { return Row(reason).worth_retry; }
 
-Refusal::Refusal(Reason reason, RunState run, std::string message, int64_t retry_after_ms)
-    : reason_(reason), run_(run), message_(std::move(message)), retry_after_ms_(retry_after_ms) {}
+Refusal::Refusal(Reason reason, RunState run, std::string message,
+                 int64_t retry_after_ms)
+    : reason_(reason),
+      run_(run),
+      message_(std::move(message)),
+      retry_after_ms_(retry_after_ms) {}
 
 }  // namespace pimento
--- a/src/reason.h
+++ b/src/reason.h
@@ -1,5 +1,5 @@
-// Why a request was refused or retried. One table of names serves the answers to
-// callers, the logs and the labels of the counters.
+// Why a request was refused or retried. One table of names serves the answers
+// to callers, the logs and the labels of the counters.
 #pragma once
 
 #include <cstdint>
@@ -65,7 +65,8 @@
 // A refusal on its way to the caller.
 class Refusal : public std::exception {
  public:
-  Refusal(Reason reason, RunState run, std::string message, int64_t retry_after_ms = 0);
+  Refusal(Reason reason, RunState run, std::string message,
+          int64_t retry_after_ms = 0);
   const char* what() const noexcept override { return message_.c_str(); }
   Reason reason() const { return reason_; }
   RunState run() const { return run_; }
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -5,7 +5,8 @@
 
 namespace pimento {
 
-Replica::Replica(Member self, ReplicaRules rules) : self_(std::move(self)), rules_(rules) {}
+Replica::Replica(Member self, ReplicaRules rules)
+    : self_(std::move(self)), rules_(rules) {}
 
 bool Replica::Addressed(const Member& target) const {
   return rules_.check_incarnation ? target == self_ : target.host == self_.host;
@@ -13,11 +14,16 @@
 
 AppendReply Replica::Append(const AppendRequest& request) {
   const bool same_holder = request.holder == holder_ || !rules_.check_holder;
-  const bool current = request.epoch > sealed_ || (request.epoch == sealed_ && same_holder);
-  if (!Addressed(request.target) || !current) return {.accepted = false, .sealed = sealed_};
+  const bool current =
+      request.epoch > sealed_ || (request.epoch == sealed_ && same_holder);
+  if (!Addressed(request.target) || !current)
+    return {.accepted = false, .sealed = sealed_};
   Adopt(request.epoch, request.holder);
   Establish(request.list);
-  if (request.replace_all) records_.clear();
+  // A full copy that was overtaken must not wipe what came after it.
+  const bool newest = request.number >= last_number_;
+  if (request.replace_all && newest) records_.clear();
+  last_number_ = std::max(last_number_, request.number);
   Merge(request.records);
   return {.accepted = true, .sealed = sealed_};
 }
@@ -28,7 +34,8 @@
   if (request.epoch < sealed_) return false;
   if (request.granted_by_platform || sealed_ == Epoch{}) return true;
   if (request.epoch.major != sealed_.major) return false;
-  const bool heir = list_.members.size() > 1 && list_.members[1] == request.holder;
+  const bool heir =
+      list_.members.size() > 1 && list_.members[1] == request.holder;
   const bool consented = successor_ && *successor_ == request.holder;
   return request.holder == holder_ || heir || consented || !rules_.check_heir;
 }
@@ -57,24 +64,32 @@
 }
 
 void Replica::Adopt(const Epoch& epoch, const Member& holder) {
-  if (epoch > sealed_) successor_.reset();
+  if (epoch > sealed_) {
+    successor_.reset();
+    last_number_ = 0;
+  }
   sealed_ = epoch;
   holder_ = holder;
 }
 
 void Replica::Establish(const MemberList& list) {
   list_ = list;
-  std::erase_if(proposals_, [&](const MemberList& old) { return old.since <= list.since; });
+  std::erase_if(proposals_,
+                [&](const MemberList& old) { return old.since <= list.since; });
 }
 
 void Replica::Propose(const MemberList& list) {
-  std::erase_if(proposals_, [&](const MemberList& old) { return old.since == list.since; });
+  std::erase_if(proposals_,
+                [&](const MemberList& old) { return old.since == list.since; });
   proposals_.push_back(list);
 }
 
-void Replica::Merge(const std::vector<Record>& records) { MergeRecords(records, records_); }
+void Replica::Merge(const std::vector<Record>& records) {
+  MergeRecords(records, records_);
+}
 
-void MergeRecords(const std::vector<Record>& from, std::map<std::string, Record>& into) {
+void MergeRecords(const std::vector<Record>& from,
+                  std::map<std::string, Record>& into) {
   for (const Record& record : from) {
     auto [it, inserted] = into.try_emplace(record.key, record);
     if (!inserted && Supersedes(record, it->second)) it->second = record;
--- a/src/replica.h
+++ b/src/replica.h
@@ -20,7 +20,8 @@
 
 namespace pimento {
 
-// A write from an owner. Empty `records` only asks whether the owner is current.
+// A write from an owner. Empty `records` only asks whether the owner is
+// current.
 struct AppendRequest {
   uint32_t shard = 0;
   Epoch epoch;
@@ -31,6 +32,9 @@
   // True when `records` is everything the shard holds: what the member holds
   // besides was never counted, and goes.
   bool replace_all = false;
+  // Position in the owner's stream of appends of one epoch. Appends may arrive
+  // out of order, over an old connection and a new one.
+  uint64_t number = 0;
 };
 
 // A claim to own the shard at `epoch`, from `holder`.
@@ -105,10 +109,13 @@
   // Proposals with a `since` above that of `list_`, oldest first.
   std::vector<MemberList> proposals_;
   std::optional<Member> successor_;
+  // Greatest number seen from the present owner at the present epoch.
+  uint64_t last_number_ = 0;
   std::map<std::string, Record> records_;
 };
 
 // Merges `from` into `into`, keeping the greatest (epoch, version) of each key.
-void MergeRecords(const std::vector<Record>& from, std::map<std::string, Record>& into);
+void MergeRecords(const std::vector<Record>& from,
+                  std::map<std::string, Record>& into);
 
 }  // namespace pimento
--- a/src/rpc_loop.cc
+++ b/src/rpc_loop.cc
@@ -21,20 +21,23 @@
 }  // namespace
 
 struct RpcLoop::State {
-  explicit State(size_t capacity) : ring(capacity), wake_fd(eventfd(0, EFD_CLOEXEC)) {}
+  explicit State(size_t capacity)
+      : ring(capacity), wake_fd(eventfd(0, EFD_CLOEXEC)) {}
   ~State() { close(wake_fd); }
 
   void Wake() const {
     const uint64_t one = 1;
-    if (write(wake_fd, &one, sizeof one) < 0) kLog.Error() << "The loop cannot be woken.";
+    if (write(wake_fd, &one, sizeof one) < 0)
+      kLog.Error() << "The loop cannot be woken.";
   }
 
   kj::Promise<void> Listen(kj::AsyncInputStream& wakes) {
-    return wakes.read(&wake_count, sizeof wake_count).then([this, &wakes]() -> kj::Promise<void> {
-      Drain();
-      if (stopping) return kj::READY_NOW;
-      return Listen(wakes);
-    });
+    return wakes.read(&wake_count, sizeof wake_count)
+        .then([this, &wakes]() -> kj::Promise<void> {
+          Drain();
+          if (stopping) return kj::READY_NOW;
+          return Listen(wakes);
+        });
   }
 
   void RunTask(const Task& task) {
@@ -71,7 +74,8 @@
   std::thread thread;
 };
 
-RpcLoop::RpcLoop(size_t ring_capacity) : state_(std::make_unique<State>(ring_capacity)) {}
+RpcLoop::RpcLoop(size_t ring_capacity)
+    : state_(std::make_unique<State>(ring_capacity)) {}
 
 RpcLoop::~RpcLoop() { Stop(); }
 
@@ -103,7 +107,8 @@
     try {
       state_->Listen(*wakes).wait(io.waitScope);
     } catch (const kj::Exception& e) {
-      kLog.Error() << "The loop ended with an error: " << e.getDescription().cStr();
+      kLog.Error() << "The loop ended with an error: "
+                   << e.getDescription().cStr();
     }
   });
   ready.get_future().wait();
--- a/src/scheduler_context.h
+++ b/src/scheduler_context.h
@@ -56,13 +56,16 @@
   PeerClient* peers = nullptr;
   PlatformClient* platform = nullptr;
   Metrics* metrics = nullptr;
-  std::atomic<std::shared_ptr<const HostView>> view{std::make_shared<const HostView>()};
+  std::atomic<std::shared_ptr<const HostView>> view{
+      std::make_shared<const HostView>()};
   std::atomic<std::shared_ptr<const EnvironmentState>> environment{
       std::make_shared<const EnvironmentState>()};
   // True from the start of a planned stop.
   std::atomic<bool> leaving{false};
 
-  std::string AddressOf(const std::string& host) const { return view.load()->RpcAddress(host); }
+  std::string AddressOf(const std::string& host) const {
+    return view.load()->RpcAddress(host);
+  }
 };
 
 }  // namespace pimento
--- a/src/scheduler_node.cc
+++ b/src/scheduler_node.cc
@@ -19,8 +19,8 @@
 constexpr int64_t kDocumentPollMs = 30;
 constexpr int64_t kGaugeMs = 1'000;
 constexpr int64_t kAnnounceMs = 100;
-// Without a word from the platform or a peer for this long, what this host knows
-// of the document may be out of date.
+// Without a word from the platform or a peer for this long, what this host
+// knows of the document may be out of date.
 constexpr int64_t kContactMs = 3'500;
 
 // The wall clock at start tells a process's run from its earlier ones.
@@ -43,7 +43,8 @@
       admin_duty_(supervisor_.Add("admin", settings_.ring)),
       rpc_(settings_.ring),
       peers_(rpc_, metrics_),
-      platform_(platform_duty_, metrics_, {.address = settings_.platform_address}),
+      platform_(platform_duty_, metrics_,
+                {.address = settings_.platform_address}),
       context_{.self = {.host = settings_.host, .boot = BootNumber()},
                .zone = settings_.zone,
                .timing = settings_.timing,
@@ -54,9 +55,11 @@
       shards_(context_),
       credits_(context_, shards_),
       slots_(context_, shards_,
-             QueuePolicyFromName(settings_.queue_policy).value_or(QueuePolicy::kFair)),
+             QueuePolicyFromName(settings_.queue_policy)
+                 .value_or(QueuePolicy::kFair)),
       upstreams_(dispatch_duty_),
-      choice_(MakeChoice(ChoicePolicyFromName(settings_.choice_policy), context_.self.boot)),
+      choice_(MakeChoice(ChoicePolicyFromName(settings_.choice_policy),
+                         context_.self.boot)),
       pipeline_({.context = &context_,
                  .shards = &shards_,
                  .credits = &credits_,
@@ -66,8 +69,9 @@
                  .explain = &explain_}),
       sweeper_(context_, shards_, pipeline_, upstreams_),
       config_(context_, {.environment = settings_.environment}),
-      membership_(membership_duty_, context_,
-                  {.self = SelfInfo(), .seeds = settings_.seeds, .membership = {}}),
+      membership_(
+          membership_duty_, context_,
+          {.self = SelfInfo(), .seeds = settings_.seeds, .membership = {}}),
       server_(rpc_, shards_duty_, *this) {}
 
 SchedulerNode::~SchedulerNode() = default;
@@ -83,25 +87,27 @@
 }
 
 ShardHooks SchedulerNode::Hooks() {
-  return {.gained =
-              [this](uint32_t shard) {
-                pipeline_.OnGained(shard);
-                membership_.Announce(shards_.Owned());
-              },
-          .lost =
-              [this](uint32_t shard) {
-                pipeline_.OnLost(shard);
-                credits_.DropShard(shard);
-                slots_.DropShard(shard);
-                membership_.Announce(shards_.Owned());
-              },
-          .quiesce = [this](uint32_t shard) { return pipeline_.Quiesce(shard); }};
+  return {
+      .gained =
+          [this](uint32_t shard) {
+            pipeline_.OnGained(shard);
+            membership_.Announce(shards_.Owned());
+          },
+      .lost =
+          [this](uint32_t shard) {
+            pipeline_.OnLost(shard);
+            credits_.DropShard(shard);
+            slots_.DropShard(shard);
+            membership_.Announce(shards_.Owned());
+          },
+      .quiesce = [this](uint32_t shard) { return pipeline_.Quiesce(shard); }};
 }
 
 void SchedulerNode::Start() {
   rpc_.Start();
   server_.Listen(settings_.rpc_address);
-  admin_ = std::make_unique<HttpServer>(admin_duty_.io(), HttpLimits{}, AdminHandler());
+  admin_ = std::make_unique<HttpServer>(admin_duty_.io(), HttpLimits{},
+                                        AdminHandler());
   admin_->Listen(settings_.admin_address);
   shards_.Start(Hooks());
   slots_.Start();
@@ -110,18 +116,21 @@
   membership_.Start();
   Spawn(shards_duty_.io(), "scheduler", GaugeLoop());
   supervisor_.Start();
-  kLog.Info() << "The scheduler of host " << settings_.host << " in zone " << settings_.zone
-              << " listens on " << settings_.rpc_address << ".";
+  kLog.Info() << "The scheduler of host " << settings_.host << " in zone "
+              << settings_.zone << " listens on " << settings_.rpc_address
+              << ".";
 }
 
 void SchedulerNode::Stop() {
   kLog.Info() << "A planned stop begins.";
   context_.leaving = true;
   std::promise<void> left;
-  boost::asio::co_spawn(shards_duty_.io(), shards_.Leave(settings_.stop_limit_ms),
+  boost::asio::co_spawn(shards_duty_.io(),
+                        shards_.Leave(settings_.stop_limit_ms),
                         [&left](std::exception_ptr) { left.set_value(); });
   left.get_future().wait();
-  // Entries hear of the new owners from others; answers on their way still go out.
+  // Entries hear of the new owners from others; answers on their way still go
+  // out.
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
   kLog.Info() << "The scheduler stops.";
   server_.Close();
@@ -142,14 +151,16 @@
     metrics_.Gauge("records_held", static_cast<double>(held.records));
     metrics_.Gauge("record_bytes_held", static_cast<double>(held.bytes));
     metrics_.Gauge("calls_running", static_cast<double>(pipeline_.running()));
-    metrics_.Gauge("generation", static_cast<double>(context_.environment.load()->generation));
+    metrics_.Gauge("generation", static_cast<double>(
+                                     context_.environment.load()->generation));
     metrics_.Gauge("platform_reachable", platform_.reachable() ? 1 : 0);
   }
 }
 
 // ---- Peers -----------------------------------------------------------------
 
-SchedulerNode::Async<AppendReply> SchedulerNode::OnAppend(AppendRequest request) {
+SchedulerNode::Async<AppendReply> SchedulerNode::OnAppend(
+    AppendRequest request) {
   co_return shards_.OnAppend(request);
 }
 
@@ -157,7 +168,8 @@
   co_return shards_.OnSeal(request);
 }
 
-SchedulerNode::Async<std::vector<HostNews>> SchedulerNode::OnGossip(std::vector<HostNews> news) {
+SchedulerNode::Async<std::vector<HostNews>> SchedulerNode::OnGossip(
+    std::vector<HostNews> news) {
   co_return co_await membership_.Exchange(std::move(news));
 }
 
@@ -173,23 +185,28 @@
   co_return alive;
 }
 
-SchedulerNode::Async<ProgramView> SchedulerNode::OnCreate(CreateRequest request) {
+SchedulerNode::Async<ProgramView> SchedulerNode::OnCreate(
+    CreateRequest request) {
   return pipeline_.Create(std::move(request));
 }
 
-SchedulerNode::Async<CallReply> SchedulerNode::OnCall(CallRequest request, PieceSink sink) {
+SchedulerNode::Async<CallReply> SchedulerNode::OnCall(CallRequest request,
+                                                      PieceSink sink) {
   return pipeline_.Call(std::move(request), std::move(sink));
 }
 
-SchedulerNode::Async<ProgramView> SchedulerNode::OnView(std::string program, std::string team) {
+SchedulerNode::Async<ProgramView> SchedulerNode::OnView(std::string program,
+                                                        std::string team) {
   return pipeline_.View(std::move(program), std::move(team));
 }
 
-SchedulerNode::Async<ProgramView> SchedulerNode::OnEnd(std::string program, std::string team) {
+SchedulerNode::Async<ProgramView> SchedulerNode::OnEnd(std::string program,
+                                                       std::string team) {
   return pipeline_.End(std::move(program), std::move(team));
 }
 
-SchedulerNode::Async<CreditReply> SchedulerNode::OnCredits(CreditRequest request) {
+SchedulerNode::Async<CreditReply> SchedulerNode::OnCredits(
+    CreditRequest request) {
   return credits_.Grant(std::move(request));
 }
 
@@ -201,17 +218,20 @@
   return slots_.OnDone(std::move(done));
 }
 
-SchedulerNode::Async<std::vector<SlotRequest>> SchedulerNode::OnInFlight(std::string upstream) {
+SchedulerNode::Async<std::vector<SlotRequest>> SchedulerNode::OnInFlight(
+    std::string upstream) {
   co_return slots_.InFlight(upstream);
 }
 
-SchedulerNode::Async<DocumentReply> SchedulerNode::OnDocument(uint64_t after, int64_t wait_ms) {
+SchedulerNode::Async<DocumentReply> SchedulerNode::OnDocument(uint64_t after,
+                                                              int64_t wait_ms) {
   const int64_t deadline_ms = NowMs() + wait_ms;
-  while (context_.environment.load()->generation <= after && NowMs() < deadline_ms) {
+  while (context_.environment.load()->generation <= after &&
+         NowMs() < deadline_ms) {
     co_await Sleep(kDocumentPollMs);
   }
-  const bool in_touch =
-      platform_.reachable() || NowMs() - membership_.last_contact_ms() < kContactMs;
+  const bool in_touch = platform_.reachable() ||
+                        NowMs() - membership_.last_contact_ms() < kContactMs;
   // An entry must not take a cut-off host's document for the present one.
   if (!in_touch) throw TransportError("This host is cut off.", false);
   co_return config_.Latest();
@@ -228,10 +248,13 @@
 // ---- Admin port ------------------------------------------------------------
 
 HttpHandler SchedulerNode::AdminHandler() {
-  return [this](const HttpRequest& request, HttpResponder& responder) -> Async<void> {
+  return [this](const HttpRequest& request,
+                HttpResponder& responder) -> Async<void> {
     HttpAnswer answer;
     if (request.path == "/status") {
-      std::function<Async<std::string>()> work = [this] { return ShardStatus(); };
+      std::function<Async<std::string>()> work = [this] {
+        return ShardStatus();
+      };
       answer.body = co_await RunOn<std::string>(shards_duty_, std::move(work));
     } else {
       answer = AdminAnswer(request);
@@ -242,12 +265,14 @@
 
 HttpAnswer SchedulerNode::AdminAnswer(const HttpRequest& request) {
   if (request.path == "/healthz") {
-    const bool ready = context_.environment.load()->generation > 0 && !context_.leaving;
+    const bool ready =
+        context_.environment.load()->generation > 0 && !context_.leaving;
     return {.status = ready ? 200 : 503,
             .body = ready ? R"({"ready":true})" : R"({"ready":false})"};
   }
   if (request.path == "/metrics") {
-    return {.body = metrics_.PrometheusText(), .content_type = "text/plain; version=0.0.4"};
+    return {.body = metrics_.PrometheusText(),
+            .content_type = "text/plain; version=0.0.4"};
   }
   if (request.path == "/explain") {
     json::array lines;
@@ -256,7 +281,8 @@
     }
     return {.body = json::serialize(lines)};
   }
-  if (request.path == "/faults" && request.method == "POST" && settings_.faults) {
+  if (request.path == "/faults" && request.method == "POST" &&
+      settings_.faults) {
     ApplyFaults(request.body);
     return {.body = "{}"};
   }
@@ -266,14 +292,16 @@
 // {"cut": ["127.0.0.1:7102"], "cut_platform": true}
 void SchedulerNode::ApplyFaults(const std::string& body) {
   const json::value faults = json::parse(body);
-  if (const json::value* cut = faults.as_object().if_contains("cut"); cut != nullptr) {
+  if (const json::value* cut = faults.as_object().if_contains("cut");
+      cut != nullptr) {
     std::set<std::string> addresses;
     for (const json::value& address : cut->as_array()) {
       addresses.insert(address.as_string().c_str());
     }
     peers_.SetCut(addresses);
   }
-  if (const json::value* cut = faults.as_object().if_contains("cut_platform"); cut != nullptr) {
+  if (const json::value* cut = faults.as_object().if_contains("cut_platform");
+      cut != nullptr) {
     platform_.set_cut(cut->as_bool());
   }
 }
@@ -284,21 +312,23 @@
   json::array hosts;
   for (const HostNews& news : view->hosts()) {
     json::array owned;
-    for (const OwnedShard& shard : news.info.owned) owned.emplace_back(shard.shard);
-    hosts.push_back(
-        {{"host", news.info.host},
-         {"zone", news.info.zone},
-         {"state", StateName(news.state)},
-         {"leaving", news.info.leaving},
-         {"in_service", InService(environment->document, news.info.host, news.info.zone)},
-         {"generation", news.info.generation},
-         {"http_address", news.info.http_address},
-         {"owned", std::move(owned)}});
+    for (const OwnedShard& shard : news.info.owned)
+      owned.emplace_back(shard.shard);
+    hosts.push_back({{"host", news.info.host},
+                     {"zone", news.info.zone},
+                     {"state", StateName(news.state)},
+                     {"leaving", news.info.leaving},
+                     {"in_service", InService(environment->document,
+                                              news.info.host, news.info.zone)},
+                     {"generation", news.info.generation},
+                     {"http_address", news.info.http_address},
+                     {"owned", std::move(owned)}});
   }
   json::array owned;
   for (const OwnedShard& shard : shards_.Owned()) {
-    owned.push_back(
-        {{"shard", shard.shard}, {"major", shard.epoch.major}, {"minor", shard.epoch.minor}});
+    owned.push_back({{"shard", shard.shard},
+                     {"major", shard.epoch.major},
+                     {"minor", shard.epoch.minor}});
   }
   const json::object status = {{"host", settings_.host},
                                {"environment", settings_.environment},
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -58,13 +58,16 @@
        .required = true,
        .keys = {Required("name"), Required("zone"), Address("rpc_address"),
                 Address("admin_address"), Address("http_address")}},
-      {.kind = "platform", .required = true, .keys = {Address("address"), Required("environment")}},
+      {.kind = "platform",
+       .required = true,
+       .keys = {Address("address"), Required("environment")}},
       {.kind = "peers", .keys = {{.name = "seeds", .kind = ValueKind::kList}}},
       kLogRule,
       {.kind = "timing",
        .keys = {Duration("rpc", "1s"), Duration("append_grace", "40ms"),
-                Duration("replace_hold", "3s"), Duration("rebalance_after", "6s"),
-                Duration("flush", "500ms"), Duration("gap", "2s"), Duration("retention", "10m"),
+                Duration("replace_hold", "3s"),
+                Duration("rebalance_after", "6s"), Duration("flush", "500ms"),
+                Duration("gap", "2s"), Duration("retention", "10m"),
                 Duration("stop_limit", "20s")}},
       {.kind = "policy",
        .keys = {{.name = "queue",
@@ -82,7 +85,9 @@
                  .least = 16,
                  .most = 65'000}}},
       {.kind = "testing",
-       .keys = {{.name = "faults", .kind = ValueKind::kBool, .fallback = "false"}}},
+       .keys = {{.name = "faults",
+                 .kind = ValueKind::kBool,
+                 .fallback = "false"}}},
   };
   return rules;
 }
@@ -94,7 +99,9 @@
        .keys = {Required("name"), Required("zone"), Address("http_address")}},
       {.kind = "schedulers",
        .required = true,
-       .keys = {{.name = "addresses", .kind = ValueKind::kList, .required = true}}},
+       .keys = {{.name = "addresses",
+                 .kind = ValueKind::kList,
+                 .required = true}}},
       kLogRule,
       {.kind = "limits",
        .keys = {{.name = "connections",
@@ -124,7 +131,9 @@
                 Duration("stale", "4s"),
                 Duration("stop_limit", "20s")}},
       {.kind = "policy",
-       .keys = {{.name = "refusal_cache", .kind = ValueKind::kBool, .fallback = "true"}}},
+       .keys = {{.name = "refusal_cache",
+                 .kind = ValueKind::kBool,
+                 .fallback = "true"}}},
   };
   return rules;
 }
@@ -171,12 +180,13 @@
   settings.http_address = host.Text("http_address");
   settings.schedulers = file.Only("schedulers").List("addresses");
   settings.log = ReadLog(file);
-  settings.limits = {.connections = static_cast<size_t>(limits.Count("connections")),
-                     .header_bytes = static_cast<uint32_t>(limits.Bytes("header")),
-                     .body_bytes = static_cast<uint64_t>(limits.Bytes("body")),
-                     .read_ms = limits.Milliseconds("read"),
-                     .write_ms = limits.Milliseconds("write"),
-                     .idle_ms = limits.Milliseconds("idle")};
+  settings.limits = {
+      .connections = static_cast<size_t>(limits.Count("connections")),
+      .header_bytes = static_cast<uint32_t>(limits.Bytes("header")),
+      .body_bytes = static_cast<uint64_t>(limits.Bytes("body")),
+      .read_ms = limits.Milliseconds("read"),
+      .write_ms = limits.Milliseconds("write"),
+      .idle_ms = limits.Milliseconds("idle")};
   settings.most_tokens = static_cast<uint64_t>(limits.Count("max_tokens"));
   settings.patience_ms = limits.Milliseconds("patience");
   settings.stale_ms = limits.Milliseconds("stale");
--- a/src/shard_host.h
+++ b/src/shard_host.h
@@ -47,16 +47,16 @@
   const std::map<std::string, Record>& Records(uint32_t shard) const;
   // Grows with every change of ownership: a fencing number for upstreams.
   uint64_t Fence(uint32_t shard) const;
-  // Time until which calls that left no record may have run all the same, because
-  // two members were lost together, milliseconds since 1970; or 0.
+  // Time until which calls that left no record may have run all the same,
+  // because two members were lost together, milliseconds since 1970; or 0.
   int64_t UncertainUntil(uint32_t shard) const;
 
   // Returns once a quorum holds `records`, which the ledger then shows. Throws
   // Refusal: kNotOwner (nothing happened), kFenced or kRecordNotCounted (the
   // records may or may not survive).
   Async<void> Commit(uint32_t shard, std::vector<Record> records);
-  // Returns once a member has accepted this owner after now: what the ledger says
-  // is then no stale owner's word. Throws like Commit().
+  // Returns once a member has accepted this owner after now: what the ledger
+  // says is then no stale owner's word. Throws like Commit().
   Async<void> Confirm(uint32_t shard);
 
   AppendReply OnAppend(const AppendRequest& request);
@@ -88,21 +88,25 @@
   Async<void> TickLoop();
   void Decide(Shard& shard);
   void Maintain(Shard& shard, const HostView& view, const Document& document);
-  void WatchHeadless(Shard& shard, const HostView& view, const Document& document);
+  void WatchHeadless(Shard& shard, const HostView& view,
+                     const Document& document);
   Async<void> Guard(Shard& shard, std::function<Async<bool>()> work);
 
   Async<bool> ClaimHeadless(Shard& shard);
   Async<bool> CreateOrRecover(Shard& shard);
   Async<bool> Create(Shard& shard);
-  Async<bool> RecoverFromFlush(Shard& shard, PlatformObject object, Ownership present);
+  Async<bool> RecoverFromFlush(Shard& shard, PlatformObject object,
+                               Ownership present);
   Async<bool> Replace(Shard& shard, std::vector<Member> wanted);
   Async<bool> HandOver(Shard& shard, Member to);
-  std::vector<Member> WantedAround(uint32_t shard, const std::vector<Member>& present);
-  Async<bool> WriteOwnership(Shard& shard, Ownership wanted, uint64_t if_version);
+  std::vector<Member> WantedAround(uint32_t shard,
+                                   const std::vector<Member>& present);
+  Async<bool> WriteOwnership(Shard& shard, Ownership wanted,
+                             uint64_t if_version);
   Async<void> Publish(Shard& shard);
 
-  Async<bool> TakeOver(Shard& shard, Epoch epoch, MemberList known, std::vector<Member> wanted,
-                       bool granted_by_platform);
+  Async<bool> TakeOver(Shard& shard, Epoch epoch, MemberList known,
+                       std::vector<Member> wanted, bool granted_by_platform);
   Async<bool> Install(Shard& shard, Epoch epoch, MemberList list,
                       std::map<std::string, Record> records);
   Async<void> SendSeal(std::shared_ptr<ClaimRun> run, SealRequest request);
--- a/src/shard_protocol.cc
+++ b/src/shard_protocol.cc
@@ -12,11 +12,13 @@
 
 }  // namespace
 
-Claim::Claim(ClaimOptions options) : options_(std::move(options)), base_(options_.known) {}
+Claim::Claim(ClaimOptions options)
+    : options_(std::move(options)), base_(options_.known) {}
 
 MemberList Claim::NewList() const {
   const bool keep = options_.wanted.empty();
-  return {.since = options_.epoch, .members = keep ? base_.members : options_.wanted};
+  return {.since = options_.epoch,
+          .members = keep ? base_.members : options_.wanted};
 }
 
 std::vector<MemberList> Claim::Required() const {
@@ -63,8 +65,8 @@
   if (reply.list.since > base_.since) base_ = reply.list;
   for (const MemberList& proposal : reply.proposals) {
     const bool own = proposal.since == options_.epoch;
-    const bool known =
-        std::find(proposals_.begin(), proposals_.end(), proposal) != proposals_.end();
+    const bool known = std::find(proposals_.begin(), proposals_.end(),
+                                 proposal) != proposals_.end();
     if (!own && !known) proposals_.push_back(proposal);
   }
 }
@@ -73,31 +75,54 @@
   const MemberList list = NewList();
   for (const MemberList& required : Required()) {
     const auto sealed =
-        std::count_if(required.members.begin(), required.members.end(), [&](const Member& member) {
-          const auto it = sealed_.find(member);
-          // A member counts once it knows the list that the claim ends up with.
-          return it != sealed_.end() && it->second == list;
-        });
+        std::count_if(required.members.begin(), required.members.end(),
+                      [&](const Member& member) {
+                        const auto it = sealed_.find(member);
+                        // A member counts once it knows the list that the claim
+                        // ends up with.
+                        return it != sealed_.end() && it->second == list;
+                      });
     if (static_cast<size_t>(sealed) < options_.quorum) return false;
   }
   return true;
 }
 
+std::string Claim::Progress() const {
+  std::string text;
+  for (const auto& [member, list] : sealed_) {
+    text += member.host + std::to_string(member.boot) + "@" +
+            std::to_string(list.members.size());
+    for (const Member& listed : list.members) text += listed.host;
+  }
+  for (const auto& [member, list] : sent_) text += "," + member.host;
+  for (const MemberList& list : Required()) {
+    text += ";" + std::to_string(list.since.major) + "." +
+            std::to_string(list.since.minor);
+    for (const Member& listed : list.members) text += listed.host;
+  }
+  return text;
+}
+
 AppendRound::AppendRound(MemberList list, size_t quorum)
     : list_(std::move(list)), quorum_(quorum) {}
 
-void AppendRound::OnReply(const Member& from, const AppendReply& reply, const Epoch& epoch) {
+void AppendRound::OnReply(const Member& from, const AppendReply& reply,
+                          const Epoch& epoch) {
   if (!reply.accepted) {
-    // A refusal at a lower seal comes from a restarted process that is no member.
+    // A refusal at a lower seal comes from a restarted process that is no
+    // member.
     fenced_ = fenced_ || reply.sealed >= epoch;
     return;
   }
-  if (Contains(list_.members, from) && !Contains(holders_, from)) holders_.push_back(from);
+  if (Contains(list_.members, from) && !Contains(holders_, from))
+    holders_.push_back(from);
 }
 
-std::vector<AppendRequest> MakeAppends(uint32_t shard, const Epoch& epoch, const Member& holder,
-                                       const MemberList& list, const std::vector<Record>& records,
-                                       bool replace_all) {
+std::vector<AppendRequest> MakeAppends(uint32_t shard, const Epoch& epoch,
+                                       const Member& holder,
+                                       const MemberList& list,
+                                       const std::vector<Record>& records,
+                                       bool replace_all, uint64_t number) {
   std::vector<AppendRequest> requests;
   for (const Member& member : list.members) {
     requests.push_back({.shard = shard,
@@ -106,7 +131,8 @@
                         .target = member,
                         .list = list,
                         .records = records,
-                        .replace_all = replace_all});
+                        .replace_all = replace_all,
+                        .number = number});
   }
   return requests;
 }
--- a/src/shard_protocol.h
+++ b/src/shard_protocol.h
@@ -3,7 +3,8 @@
 // Pure decisions: whoever uses them sends the requests and feeds the replies
 // back. The daemons and the exhaustive checker run this same code.
 //
-// Taking over, replacing a member and handing over by consent are one procedure:
+// Taking over, replacing a member and handing over by consent are one
+// procedure:
 //
 //   1. Claim: seal a quorum of every member list that may be in force.
 //   2. Merge what the sealed members hold.
@@ -54,6 +55,8 @@
   // The list that the claim installs.
   MemberList NewList() const;
   const std::map<std::string, Record>& records() const { return records_; }
+  // Who is sealed, under which list: tells equal claims from different ones.
+  std::string Progress() const;
 
  private:
   void Follow(const SealReply& reply);
@@ -77,7 +80,8 @@
  public:
   AppendRound(MemberList list, size_t quorum = kQuorum);
 
-  void OnReply(const Member& from, const AppendReply& reply, const Epoch& epoch);
+  void OnReply(const Member& from, const AppendReply& reply,
+               const Epoch& epoch);
   // True when a quorum holds the batch: it survives any one loss.
   bool Counted() const { return holders_.size() >= quorum_; }
   // True when every member holds it.
@@ -93,9 +97,12 @@
   bool fenced_ = false;
 };
 
-// Builds the append of `records` to each member of `list`.
-std::vector<AppendRequest> MakeAppends(uint32_t shard, const Epoch& epoch, const Member& holder,
-                                       const MemberList& list, const std::vector<Record>& records,
-                                       bool replace_all);
+// Builds the append of `records` to each member of `list`, as number `number`
+// of the owner's stream: 0 for the installation, then rising.
+std::vector<AppendRequest> MakeAppends(uint32_t shard, const Epoch& epoch,
+                                       const Member& holder,
+                                       const MemberList& list,
+                                       const std::vector<Record>& records,
+                                       bool replace_all, uint64_t number);
 
 }  // namespace pimento
--- a/src/signal.h
+++ b/src/signal.h
@@ -12,15 +12,16 @@
 
 class Signal {
  public:
-  // Returns after Notify() or `milliseconds`, whichever is first. A waiter checks
-  // its own condition again: both may have happened.
+  // Returns after Notify() or `milliseconds`, whichever is first. A waiter
+  // checks its own condition again: both may have happened.
   boost::asio::awaitable<void> Wait(int64_t milliseconds) {
-    auto timer =
-        std::make_shared<boost::asio::steady_timer>(co_await boost::asio::this_coro::executor);
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        co_await boost::asio::this_coro::executor);
     timer->expires_after(std::chrono::milliseconds(milliseconds));
     waiters_.push_back(timer);
     boost::system::error_code ignored;
-    co_await timer->async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    co_await timer->async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     std::erase(waiters_, timer);
   }
 
--- a/src/slot_broker.cc
+++ b/src/slot_broker.cc
@@ -33,10 +33,12 @@
 
 }  // namespace
 
-SlotBroker::SlotBroker(SchedulerContext& context, ShardHost& shards, QueuePolicy policy)
+SlotBroker::SlotBroker(SchedulerContext& context, ShardHost& shards,
+                       QueuePolicy policy)
     : context_(context), shards_(shards), policy_(policy) {
   // Tickets of different hosts and runs must not meet in one gate.
-  const std::string unique = context.self.host + "/" + std::to_string(context.self.boot);
+  const std::string unique =
+      context.self.host + "/" + std::to_string(context.self.boot);
   next_ticket_ = (XXH3_64bits(unique.data(), unique.size()) << 24) | 1;
 }
 
@@ -60,7 +62,8 @@
   options.policy = policy_;
   if (declared == environment->document.upstreams.end()) return options;
   options.window = declared->second.window;
-  const Service* service = environment->document.FindService(declared->second.service);
+  const Service* service =
+      environment->document.FindService(declared->second.service);
   if (service != nullptr) {
     options.queue_limit = service->queue_limit;
     options.slot_life_ms = service->call_limit_ms;
@@ -68,10 +71,12 @@
   return options;
 }
 
-SlotBroker::Async<std::shared_ptr<SlotBroker::Gate>> SlotBroker::GateOf(std::string upstream) {
+SlotBroker::Async<std::shared_ptr<SlotBroker::Gate>> SlotBroker::GateOf(
+    std::string upstream) {
   const uint32_t shard = ShardFor(context_, "upstream", upstream);
   if (!shards_.Admits(shard)) {
-    throw Refusal(Reason::kNotOwner, RunState::kNotRun, "Another host keeps this upstream.");
+    throw Refusal(Reason::kNotOwner, RunState::kNotRun,
+                  "Another host keeps this upstream.");
   }
   std::shared_ptr<Gate>& gate = gates_[upstream];
   if (!gate) {
@@ -89,10 +94,11 @@
   std::vector<SlotRequest> running = InFlight(upstream);
   for (const HostNews& news : view->hosts()) {
     const bool other = news.info.host != context_.self.host;
-    if (!other || news.state == HostState::kDead || news.info.boot == 0) continue;
+    if (!other || news.state == HostState::kDead || news.info.boot == 0)
+      continue;
     try {
-      const std::vector<SlotRequest> theirs =
-          co_await context_.peers->InFlight(news.info.rpc_address, upstream, kAskMs);
+      const std::vector<SlotRequest> theirs = co_await context_.peers->InFlight(
+          news.info.rpc_address, upstream, kAskMs);
       running.insert(running.end(), theirs.begin(), theirs.end());
     } catch (const TransportError&) {
       // The host is dying or cut off; its slots are covered by the cold window.
@@ -115,7 +121,8 @@
                       environment->document.Usable(declared->second);
   gate.gate->set_leaving(!usable);
   gate.gate->set_options(OptionsFor(upstream));
-  for (const WaitingCall& call : gate.gate->Release(NowMs())) gate.admitted[call.ticket] = true;
+  for (const WaitingCall& call : gate.gate->Release(NowMs()))
+    gate.admitted[call.ticket] = true;
   gate.granted.Notify();
 }
 
@@ -141,12 +148,15 @@
 SlotBroker::Async<SlotReply> SlotBroker::OnSlot(SlotRequest request) {
   const std::shared_ptr<Gate> gate = co_await GateOf(request.upstream);
   const int64_t now_ms = NowMs();
-  const auto answer = gate->gate->Ask(ToWaiting(request, now_ms), request.max_queue);
+  const auto answer =
+      gate->gate->Ask(ToWaiting(request, now_ms), request.max_queue);
   if (answer == UpstreamGate::Answer::kQueueFull) {
-    throw Refusal(Reason::kQueueFull, RunState::kNotRun, "The upstream's queue is full.", 50);
+    throw Refusal(Reason::kQueueFull, RunState::kNotRun,
+                  "The upstream's queue is full.", 50);
   }
   if (answer == UpstreamGate::Answer::kLeaving) {
-    throw Refusal(Reason::kNoUpstream, RunState::kNotRun, "The upstream takes no new work.", 50);
+    throw Refusal(Reason::kNoUpstream, RunState::kNotRun,
+                  "The upstream takes no new work.", 50);
   }
   Pump(*gate, request.upstream);
   const int64_t deadline_ms = now_ms + request.patience_ms;
@@ -158,14 +168,17 @@
       const Reason reason = lost                    ? Reason::kNotOwner
                             : gate->gate->leaving() ? Reason::kNoUpstream
                                                     : Reason::kQueueTimeout;
-      throw Refusal(reason, RunState::kNotRun, "No slot of the upstream came free.", 50);
+      throw Refusal(reason, RunState::kNotRun,
+                    "No slot of the upstream came free.", 50);
     }
     co_await gate->granted.Wait(std::min<int64_t>(left_ms, 1'000));
   }
   gate->admitted.erase(request.ticket);
   const GateLoad load = gate->gate->Load(NowMs());
-  SlotReply reply{
-      .outcome = {}, .in_flight = load.in_flight, .limit = load.limit, .queued = load.queued};
+  SlotReply reply{.outcome = {},
+                  .in_flight = load.in_flight,
+                  .limit = load.limit,
+                  .queued = load.queued};
   co_return reply;
 }
 
@@ -185,7 +198,8 @@
   co_return true;
 }
 
-std::vector<SlotRequest> SlotBroker::InFlight(const std::string& upstream) const {
+std::vector<SlotRequest> SlotBroker::InFlight(
+    const std::string& upstream) const {
   std::vector<SlotRequest> slots;
   const auto it = held_.find(upstream);
   if (it == held_.end()) return slots;
@@ -200,28 +214,31 @@
 }
 
 void SlotBroker::NoteLoad(const std::string& upstream, const SlotReply& reply) {
-  hints_[upstream] = {
-      .load = {.in_flight = reply.in_flight, .limit = reply.limit, .queued = reply.queued},
-      .at_ms = NowMs()};
+  hints_[upstream] = {.load = {.in_flight = reply.in_flight,
+                               .limit = reply.limit,
+                               .queued = reply.queued},
+                      .at_ms = NowMs()};
 }
 
-SlotBroker::Async<uint64_t> SlotBroker::Acquire(std::string upstream, Want want) {
+SlotBroker::Async<uint64_t> SlotBroker::Acquire(std::string upstream,
+                                                Want want) {
   const auto environment = context_.environment.load();
   const auto team = environment->document.teams.find(want.team);
   const int64_t deadline_ms = NowMs() + want.patience_ms;
   for (;;) {
-    SlotRequest request{
-        .upstream = upstream,
-        .ticket = next_ticket_++,
-        .host = context_.self.host,
-        .boot = context_.self.boot,
-        .team = want.team,
-        .program = want.program,
-        .weight = team == environment->document.teams.end() ? 1 : team->second.weight,
-        .cost = want.cost,
-        .attained = want.attained,
-        .patience_ms = deadline_ms - NowMs(),
-        .max_queue = want.max_queue};
+    SlotRequest request{.upstream = upstream,
+                        .ticket = next_ticket_++,
+                        .host = context_.self.host,
+                        .boot = context_.self.boot,
+                        .team = want.team,
+                        .program = want.program,
+                        .weight = team == environment->document.teams.end()
+                                      ? 1
+                                      : team->second.weight,
+                        .cost = want.cost,
+                        .attained = want.attained,
+                        .patience_ms = deadline_ms - NowMs(),
+                        .max_queue = want.max_queue};
     Reason failure = Reason::kOwnerUnreachable;
     bool asked_elsewhere = false;
     try {
@@ -232,7 +249,8 @@
         reply = co_await OnSlot(request);
       } else {
         asked_elsewhere = true;
-        reply = co_await context_.peers->Slot(address, request, request.patience_ms + kAskMs);
+        reply = co_await context_.peers->Slot(address, request,
+                                              request.patience_ms + kAskMs);
       }
       if (reply.outcome.ok()) {
         NoteLoad(upstream, reply);
@@ -255,11 +273,13 @@
       Spawn(*context_.shards_io, "slots", Release(done));
     }
     if (failure == Reason::kQueueFull || failure == Reason::kNoUpstream) {
-      hints_[upstream] = {.load = {.in_flight = 1, .limit = 1, .queued = want.max_queue + 1},
-                          .at_ms = NowMs()};
+      hints_[upstream] = {
+          .load = {.in_flight = 1, .limit = 1, .queued = want.max_queue + 1},
+          .at_ms = NowMs()};
     }
     if (!WorthRetry(failure) || NowMs() >= deadline_ms) {
-      throw Refusal(failure, RunState::kNotRun, "No slot of " + upstream + " was granted.", 50);
+      throw Refusal(failure, RunState::kNotRun,
+                    "No slot of " + upstream + " was granted.", 50);
     }
     context_.metrics->Retried(failure);
     co_await Sleep(60);
--- a/src/slot_broker.h
+++ b/src/slot_broker.h
@@ -1,9 +1,9 @@
 // Hands out the slots of upstreams.
 //
-// On the owner of an upstream's shard: keeps the gate. Elsewhere: asks that owner
-// for a slot, and tells it how the call ended. A new owner first learns from all
-// live hosts what they have in flight, so that it never admits beyond the window
-// what a former owner has admitted already.
+// On the owner of an upstream's shard: keeps the gate. Elsewhere: asks that
+// owner for a slot, and tells it how the call ended. A new owner first learns
+// from all live hosts what they have in flight, so that it never admits beyond
+// the window what a former owner has admitted already.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
--- a/src/upstream_client.cc
+++ b/src/upstream_client.cc
@@ -19,7 +19,8 @@
 constexpr int64_t kReleaseMs = 2'000;
 
 double MsSince(Clock::time_point start) {
-  return std::chrono::duration<double, std::milli>(Clock::now() - start).count();
+  return std::chrono::duration<double, std::milli>(Clock::now() - start)
+      .count();
 }
 
 UpstreamAnswer FromError(const TransportError& error) {
@@ -41,7 +42,8 @@
 // Takes server-sent events apart and checks that the stream is whole.
 class TokenReader {
  public:
-  // Returns the tokens' text that `piece` completes. Throws StateError on a gap.
+  // Returns the tokens' text that `piece` completes. Throws StateError on a
+  // gap.
   std::string Feed(const std::string& piece) {
     pending_ += piece;
     std::string text;
@@ -62,14 +64,17 @@
     constexpr size_t kPrefix = 6;  // "data: "
     if (line.size() < kPrefix) return "";
     const json::value event = json::parse(line.substr(kPrefix));
-    if (const json::value* done = event.as_object().if_contains("done"); done != nullptr) {
+    if (const json::value* done = event.as_object().if_contains("done");
+        done != nullptr) {
       done_ = true;
       tokens_ = event.at("tokens").to_number<uint64_t>();
       cached_ = event.at("cached").to_number<uint64_t>();
-      if (tokens_ != next_) throw StateError("The stream ended before its last token.");
+      if (tokens_ != next_)
+        throw StateError("The stream ended before its last token.");
       return "";
     }
-    if (event.at("i").to_number<uint64_t>() != next_) throw StateError("A token is missing.");
+    if (event.at("i").to_number<uint64_t>() != next_)
+      throw StateError("A token is missing.");
     ++next_;
     return event.at("t").as_string().c_str();
   }
@@ -85,21 +90,22 @@
   const auto start = Clock::now();
   TokenReader reader;
   UpstreamAnswer answer;
-  const json::object body = {{"stream", order.program + "/" + std::to_string(order.sequence) + "/" +
-                                            std::to_string(order.attempt)},
-                             {"session", order.program},
-                             {"fence", order.fence},
-                             {"prompt", order.prompt},
-                             {"max_tokens", order.max_tokens},
-                             {"resume", order.resume}};
-  HttpCall call{
-      .address = order.address,
-      .method = "POST",
-      .target = "/v1/generate",
-      .headers = {{"Content-Type", "application/json"}, {"X-Request-Id", order.request_id}},
-      .body = json::serialize(body),
-      .silence_ms = order.silence_ms,
-      .total_ms = order.total_ms};
+  const json::object body = {
+      {"stream", order.program + "/" + std::to_string(order.sequence) + "/" +
+                     std::to_string(order.attempt)},
+      {"session", order.program},
+      {"fence", order.fence},
+      {"prompt", order.prompt},
+      {"max_tokens", order.max_tokens},
+      {"resume", order.resume}};
+  HttpCall call{.address = order.address,
+                .method = "POST",
+                .target = "/v1/generate",
+                .headers = {{"Content-Type", "application/json"},
+                            {"X-Request-Id", order.request_id}},
+                .body = json::serialize(body),
+                .silence_ms = order.silence_ms,
+                .total_ms = order.total_ms};
   std::string raw;
   call.on_piece = [&](const std::string& piece) {
     if (raw.size() < 512) raw += piece;
@@ -165,7 +171,8 @@
   co_return answer;
 }
 
-asio::awaitable<bool> RunRelease(std::string address, std::string program, uint64_t fence) {
+asio::awaitable<bool> RunRelease(std::string address, std::string program,
+                                 uint64_t fence) {
   const json::object body = {{"fence", fence}};
   HttpCall call{.address = address,
                 .method = "POST",
@@ -184,16 +191,21 @@
 }  // namespace
 
 asio::awaitable<UpstreamAnswer> UpstreamClient::Generate(EngineOrder order) {
-  std::function<asio::awaitable<UpstreamAnswer>()> work = [order] { return RunGenerate(order); };
+  std::function<asio::awaitable<UpstreamAnswer>()> work = [order] {
+    return RunGenerate(order);
+  };
   co_return co_await RunOn<UpstreamAnswer>(duty_, std::move(work));
 }
 
 asio::awaitable<UpstreamAnswer> UpstreamClient::Operate(ServiceOrder order) {
-  std::function<asio::awaitable<UpstreamAnswer>()> work = [order] { return RunOperate(order); };
+  std::function<asio::awaitable<UpstreamAnswer>()> work = [order] {
+    return RunOperate(order);
+  };
   co_return co_await RunOn<UpstreamAnswer>(duty_, std::move(work));
 }
 
-asio::awaitable<bool> UpstreamClient::ReleaseSession(std::string address, std::string program,
+asio::awaitable<bool> UpstreamClient::ReleaseSession(std::string address,
+                                                     std::string program,
                                                      uint64_t fence) {
   std::function<asio::awaitable<bool>()> work = [address, program, fence] {
     return RunRelease(address, program, fence);
--- a/src/upstream_client.h
+++ b/src/upstream_client.h
@@ -28,14 +28,16 @@
   bool resume = false;
   int64_t silence_ms = 10'000;
   int64_t total_ms = 60'000;
-  // Called on the dispatch duty with each token's text. Returning false gives up.
+  // Called on the dispatch duty with each token's text. Returning false gives
+  // up.
   std::function<bool(const std::string&)> on_token;
 };
 
 struct ServiceOrder {
   std::string address;
   std::string request_id;
-  // Same for every try of one operation, so that the service can tell them apart.
+  // Same for every try of one operation, so that the service can tell them
+  // apart.
   std::string operation;
   std::string path;
   std::string body;
@@ -66,7 +68,8 @@
   boost::asio::awaitable<UpstreamAnswer> Generate(EngineOrder order);
   boost::asio::awaitable<UpstreamAnswer> Operate(ServiceOrder order);
   // Frees a program's memory on an engine. Returns false unless confirmed.
-  boost::asio::awaitable<bool> ReleaseSession(std::string address, std::string program,
+  boost::asio::awaitable<bool> ReleaseSession(std::string address,
+                                              std::string program,
                                               uint64_t fence);
 
  private:
--- a/src/upstream_gate.cc
+++ b/src/upstream_gate.cc
@@ -26,11 +26,14 @@
 }  // namespace
 
 UpstreamGate::UpstreamGate(GateOptions options, int64_t now_ms)
-    : options_(options), window_(options.window, now_ms), queue_(MakeQueue(options.policy)) {}
+    : options_(options),
+      window_(options.window, now_ms),
+      queue_(MakeQueue(options.policy)) {}
 
 UpstreamGate::Answer UpstreamGate::Ask(WaitingCall call, size_t max_queue) {
   if (leaving_) return Answer::kLeaving;
-  if (queue_->size() >= std::min(max_queue, options_.queue_limit)) return Answer::kQueueFull;
+  if (queue_->size() >= std::min(max_queue, options_.queue_limit))
+    return Answer::kQueueFull;
   queue_->Push(std::move(call));
   return Answer::kQueued;
 }
@@ -48,7 +51,8 @@
 
 void UpstreamGate::Adopt(WaitingCall call, int64_t now_ms) {
   const uint64_t ticket = call.ticket;
-  slots_[ticket] = Slot{.call = std::move(call), .lapses_ms = now_ms + options_.slot_life_ms};
+  slots_[ticket] = Slot{.call = std::move(call),
+                        .lapses_ms = now_ms + options_.slot_life_ms};
 }
 
 void UpstreamGate::Done(const SlotResult& result, int64_t now_ms) {
@@ -67,7 +71,8 @@
   return !slots_.contains(ticket);
 }
 
-void UpstreamGate::DropHost(const std::string& host, uint64_t boot, int64_t now_ms) {
+void UpstreamGate::DropHost(const std::string& host, uint64_t boot,
+                            int64_t now_ms) {
   const HostRun run{.host = &host, .boot = boot};
   queue_->Remove(BelongsTo, &run);
   const bool cold = window_.Cold(now_ms);
@@ -79,9 +84,12 @@
 }
 
 std::vector<WaitingCall> UpstreamGate::Expire(int64_t now_ms) {
-  std::erase_if(slots_, [&](const auto& entry) { return entry.second.lapses_ms <= now_ms; });
+  std::erase_if(slots_, [&](const auto& entry) {
+    return entry.second.lapses_ms <= now_ms;
+  });
   if (!window_.Cold(now_ms)) {
-    std::erase_if(slots_, [](const auto& entry) { return entry.second.orphan; });
+    std::erase_if(slots_,
+                  [](const auto& entry) { return entry.second.orphan; });
   }
   return queue_->Remove(GaveUp, &now_ms);
 }
--- a/src/upstream_gate.h
+++ b/src/upstream_gate.h
@@ -55,9 +55,11 @@
   void Done(const SlotResult& result, int64_t now_ms);
   // Counts a call that a former owner admitted and that still runs.
   void Adopt(WaitingCall call, int64_t now_ms);
-  // Drops a call that nobody waits for any more. Returns false if it holds a slot.
+  // Drops a call that nobody waits for any more. Returns false if it holds a
+  // slot.
   bool Abandon(uint64_t ticket);
-  // Frees what belongs to a host that died or restarted. Returns calls that waited.
+  // Frees what belongs to a host that died or restarted. Returns calls that
+  // waited.
   void DropHost(const std::string& host, uint64_t boot, int64_t now_ms);
   // Removes waiting calls past their time, and slots past their life.
   std::vector<WaitingCall> Expire(int64_t now_ms);
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -1,6 +1,6 @@
 // Stand-in for a model engine: continuous batching, a prompt prefix cache in
-// limited memory, streams that can be resumed and cancelled, session memory that
-// stays until released, and a cold start that collapses under full load.
+// limited memory, streams that can be resumed and cancelled, session memory
+// that stays until released, and a cold start that collapses under full load.
 //
 // The text of an answer is a function of the session and the prompt, so that a
 // caller can tell a whole answer from a broken or crossed one.
@@ -8,8 +8,8 @@
 // Switches: token_ms, batch_slowdown_pct (for each stream beyond the first),
 // prefill_tokens_per_ms, cache_tokens, cold (starts a cold start now), cold_ms,
 // cold_bears (streams borne while cold), silent (count of streams that say
-// nothing), break_streams (count of streams cut in the middle), crossed (count of
-// answers with another request's id), fencing (honours fencing numbers),
+// nothing), break_streams (count of streams cut in the middle), crossed (count
+// of answers with another request's id), fencing (honours fencing numbers),
 // resume_ms (how long a stream outlives its connection).
 #include <algorithm>
 #include <list>
@@ -43,12 +43,14 @@
   int64_t used_ms = 0;
 };
 
-std::vector<std::string> MakeTokens(const std::string& session, const std::string& prompt,
-                                    int64_t count) {
+std::vector<std::string> MakeTokens(const std::string& session,
+                                    const std::string& prompt, int64_t count) {
   const size_t seed = std::hash<std::string>{}(session + "\n" + prompt);
   std::vector<std::string> tokens;
   for (int64_t i = 0; i < count; ++i) {
-    tokens.push_back("w" + std::to_string((seed + static_cast<size_t>(i) * 7919) % 1000) + " ");
+    tokens.push_back(
+        "w" + std::to_string((seed + static_cast<size_t>(i) * 7919) % 1000) +
+        " ");
   }
   return tokens;
 }
@@ -56,9 +58,12 @@
 class Engine {
  public:
   Engine(standin::Switches& switches, asio::io_context& io)
-      : switches_(switches), io_(io), cold_until_ms_(NowMs() + switches.Number("cold_ms")) {}
+      : switches_(switches),
+        io_(io),
+        cold_until_ms_(NowMs() + switches.Number("cold_ms")) {}
 
-  asio::awaitable<void> Handle(const HttpRequest& request, HttpResponder& responder) {
+  asio::awaitable<void> Handle(const HttpRequest& request,
+                               HttpResponder& responder) {
     if (request.path == "/v1/generate") {
       co_await Generate(request, responder);
       co_return;
@@ -97,7 +102,8 @@
   }
 
   HttpAnswer Release(const HttpRequest& request) {
-    const std::string rest = request.path.substr(std::string("/v1/sessions/").size());
+    const std::string rest =
+        request.path.substr(std::string("/v1/sessions/").size());
     const std::string id = rest.substr(0, rest.find('/'));
     const json::value order = json::parse(request.body);
     const auto it = sessions_.find(id);
@@ -114,7 +120,8 @@
   }
 
   HttpAnswer Cancel(const HttpRequest& request) {
-    const std::string rest = request.path.substr(std::string("/v1/streams/").size());
+    const std::string rest =
+        request.path.substr(std::string("/v1/streams/").size());
     const auto it = streams_.find(rest.substr(0, rest.rfind('/')));
     if (it != streams_.end()) it->second->cancelled = true;
     return {.body = "{}"};
@@ -123,25 +130,30 @@
   size_t Running() const {
     return static_cast<size_t>(
         std::count_if(streams_.begin(), streams_.end(), [](const auto& entry) {
-          return !entry.second->cancelled && entry.second->made < entry.second->tokens.size();
+          return !entry.second->cancelled &&
+                 entry.second->made < entry.second->tokens.size();
         }));
   }
 
-  asio::awaitable<void> Generate(const HttpRequest& request, HttpResponder& responder) {
+  asio::awaitable<void> Generate(const HttpRequest& request,
+                                 HttpResponder& responder) {
     const json::value order = json::parse(request.body);
     const std::string stream_id = order.at("stream").as_string().c_str();
     const std::string session_id = order.at("session").as_string().c_str();
     const auto fence = order.at("fence").to_number<uint64_t>();
     const bool resume = order.at("resume").as_bool();
-    const bool known = streams_.contains(stream_id) && !streams_[stream_id]->cancelled;
+    const bool known =
+        streams_.contains(stream_id) && !streams_[stream_id]->cancelled;
     if (resume && !known) {
       HttpAnswer answer{.status = 404, .body = R"({"error":"no such stream"})"};
       co_await responder.Send(std::move(answer));
       co_return;
     }
     const bool cold = Cold();
-    // A collapse: more than it bears while cold, and the cold start begins anew.
-    if (cold && !resume && Running() >= static_cast<size_t>(switches_.Number("cold_bears"))) {
+    // A collapse: more than it bears while cold, and the cold start begins
+    // anew.
+    if (cold && !resume &&
+        Running() >= static_cast<size_t>(switches_.Number("cold_bears"))) {
       ++collapses_;
       Chill();
       HttpAnswer answer{.status = 503, .body = R"({"error":"collapsed"})"};
@@ -150,14 +162,17 @@
     }
     Session& session = sessions_[session_id];
     if (Fenced(session, fence)) {
-      HttpAnswer answer{.status = 409, .body = R"({"error":"old fencing number"})"};
+      HttpAnswer answer{.status = 409,
+                        .body = R"({"error":"old fencing number"})"};
       co_await responder.Send(std::move(answer));
       co_return;
     }
     session.released = false;
     session.used_ms = NowMs();
-    const std::shared_ptr<Stream> stream = Open(stream_id, session_id, order, resume);
-    most_running_ = std::max<int64_t>(most_running_, static_cast<int64_t>(Running()));
+    const std::shared_ptr<Stream> stream =
+        Open(stream_id, session_id, order, resume);
+    most_running_ =
+        std::max<int64_t>(most_running_, static_cast<int64_t>(Running()));
     if (switches_.Take("silent")) {
       co_await Sleep(120'000);
       co_return;
@@ -165,7 +180,8 @@
     co_await Send(request, responder, stream);
   }
 
-  std::shared_ptr<Stream> Open(const std::string& stream_id, const std::string& session_id,
+  std::shared_ptr<Stream> Open(const std::string& stream_id,
+                               const std::string& session_id,
                                const json::value& order, bool resume) {
     if (resume) {
       const std::shared_ptr<Stream>& stream = streams_.at(stream_id);
@@ -176,26 +192,32 @@
     const std::string prompt = order.at("prompt").as_string().c_str();
     auto stream = std::make_shared<Stream>();
     stream->session = session_id;
-    stream->tokens = MakeTokens(session_id, prompt, order.at("max_tokens").to_number<int64_t>());
+    stream->tokens = MakeTokens(session_id, prompt,
+                                order.at("max_tokens").to_number<int64_t>());
     stream->cached_tokens = TakeCached(session_id, prompt);
     streams_[stream_id] = stream;
-    const auto fresh = static_cast<int64_t>(prompt.size() / kBytesPerToken) - stream->cached_tokens;
+    const auto fresh = static_cast<int64_t>(prompt.size() / kBytesPerToken) -
+                       stream->cached_tokens;
     prefilled_ += fresh;
     cached_ += stream->cached_tokens;
-    asio::co_spawn(io_, Produce(stream_id, stream, fresh, prompt), asio::detached);
+    asio::co_spawn(io_, Produce(stream_id, stream, fresh, prompt),
+                   asio::detached);
     return stream;
   }
 
   // Makes tokens at the batch's pace, whether or not somebody reads them.
-  asio::awaitable<void> Produce(std::string stream_id, std::shared_ptr<Stream> stream,
+  asio::awaitable<void> Produce(std::string stream_id,
+                                std::shared_ptr<Stream> stream,
                                 int64_t fresh_tokens, std::string prompt) {
     const int64_t slow = NowMs() < cold_until_ms_ ? 4 : 1;
-    co_await Sleep(slow * fresh_tokens /
-                   std::max<int64_t>(1, switches_.Number("prefill_tokens_per_ms")));
+    co_await Sleep(
+        slow * fresh_tokens /
+        std::max<int64_t>(1, switches_.Number("prefill_tokens_per_ms")));
     while (stream->made < stream->tokens.size() && !stream->cancelled) {
       const auto others = static_cast<int64_t>(Running()) - 1;
       const int64_t pct = 100 + others * switches_.Number("batch_slowdown_pct");
-      co_await Sleep(slow * std::max<int64_t>(1, switches_.Number("token_ms") * pct / 100));
+      co_await Sleep(slow * std::max<int64_t>(
+                                1, switches_.Number("token_ms") * pct / 100));
       ++stream->made;
       const bool left = stream->left_ms != 0;
       if (left && NowMs() - stream->left_ms > switches_.Number("resume_ms")) {
@@ -216,8 +238,10 @@
 
   int64_t TakeCached(const std::string& session_id, const std::string& prompt) {
     const Session& session = sessions_[session_id];
-    const bool hit = !session.prefix.empty() && prompt.starts_with(session.prefix);
-    return hit ? static_cast<int64_t>(session.prefix.size() / kBytesPerToken) : 0;
+    const bool hit =
+        !session.prefix.empty() && prompt.starts_with(session.prefix);
+    return hit ? static_cast<int64_t>(session.prefix.size() / kBytesPerToken)
+               : 0;
   }
 
   // Keeps a prefix, and drops the least recently used ones over the limit.
@@ -231,20 +255,24 @@
       for (auto& [id, other] : sessions_) {
         total += other.prefix.size() / kBytesPerToken;
         const bool candidate = !other.prefix.empty() && id != session_id;
-        if (candidate && (oldest == nullptr || other.used_ms < oldest->used_ms)) oldest = &other;
+        if (candidate && (oldest == nullptr || other.used_ms < oldest->used_ms))
+          oldest = &other;
       }
-      if (total <= static_cast<size_t>(switches_.Number("cache_tokens"))) return;
+      if (total <= static_cast<size_t>(switches_.Number("cache_tokens")))
+        return;
       if (oldest == nullptr) return;
       oldest->prefix.clear();
     }
   }
 
-  asio::awaitable<void> Send(const HttpRequest& request, HttpResponder& responder,
+  asio::awaitable<void> Send(const HttpRequest& request,
+                             HttpResponder& responder,
                              std::shared_ptr<Stream> kept) {
     Stream& stream = *kept;
     std::string request_id = request.Header("x-request-id");
     if (switches_.Take("crossed")) request_id = "another-request";
-    HttpAnswer head{.content_type = "text/event-stream", .headers = {{"X-Request-Id", request_id}}};
+    HttpAnswer head{.content_type = "text/event-stream",
+                    .headers = {{"X-Request-Id", request_id}}};
     const bool breaks = switches_.Take("break_streams");
     size_t sent = 0;
     try {
@@ -267,8 +295,9 @@
         responder.Abort();
         co_return;
       }
-      const json::object done = {
-          {"done", true}, {"tokens", stream.tokens.size()}, {"cached", stream.cached_tokens}};
+      const json::object done = {{"done", true},
+                                 {"tokens", stream.tokens.size()},
+                                 {"cached", stream.cached_tokens}};
       co_await responder.Write("data: " + json::serialize(done) + "\n\n");
       co_await responder.End();
     } catch (const std::exception&) {
@@ -278,11 +307,13 @@
 
   std::string Load() {
     int64_t held = 0;
-    for (const auto& [id, session] : sessions_) held += session.released ? 0 : 1;
-    const json::object load = {{"running", Running()},    {"sessions", held},
-                               {"collapses", collapses_}, {"most_running", most_running_},
-                               {"prefilled", prefilled_}, {"cached", cached_},
-                               {"resumed", resumed_},     {"cold", Cold()}};
+    for (const auto& [id, session] : sessions_)
+      held += session.released ? 0 : 1;
+    const json::object load = {
+        {"running", Running()},    {"sessions", held},
+        {"collapses", collapses_}, {"most_running", most_running_},
+        {"prefilled", prefilled_}, {"cached", cached_},
+        {"resumed", resumed_},     {"cold", Cold()}};
     return json::serialize(load);
   }
 
@@ -314,12 +345,13 @@
                                        {"fencing", true},
                                        {"resume_ms", 5000}});
   std::unique_ptr<Engine> engine;
-  return pimento::standin::Main(argc, argv, "standin-engine", switches,
-                                [&](boost::asio::io_context& io) -> pimento::HttpHandler {
-                                  engine = std::make_unique<Engine>(switches, io);
-                                  return [&engine](const pimento::HttpRequest& request,
-                                                   pimento::HttpResponder& responder) {
-                                    return engine->Handle(request, responder);
-                                  };
-                                });
+  return pimento::standin::Main(
+      argc, argv, "standin-engine", switches,
+      [&](boost::asio::io_context& io) -> pimento::HttpHandler {
+        engine = std::make_unique<Engine>(switches, io);
+        return [&engine](const pimento::HttpRequest& request,
+                         pimento::HttpResponder& responder) {
+          return engine->Handle(request, responder);
+        };
+      });
 }
--- a/standins/platform.cc
+++ b/standins/platform.cc
@@ -49,9 +49,11 @@
  public:
   explicit Platform(standin::Switches& switches) : switches_(switches) {}
 
-  asio::awaitable<void> Handle(const HttpRequest& request, HttpResponder& responder) {
+  asio::awaitable<void> Handle(const HttpRequest& request,
+                               HttpResponder& responder) {
     if (request.path == "/calls") {
-      const json::object calls = {{"reads", reads_}, {"writes", writes_}, {"refused", refused_}};
+      const json::object calls = {
+          {"reads", reads_}, {"writes", writes_}, {"refused", refused_}};
       HttpAnswer answer{.body = json::serialize(calls)};
       co_await responder.Send(answer);
       co_return;
@@ -60,7 +62,8 @@
       responder.Abort();
       co_return;
     }
-    if (switches_.Number("slow_ms") > 0) co_await Sleep(switches_.Number("slow_ms"));
+    if (switches_.Number("slow_ms") > 0)
+      co_await Sleep(switches_.Number("slow_ms"));
     if (!Admit(request.method == "PUT" || request.method == "DELETE")) {
       HttpAnswer answer{.status = 429, .body = "{}"};
       co_await responder.Send(answer);
@@ -71,7 +74,8 @@
       co_return;
     }
     HttpAnswer answer = Answer(request);
-    const bool write = request.method == "PUT" && request.path.starts_with("/objects/");
+    const bool write =
+        request.method == "PUT" && request.path.starts_with("/objects/");
     if (write && answer.status == 200 && switches_.Take("lose_answers")) {
       responder.Abort();
       co_return;
@@ -83,7 +87,8 @@
   bool Admit(bool write) {
     ++(write ? writes_ : reads_);
     SecondMeter& meter = write ? write_meter_ : read_meter_;
-    const bool allowed = meter.Allow(switches_.Number(write ? "writes_per_s" : "reads_per_s"));
+    const bool allowed =
+        meter.Allow(switches_.Number(write ? "writes_per_s" : "reads_per_s"));
     if (!allowed) ++refused_;
     return allowed;
   }
@@ -92,10 +97,13 @@
     if (request.path == "/hosts") return Hosts();
     if (request.path.starts_with("/hosts/")) return Register(request);
     if (request.path == "/list") return List(request.Query("prefix"));
-    if (!request.path.starts_with("/objects/")) return {.status = 404, .body = "{}"};
-    const std::string name = request.path.substr(std::string("/objects/").size());
+    if (!request.path.starts_with("/objects/"))
+      return {.status = 404, .body = "{}"};
+    const std::string name =
+        request.path.substr(std::string("/objects/").size());
     if (request.method == "PUT") return Put(name, request);
-    if (request.method == "DELETE") return {.status = objects_.erase(name) > 0 ? 200 : 404};
+    if (request.method == "DELETE")
+      return {.status = objects_.erase(name) > 0 ? 200 : 404};
     return Get(name);
   }
 
@@ -113,10 +121,13 @@
     const uint64_t present = it == objects_.end() ? 0 : it->second.version;
     const std::string match = request.Header("if-match");
     if (match != std::to_string(present)) {
-      return {.status = 409, .body = "{}", .headers = {{"X-Version", std::to_string(present)}}};
+      return {.status = 409,
+              .body = "{}",
+              .headers = {{"X-Version", std::to_string(present)}}};
     }
     objects_[name] = {.version = ++revision_, .body = request.body};
-    return {.body = "{}", .headers = {{"X-Version", std::to_string(revision_)}}};
+    return {.body = "{}",
+            .headers = {{"X-Version", std::to_string(revision_)}}};
   }
 
   HttpAnswer List(const std::string& prefix) const {
@@ -135,8 +146,9 @@
     for (const auto& [name, host] : hosts_) {
       const bool gone = shown_ms - host.seen_ms > kHostLifeMs;
       if (gone || first_seen_[name] > shown_ms) continue;
-      shown.push_back(
-          {{"host", name}, {"rpc_address", host.rpc_address}, {"leaving", host.leaving}});
+      shown.push_back({{"host", name},
+                       {"rpc_address", host.rpc_address},
+                       {"leaving", host.leaving}});
     }
     return {.body = json::serialize(shown)};
   }
@@ -151,10 +163,12 @@
     return {.body = "{}"};
   }
 
-  asio::awaitable<void> Watch(const HttpRequest& request, HttpResponder& responder) {
+  asio::awaitable<void> Watch(const HttpRequest& request,
+                              HttpResponder& responder) {
     const std::string name = request.path.substr(std::string("/watch/").size());
     const uint64_t after = std::stoull(request.Query("after", "0"));
-    const int64_t until_ms = NowMs() + std::stoll(request.Query("wait_ms", "0"));
+    const int64_t until_ms =
+        NowMs() + std::stoll(request.Query("wait_ms", "0"));
     for (;;) {
       const bool silent = switches_.On("watch_silent");
       const auto it = objects_.find(name);
@@ -194,11 +208,12 @@
                                        {"writes_per_s", 400},
                                        {"reads_per_s", 2000}});
   Platform platform(switches);
-  return pimento::standin::Main(argc, argv, "standin-platform", switches,
-                                [&platform](boost::asio::io_context&) -> pimento::HttpHandler {
-                                  return [&platform](const pimento::HttpRequest& request,
-                                                     pimento::HttpResponder& responder) {
-                                    return platform.Handle(request, responder);
-                                  };
-                                });
+  return pimento::standin::Main(
+      argc, argv, "standin-platform", switches,
+      [&platform](boost::asio::io_context&) -> pimento::HttpHandler {
+        return [&platform](const pimento::HttpRequest& request,
+                           pimento::HttpResponder& responder) {
+          return platform.Handle(request, responder);
+        };
+      });
 }
--- a/standins/service.cc
+++ b/standins/service.cc
@@ -1,8 +1,8 @@
 // Stand-in for a plain service (a till, a booking desk): it runs operations and
 // counts how often each one ran.
 //
-// Switches: delay_ms, refuse (answers 503 without running), hang (runs, then says
-// nothing), drop_after (count of calls that run and lose their answer),
+// Switches: delay_ms, refuse (answers 503 without running), hang (runs, then
+// says nothing), drop_after (count of calls that run and lose their answer),
 // drop_before (count of connections closed without running), truncate (count of
 // answers cut short), crossed (count of answers that belong to another call).
 #include <map>
@@ -20,7 +20,8 @@
  public:
   explicit Service(standin::Switches& switches) : switches_(switches) {}
 
-  asio::awaitable<void> Handle(const HttpRequest& request, HttpResponder& responder) {
+  asio::awaitable<void> Handle(const HttpRequest& request,
+                               HttpResponder& responder) {
     if (request.path == "/executions") {
       HttpAnswer answer{.body = Executions()};
       co_await responder.Send(std::move(answer));
@@ -37,7 +38,8 @@
     }
     NoteSecrets(request);
     const std::string operation = request.Header("x-operation-id");
-    const int64_t run = ++executions_[operation.empty() ? request.path : operation];
+    const int64_t run =
+        ++executions_[operation.empty() ? request.path : operation];
     ++in_flight_;
     most_in_flight_ = std::max(most_in_flight_, in_flight_);
     co_await Sleep(switches_.Number("delay_ms"));
@@ -51,14 +53,17 @@
   }
 
  private:
-  asio::awaitable<void> Reply(const HttpRequest& request, HttpResponder& responder, int64_t run) {
-    json::object done = {{"path", request.path}, {"run", run}, {"echo", request.body}};
+  asio::awaitable<void> Reply(const HttpRequest& request,
+                              HttpResponder& responder, int64_t run) {
+    json::object done = {
+        {"path", request.path}, {"run", run}, {"echo", request.body}};
     std::string request_id = request.Header("x-request-id");
     if (switches_.Take("crossed")) {
       request_id = "another-request";
       done["echo"] = "another caller's answer";
     }
-    HttpAnswer answer{.body = json::serialize(done), .headers = {{"X-Request-Id", request_id}}};
+    HttpAnswer answer{.body = json::serialize(done),
+                      .headers = {{"X-Request-Id", request_id}}};
     if (!switches_.Take("truncate")) {
       co_await responder.Send(std::move(answer));
       co_return;
@@ -71,7 +76,8 @@
 
   void NoteSecrets(const HttpRequest& request) {
     std::string all = request.path + "\n" + request.body;
-    for (const auto& [name, value] : request.headers) all += "\n" + name + ": " + value;
+    for (const auto& [name, value] : request.headers)
+      all += "\n" + name + ": " + value;
     if (all.find("key-") != std::string::npos) ++keys_seen_;
   }
 
@@ -89,7 +95,8 @@
   std::map<std::string, int64_t> executions_;
   int64_t in_flight_ = 0;
   int64_t most_in_flight_ = 0;
-  // Requests in which a caller's key was found. Callers' keys start with "key-".
+  // Requests in which a caller's key was found. Callers' keys start with
+  // "key-".
   int64_t keys_seen_ = 0;
 };
 
@@ -104,11 +111,12 @@
                                        {"truncate", 0},
                                        {"crossed", 0}});
   Service service(switches);
-  return pimento::standin::Main(argc, argv, "standin-service", switches,
-                                [&service](boost::asio::io_context&) -> pimento::HttpHandler {
-                                  return [&service](const pimento::HttpRequest& request,
-                                                    pimento::HttpResponder& responder) {
-                                    return service.Handle(request, responder);
-                                  };
-                                });
+  return pimento::standin::Main(
+      argc, argv, "standin-service", switches,
+      [&service](boost::asio::io_context&) -> pimento::HttpHandler {
+        return [&service](const pimento::HttpRequest& request,
+                          pimento::HttpResponder& responder) {
+          return service.Handle(request, responder);
+        };
+      });
 }
--- a/standins/standin_main.h
+++ b/standins/standin_main.h
@@ -21,7 +21,8 @@
 // Switches by name; numbers only, false is 0.
 class Switches {
  public:
-  explicit Switches(boost::json::object initial) : values_(std::move(initial)) {}
+  explicit Switches(boost::json::object initial)
+      : values_(std::move(initial)) {}
 
   int64_t Number(const char* name) const {
     const boost::json::value* value = values_.if_contains(name);
@@ -48,12 +49,15 @@
 
 // Serves `handler` on --listen until SIGTERM. "/faults" and "/healthz" are
 // answered here.
-inline int Main(int argc, char** argv, const std::string& name, Switches& switches,
-                const std::function<HttpHandler(boost::asio::io_context&)>& make_handler) {
+inline int Main(
+    int argc, char** argv, const std::string& name, Switches& switches,
+    const std::function<HttpHandler(boost::asio::io_context&)>& make_handler) {
   cxxopts::Options options(name, "A stand-in for tests: " + name);
-  options.add_options()("listen", "address to listen on", cxxopts::value<std::string>())(
-      "faults", "initial switches, JSON", cxxopts::value<std::string>()->default_value("{}"))(
-      "help", "show this text");
+  options.add_options()("listen", "address to listen on",
+                        cxxopts::value<std::string>())(
+      "faults", "initial switches, JSON",
+      cxxopts::value<std::string>()->default_value("{}"))("help",
+                                                          "show this text");
   try {
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") != 0) {
@@ -66,7 +70,8 @@
     const HttpHandler handler = make_handler(io);
     HttpServer server(
         io, {.body_bytes = 8 * 1024 * 1024},
-        [&](const HttpRequest& request, HttpResponder& responder) -> boost::asio::awaitable<void> {
+        [&](const HttpRequest& request,
+            HttpResponder& responder) -> boost::asio::awaitable<void> {
           if (request.path == "/faults") {
             if (request.method == "POST") switches.Set(request.body);
             HttpAnswer answer{.body = switches.Text()};
