--- a/src/document.h
+++ b/src/document.h
@@ -44,11 +44,11 @@
 };
 
 struct Upstream {
-  std::string name;
-  std::string service;
-  std::string address;
-  std::string zone;
-  WindowOptions window;
+  std::string name = {};
+  std::string service = {};
+  std::string address = {};
+  std::string zone = {};
+  WindowOptions window = {};
   // True when operators take it out: no new work.
   bool leaving = false;
 };
--- /dev/null
+++ b/test/correctness/policy_test.cc
@@ -0,0 +1,243 @@
+// Policies: rate, window, queue, gate, choice and budget.
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "src/admission_window.h"
+#include "src/fair_queue.h"
+#include "src/rate_bucket.h"
+#include "src/upstream_choice.h"
+#include "src/upstream_gate.h"
+
+namespace pimento {
+namespace {
+
+constexpr int64_t kSecondUs = 1'000'000;
+
+// Takes grants as an owner does: records the mark whenever one is missing.
+uint32_t TakeRecorded(RateBucket& bucket, int64_t now_us, uint32_t wanted) {
+  RateBucket::Outcome outcome = bucket.Take(now_us, wanted);
+  if (outcome.unrecorded == 0) return outcome.granted;
+  bucket.Recorded(bucket.MarkFor(now_us, outcome.unrecorded));
+  return outcome.granted + bucket.Take(now_us, outcome.unrecorded).granted;
+}
+
+WaitingCall Waiting(uint64_t ticket, const std::string& team, double cost = 10,
+                    double attained = 0) {
+  return {.ticket = ticket,
+          .host = "h1",
+          .boot = 1,
+          .team = team,
+          .program = team + "/p",
+          .weight = 1,
+          .cost = cost,
+          .attained = attained,
+          .arrived_ms = 0,
+          .give_up_ms = 100'000};
+}
+
+GateOptions SmallGate() {
+  GateOptions options;
+  options.window = {.cold_window = 2, .full_window = 6, .cold_start_ms = 1'000};
+  return options;
+}
+
+}  // namespace
+
+TEST_CASE("a bucket never grants more than rate times time plus burst") {
+  std::mt19937_64 random(7);
+  RateBucket bucket({.per_second = 20, .burst = 10}, 0);
+  std::vector<int64_t> grants;
+  int64_t now_us = 100 * kSecondUs;
+  for (int i = 0; i < 4'000; ++i) {
+    now_us += static_cast<int64_t>(random() % 12'000);
+    const uint32_t granted = TakeRecorded(bucket, now_us, random() % 4);
+    grants.insert(grants.end(), granted, now_us);
+  }
+  REQUIRE(grants.size() > 200);
+  for (size_t i = 0; i < grants.size(); ++i) {
+    for (size_t j = i; j < grants.size(); j += 7) {
+      const double seconds = static_cast<double>(grants[j] - grants[i]) / 1e6;
+      REQUIRE(static_cast<double>(j - i + 1) <= 20 * seconds + 10 + 0.01);
+    }
+  }
+}
+
+TEST_CASE("a bucket grants the whole burst and then the whole rate") {
+  RateBucket bucket({.per_second = 10, .burst = 5}, 0);
+  CHECK(TakeRecorded(bucket, kSecondUs, 100) == 5);
+  uint32_t granted = 0;
+  for (int i = 1; i <= 100; ++i) {
+    granted += TakeRecorded(bucket, kSecondUs + i * kSecondUs / 10, 100);
+  }
+  CHECK(granted == 100);
+}
+
+TEST_CASE("a new owner of a bucket grants nothing twice") {
+  RateBucket old_owner({.per_second = 10, .burst = 10}, 0);
+  const int64_t now_us = 50 * kSecondUs;
+  const uint32_t before = TakeRecorded(old_owner, now_us, 10);
+  RateBucket new_owner({.per_second = 10, .burst = 10}, old_owner.mark_us());
+  const uint32_t after = TakeRecorded(new_owner, now_us, 10);
+  CHECK(before == 10);
+  CHECK(before + after <= 10);
+}
+
+TEST_CASE("no grant goes out before a witness holds its mark") {
+  RateBucket bucket({.per_second = 10, .burst = 10}, 0);
+  CHECK(bucket.Take(kSecondUs, 3).granted == 0);
+  CHECK(bucket.Take(kSecondUs, 3).unrecorded == 3);
+}
+
+TEST_CASE("a bucket tells the exact time of the next grant") {
+  RateBucket bucket({.per_second = 10, .burst = 1}, 0);
+  REQUIRE(TakeRecorded(bucket, kSecondUs, 1) == 1);
+  const int64_t next_us = bucket.Take(kSecondUs, 1).next_us;
+  CHECK(TakeRecorded(bucket, next_us - 2'000, 1) == 0);
+  CHECK(TakeRecorded(bucket, next_us, 1) == 1);
+}
+
+TEST_CASE("a window stays small through the cold start and grows with answers") {
+  AdmissionWindow window(
+      {.cold_window = 2, .full_window = 4, .cold_start_ms = 1'000}, 0);
+  window.Succeeded(500, 10);
+  CHECK(window.Limit(900) == 2);
+  window.Succeeded(1'100, 10);
+  CHECK(window.Limit(1'100) == 3);
+  for (int i = 0; i < 10; ++i) window.Succeeded(1'200 + i, 10);
+  CHECK(window.Limit(1'300) == 4);
+}
+
+TEST_CASE("a window shrinks at once on a failure, a slow answer and silence") {
+  AdmissionWindow window({.cold_window = 1,
+                          .full_window = 8,
+                          .cold_start_ms = 1'000,
+                          .idle_ms = 5'000},
+                         0);
+  const auto warm = [&window](int64_t from_ms) {
+    for (int i = 0; i < 20; ++i) window.Succeeded(from_ms + i, 10);
+  };
+  warm(2'000);
+  REQUIRE(window.Limit(2'100) == 8);
+  window.Failed(2'100);
+  CHECK(window.Limit(2'100) == 1);
+  warm(4'000);
+  REQUIRE(window.Limit(4'100) == 8);
+  window.Succeeded(4'100, 100);
+  CHECK(window.Limit(4'100) == 1);
+  warm(6'000);
+  REQUIRE(window.Limit(6'100) == 8);
+  CHECK(window.Limit(12'000) == 1);
+}
+
+TEST_CASE("a fair queue shares tokens among teams by weight") {
+  const auto queue = MakeQueue(QueuePolicy::kFair);
+  uint64_t ticket = 0;
+  for (int i = 0; i < 300; ++i) {
+    WaitingCall large = Waiting(++ticket, "large");
+    large.weight = 2;
+    queue->Push(large);
+    queue->Push(Waiting(++ticket, "small"));
+  }
+  std::map<std::string, int> served;
+  for (int i = 0; i < 150; ++i) ++served[queue->Pop(0)->team];
+  CHECK(served["large"] == 100);
+  CHECK(served["small"] == 50);
+}
+
+TEST_CASE("a team that was away gets no more than its share when it returns") {
+  const auto queue = MakeQueue(QueuePolicy::kFair);
+  uint64_t ticket = 0;
+  for (int i = 0; i < 100; ++i) queue->Push(Waiting(++ticket, "steady"));
+  for (int i = 0; i < 50; ++i) queue->Pop(0);
+  for (int i = 0; i < 100; ++i) queue->Push(Waiting(++ticket, "newcomer"));
+  std::map<std::string, int> served;
+  for (int i = 0; i < 40; ++i) ++served[queue->Pop(0)->team];
+  CHECK(served["newcomer"] >= 19);
+  CHECK(served["newcomer"] <= 21);
+}
+
+TEST_CASE("within a team short programs go first and long ones are not starved") {
+  const auto queue = MakeQueue(QueuePolicy::kFair);
+  queue->Push(Waiting(1, "t", 10, 5'000));
+  WaitingCall fresh = Waiting(2, "t", 10, 0);
+  queue->Push(fresh);
+  CHECK(queue->Pop(0)->ticket == 2);
+  // After 20 s of waiting the long program outranks a newcomer.
+  fresh.ticket = 3;
+  fresh.arrived_ms = 20'000;
+  queue->Push(fresh);
+  CHECK(queue->Pop(20'000)->ticket == 1);
+}
+
+TEST_CASE("a gate never has more in flight than its window") {
+  UpstreamGate gate(SmallGate(), 0);
+  uint64_t ticket = 0;
+  for (int i = 0; i < 20; ++i) gate.Ask(Waiting(++ticket, "t"), 256);
+  std::vector<WaitingCall> granted = gate.Release(0);
+  CHECK(granted.size() == 2);
+  CHECK(gate.Release(500).empty());
+  // Two answers after the cold start: the window grows by two.
+  for (const WaitingCall& call : granted) {
+    gate.Done({.ticket = call.ticket, .succeeded = true, .pace_ms = 5}, 1'500);
+  }
+  CHECK(gate.Release(1'500).size() == 4);
+}
+
+TEST_CASE("a gate admits nothing new while the upstream leaves") {
+  UpstreamGate gate(SmallGate(), 0);
+  gate.Ask(Waiting(1, "t"), 256);
+  gate.set_leaving(true);
+  CHECK(gate.Release(0).empty());
+  CHECK(gate.Ask(Waiting(2, "t"), 256) == UpstreamGate::Answer::kLeaving);
+  gate.set_leaving(false);
+  CHECK(gate.Release(0).size() == 1);
+}
+
+TEST_CASE("slots of a dead host count while the upstream is cold") {
+  UpstreamGate gate(SmallGate(), 0);
+  gate.Ask(Waiting(1, "t"), 256);
+  gate.Ask(Waiting(2, "t"), 256);
+  gate.Ask(Waiting(3, "t"), 256);
+  REQUIRE(gate.Release(0).size() == 2);
+  gate.DropHost("h1", 1, 100);
+  WaitingCall other = Waiting(4, "t");
+  other.host = "h2";
+  gate.Ask(other, 256);
+  CHECK(gate.Release(200).empty());
+  gate.Expire(1'100);
+  CHECK(gate.Release(1'100).size() == 1);
+}
+
+TEST_CASE("calls that a former owner admitted count against the window") {
+  UpstreamGate gate(SmallGate(), 0);
+  gate.Adopt(Waiting(91, "t"), 0);
+  gate.Adopt(Waiting(92, "t"), 0);
+  gate.Ask(Waiting(1, "t"), 256);
+  CHECK(gate.Release(0).empty());
+}
+
+TEST_CASE("a program stays with its engine until the queue there is long") {
+  Document document;
+  for (const char* name : {"e1", "e2", "e3"}) {
+    document.upstreams[name] = {.name = name, .service = "chat", .zone = "z"};
+  }
+  std::map<std::string, GateLoad> loads = {
+      {"e1", {.in_flight = 1, .limit = 4, .queued = 0}},
+      {"e2", {.in_flight = 4, .limit = 4, .queued = 9}},
+      {"e3", {.in_flight = 3, .limit = 4, .queued = 0}}};
+  ChoiceInput input{.document = &document,
+                    .service = "chat",
+                    .last = "e3",
+                    .failed = {},
+                    .load = [&](const std::string& name) { return loads[name]; }};
+  const auto choice = MakeChoice(ChoicePolicy::kAffinity, 1);
+  CHECK(choice->Choose(input) == "e3");
+  input.last = "e2";
+  CHECK(choice->Choose(input) == "e1");
+  document.upstreams["e1"].leaving = true;
+  input.last = "e1";
+  CHECK(choice->Choose(input) == "e3");
+}
+
+}  // namespace pimento
