--- a/bench/lib/agent_caller.cc
+++ b/bench/lib/agent_caller.cc
@@ -54,6 +54,7 @@
     outcome.reason.clear();
     if (answer.status == 0) {
       ++connection_failures_;
+      if (answer.cut) ++cut_;
       ++present_;
       std::this_thread::sleep_for(std::chrono::milliseconds(kConnectCostMs));
     } else if (answer.status >= 400) {
--- a/bench/lib/agent_caller.h
+++ b/bench/lib/agent_caller.h
@@ -51,6 +51,8 @@
   // Refusals that claimed "not run".
   int not_run() const { return not_run_; }
   int connection_failures() const { return connection_failures_; }
+  // Connections that broke after a request had gone out.
+  int cut() const { return cut_; }
 
  private:
   std::vector<std::string> addresses_;
@@ -60,6 +62,7 @@
   std::map<std::string, int> refusals_;
   int not_run_ = 0;
   int connection_failures_ = 0;
+  int cut_ = 0;
 };
 
 }  // namespace pimento::testbed
--- a/bench/lib/test_fleet.cc
+++ b/bench/lib/test_fleet.cc
@@ -11,6 +11,7 @@
 
 #include "src/document.h"
 #include "src/duty.h"
+#include "src/errors.h"
 #include "src/http_client.h"
 #include "src/program_ledger.h"
 
@@ -46,6 +47,17 @@
          "\nservices = chat, desk, info\n";
 }
 
+// True when the request had gone out before the connection failed.
+bool WasSent(const std::exception_ptr& error) {
+  try {
+    std::rethrow_exception(error);
+  } catch (const TransportError& e) {
+    return e.sent();
+  } catch (const std::exception&) {
+    return true;
+  }
+}
+
 }  // namespace
 
 Answer Ask(const std::string& address, const std::string& method,
@@ -63,7 +75,10 @@
                 .total_ms = limit_ms};
   boost::asio::co_spawn(io, Fetch(std::move(call)),
                         [&answer](std::exception_ptr error, HttpResult result) {
-                          if (error) return;
+                          if (error) {
+                            answer.cut = WasSent(error);
+                            return;
+                          }
                           answer.status = result.status;
                           answer.body = std::move(result.body);
                         });
--- a/bench/lib/test_fleet.h
+++ b/bench/lib/test_fleet.h
@@ -41,6 +41,8 @@
   // 0 when the connection failed.
   int status = 0;
   std::string body;
+  // True when the connection broke after the request had gone out.
+  bool cut = false;
 };
 
 // One request on a connection of its own, blocking. Never throws.
--- a/src/call_pipeline.cc
+++ b/src/call_pipeline.cc
@@ -420,6 +420,10 @@
   if (program == nullptr || program->record.team != request.team)
     return Turn::kNext;
   const auto known = program->calls.find(request.sequence);
+  const bool made =
+      known != program->calls.end() || program->running == request.sequence;
+  // A call that was never made is no reason to wait for others.
+  if (request.read_only && !made) return Turn::kNext;
   const bool read = request.read_only && known != program->calls.end();
   return ledger.TurnOf(*program, request.sequence,
                        read ? known->second.digest : digest);
@@ -461,18 +465,12 @@
     const bool turn =
         request.sequence <= program->NextSequence() && program->running == 0;
     if (turn) co_return;
-    const bool predecessor_runs =
-        program->running != 0 && program->running < request.sequence;
-    if (NowMs() >= deadline_ms && !predecessor_runs) {
+    // The call right before this one may take as long as it likes.
+    const bool follows_running =
+        program->running != 0 && request.sequence <= program->running + 1;
+    if (NowMs() >= deadline_ms && !follows_running) {
       co_await parts_.shards->Confirm(shard);
-      throw Refusal(Reason::kSequenceGap, RunState::kNotRun,
-                    "An earlier call of the program is missing.", kPollMs);
-    }
-    if (predecessor_runs && request.sequence > program->running + 1 &&
-        NowMs() >= deadline_ms) {
-      co_await parts_.shards->Confirm(shard);
-      throw Refusal(Reason::kSequenceGap, RunState::kNotRun,
-                    "An earlier call of the program is missing.", kPollMs);
+      ThrowGap(shard);
     }
     const auto running = running_.find({request.program, program->running});
     if (running != running_.end()) {
@@ -484,6 +482,16 @@
   }
 }
 
+// An earlier call is missing. After a loss of records it may have run.
+void CallPipeline::ThrowGap(uint32_t shard) const {
+  if (NowMs() < parts_.shards->UncertainUntil(shard)) {
+    throw Refusal(Reason::kOutcomeUnknown, RunState::kUnknown,
+                  "Records of an earlier call were lost with two hosts.");
+  }
+  throw Refusal(Reason::kSequenceGap, RunState::kNotRun,
+                "An earlier call of the program is missing.", kPollMs);
+}
+
 CallReply CallPipeline::Recorded(const CallRecord& record) const {
   return {.outcome = {.reason = Reason::kNone,
                       .run = RunState::kDone,
--- a/src/call_pipeline.h
+++ b/src/call_pipeline.h
@@ -94,6 +94,7 @@
                         PieceSink sink);
   Async<void> WaitForTurn(uint32_t shard, const CallRequest& request,
                           int64_t deadline_ms);
+  void ThrowGap(uint32_t shard) const;
   CallReply Recorded(const CallRecord& record) const;
 
   Async<void> RunCall(RunningPtr call);
--- a/src/config_watch.cc
+++ b/src/config_watch.cc
@@ -77,28 +77,39 @@
 }
 
 boost::asio::awaitable<void> ConfigWatch::PlatformLoop() {
-  const std::string name = GenerationName(options_.environment);
+  // A watch that fails may have gone silent; a plain read then covers the gap.
+  bool watch_failed = false;
   for (;;) {
+    const bool watches = HoldsWatch() && !watch_failed;
     bool failed = false;
-    const bool watches = HoldsWatch();
     try {
-      const int64_t wait_ms = watches ? options_.watch_ms : 0;
-      const auto object =
-          co_await context_.platform->Watch(name, seen_version_, wait_ms);
-      if (object) {
-        seen_version_ = object->version;
-        const Generation generation = DecodeGeneration(object->body);
-        Offer({.generation = generation.generation,
-               .environment = generation.environment,
-               .text = generation.text});
-      }
+      co_await LookOnce(watches);
     } catch (const std::exception& e) {
-      kLog.Debug() << "The document cannot be watched: " << e.what();
+      kLog.Debug() << "The document cannot be read: " << e.what();
       failed = true;
     }
-    if (failed) co_await Sleep(kRetryMs);
-    if (!watches) co_await Sleep(options_.poll_ms);
+    watch_failed = watches && failed;
+    if (failed && !watches) co_await Sleep(kRetryMs);
+    if (!watches && !HoldsWatch()) co_await Sleep(options_.poll_ms);
+  }
+}
+
+// Waits for a newer document at the platform, or reads the present one.
+boost::asio::awaitable<void> ConfigWatch::LookOnce(bool watch) {
+  const std::string name = GenerationName(options_.environment);
+  std::optional<PlatformObject> object;
+  if (watch) {
+    object = co_await context_.platform->Watch(name, seen_version_,
+                                               options_.watch_ms);
+  } else {
+    object = co_await context_.platform->Read(name);
   }
+  if (!object) co_return;
+  seen_version_ = object->version;
+  const Generation generation = DecodeGeneration(object->body);
+  Offer({.generation = generation.generation,
+         .environment = generation.environment,
+         .text = generation.text});
 }
 
 boost::asio::awaitable<void> ConfigWatch::PeerLoop() {
--- a/src/config_watch.h
+++ b/src/config_watch.h
@@ -34,6 +34,7 @@
 
  private:
   boost::asio::awaitable<void> PlatformLoop();
+  boost::asio::awaitable<void> LookOnce(bool watch);
   boost::asio::awaitable<void> PeerLoop();
   bool HoldsWatch() const;
 
--- a/src/membership_duty.cc
+++ b/src/membership_duty.cc
@@ -37,6 +37,11 @@
   });
 }
 
+void MembershipDuty::NotePeer() {
+  last_peer_ms_ = NowMs();
+  last_contact_ms_ = NowMs();
+}
+
 void MembershipDuty::UpdateSelf() {
   const auto environment = context_.environment.load();
   membership_.UpdateSelf(context_.leaving, environment->generation, owned_);
@@ -51,7 +56,7 @@
     std::vector<HostNews> news) {
   std::function<boost::asio::awaitable<std::vector<HostNews>>()> work =
       [this, news]() -> boost::asio::awaitable<std::vector<HostNews>> {
-    last_contact_ms_ = NowMs();
+    NotePeer();
     UpdateSelf();
     membership_.Learn(news, NowMs());
     Publish();
@@ -83,7 +88,7 @@
   try {
     const std::vector<HostNews> answer = co_await context_.peers->Gossip(
         address, options_.self.host, news, options_.probe_timeout_ms);
-    last_contact_ms_ = NowMs();
+    NotePeer();
     membership_.Learn(answer, NowMs());
     Publish();
   } catch (const TransportError&) {
@@ -98,7 +103,7 @@
     const std::vector<HostNews> answer =
         co_await context_.peers->Gossip(target.rpc_address, options_.self.host,
                                         news, options_.probe_timeout_ms);
-    last_contact_ms_ = NowMs();
+    NotePeer();
     membership_.Learn(answer, NowMs());
     answered = true;
   } catch (const TransportError&) {
--- a/src/membership_duty.h
+++ b/src/membership_duty.h
@@ -36,6 +36,8 @@
   void Announce(std::vector<OwnedShard> owned);
   // When a peer or the platform was last heard, milliseconds since 1970.
   int64_t last_contact_ms() const { return last_contact_ms_; }
+  // When a peer was last heard.
+  int64_t last_peer_ms() const { return last_peer_ms_; }
 
  private:
   boost::asio::awaitable<void> ProbeLoop();
@@ -52,7 +54,10 @@
   MembershipDutyOptions options_;
   Membership membership_;
   std::vector<OwnedShard> owned_;
+  void NotePeer();
+
   std::atomic<int64_t> last_contact_ms_{0};
+  std::atomic<int64_t> last_peer_ms_{0};
   size_t next_seed_ = 0;
 };
 
--- a/src/scheduler_node.cc
+++ b/src/scheduler_node.cc
@@ -22,6 +22,7 @@
 // Without a word from the platform or a peer for this long, what this host
 // knows of the document may be out of date.
 constexpr int64_t kContactMs = 3'500;
+constexpr int64_t kIsolatedMs = 1'500;
 
 // The wall clock at start tells a process's run from its earlier ones.
 uint64_t BootNumber() { return static_cast<uint64_t>(NowUs()); }
@@ -147,6 +148,7 @@
     gauge_due_ms = NowMs() + kGaugeMs;
     const ShardHost::Held held = shards_.held();
     metrics_.Gauge("shards_owned", static_cast<double>(shards_.Owned().size()));
+    metrics_.Gauge("shards_short", static_cast<double>(shards_.Short()));
     metrics_.Gauge("shards_held", static_cast<double>(held.shards));
     metrics_.Gauge("records_held", static_cast<double>(held.records));
     metrics_.Gauge("record_bytes_held", static_cast<double>(held.bytes));
@@ -238,6 +240,11 @@
 }
 
 SchedulerNode::Async<OwnerReply> SchedulerNode::OnOwner(uint32_t shard) {
+  // A host that hears no other knows nothing of owners: the entry asks
+  // elsewhere.
+  if (NowMs() - membership_.last_peer_ms() > kIsolatedMs) {
+    throw TransportError("This host hears no other host.", false);
+  }
   co_return FindOwner(context_, shards_, shard);
 }
 
--- a/src/shard_host.cc
+++ b/src/shard_host.cc
@@ -181,6 +181,22 @@
   return owned;
 }
 
+size_t ShardHost::Short() const {
+  const auto view = context_.view.load();
+  size_t count = 0;
+  for (const auto& [id, shard] : shards_) {
+    if (shard->role != Role::kOwner) continue;
+    const std::vector<Member>& members = shard->list.members;
+    const bool whole =
+        members.size() == kMembersPerShard && shard->lagging.empty() &&
+        std::all_of(members.begin(), members.end(), [&](const Member& member) {
+          return view->MayLive(member);
+        });
+    if (!whole) ++count;
+  }
+  return count;
+}
+
 ShardHost::Held ShardHost::held() const {
   Held held;
   for (const auto& [id, shard] : shards_) {
--- a/src/shard_host.h
+++ b/src/shard_host.h
@@ -64,6 +64,8 @@
   Async<bool> OnTakeOver(TakeOverRequest request);
 
   std::vector<OwnedShard> Owned() const;
+  // Owned shards of which fewer than three live members hold everything.
+  size_t Short() const;
   // Hands over every shard and waits to be replaced as a member elsewhere.
   Async<void> Leave(int64_t limit_ms);
   // Memory held for other owners and own shards: records and their bytes.
--- a/test/correctness/fleet_test.cc
+++ b/test/correctness/fleet_test.cc
@@ -173,8 +173,7 @@
 }
 
 TEST_CASE("taking a zone out and bringing it back changes one line") {
-  const std::string out =
-      WithSetting(kDocument, "zone z1", "drained", "true");
+  const std::string out = WithSetting(kDocument, "zone z1", "drained", "true");
   const Document drained = Document::Parse(out, "d.ini");
   CHECK(drained.drained_zones.contains("z1"));
   CHECK_FALSE(drained.Usable(drained.upstreams.at("e1")));
--- a/test/correctness/policy_test.cc
+++ b/test/correctness/policy_test.cc
@@ -97,7 +97,8 @@
   CHECK(TakeRecorded(bucket, next_us, 1) == 1);
 }
 
-TEST_CASE("a window stays small through the cold start and grows with answers") {
+TEST_CASE(
+    "a window stays small through the cold start and grows with answers") {
   AdmissionWindow window(
       {.cold_window = 2, .full_window = 4, .cold_start_ms = 1'000}, 0);
   window.Succeeded(500, 10);
@@ -157,7 +158,8 @@
   CHECK(served["newcomer"] <= 21);
 }
 
-TEST_CASE("within a team short programs go first and long ones are not starved") {
+TEST_CASE(
+    "within a team short programs go first and long ones are not starved") {
   const auto queue = MakeQueue(QueuePolicy::kFair);
   queue->Push(Waiting(1, "t", 10, 5'000));
   WaitingCall fresh = Waiting(2, "t", 10, 0);
@@ -226,11 +228,12 @@
       {"e1", {.in_flight = 1, .limit = 4, .queued = 0}},
       {"e2", {.in_flight = 4, .limit = 4, .queued = 9}},
       {"e3", {.in_flight = 3, .limit = 4, .queued = 0}}};
-  ChoiceInput input{.document = &document,
-                    .service = "chat",
-                    .last = "e3",
-                    .failed = {},
-                    .load = [&](const std::string& name) { return loads[name]; }};
+  ChoiceInput input{
+      .document = &document,
+      .service = "chat",
+      .last = "e3",
+      .failed = {},
+      .load = [&](const std::string& name) { return loads[name]; }};
   const auto choice = MakeChoice(ChoicePolicy::kAffinity, 1);
   CHECK(choice->Choose(input) == "e3");
   input.last = "e2";
--- a/test/error/document_error_test.cc
+++ b/test/error/document_error_test.cc
@@ -1,5 +1,5 @@
-// Mistakes in documents and settings: each is named with file, line, section, key
-// and what is allowed.
+// Mistakes in documents and settings: each is named with file, line, section,
+// key and what is allowed.
 #include <doctest/doctest.h>
 
 #include <string>
