--- a/src/document.cc
+++ b/src/document.cc
@@ -1,6 +1,5 @@
 #include "src/document.h"
 
-#include <openssl/crypto.h>
 #include <openssl/sha.h>
 
 #include <algorithm>
@@ -236,20 +235,17 @@
   }
   CheckReferences(document, file);
   file.ThrowIfFaulty();
+  for (const auto& [name, team] : document.teams) {
+    for (const std::string& digest : team.key_digests) {
+      document.team_of_digest[digest] = name;
+    }
+  }
   return document;
 }
 
 const Team* Document::TeamOfDigest(const std::string& digest) const {
-  const Team* found = nullptr;
-  for (const auto& [name, team] : teams) {
-    for (const std::string& known : team.key_digests) {
-      const bool same =
-          known.size() == digest.size() &&
-          CRYPTO_memcmp(known.data(), digest.data(), digest.size()) == 0;
-      if (same) found = &team;
-    }
-  }
-  return found;
+  const auto it = team_of_digest.find(digest);
+  return it == team_of_digest.end() ? nullptr : &teams.at(it->second);
 }
 
 const Service* Document::FindService(const std::string& name) const {
--- a/src/document.h
+++ b/src/document.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "src/admission_window.h"
@@ -57,6 +58,8 @@
   std::string environment;
   uint32_t shards = 16;
   std::map<std::string, Team> teams;
+  // Team names by key digest.
+  std::unordered_map<std::string, std::string> team_of_digest;
   std::map<std::string, Service> services;
   std::map<std::string, Upstream> upstreams;
   std::set<std::string> zones;
@@ -68,7 +71,8 @@
   // Throws UserError that lists every fault in `text`.
   static Document Parse(const std::string& text, const std::string& file);
 
-  // The team whose key has `digest`, compared in constant time.
+  // The team whose key has `digest`. Digests are compared, not keys: how long a
+  // look-up takes tells nothing about a key.
   const Team* TeamOfDigest(const std::string& digest) const;
   const Service* FindService(const std::string& name) const;
   // True when the upstream may be given new work.
--- a/src/host_view.cc
+++ b/src/host_view.cc
@@ -5,13 +5,23 @@
 namespace pimento {
 
 HostView::HostView(std::vector<HostNews> hosts, std::string self)
-    : hosts_(std::move(hosts)), self_(std::move(self)) {}
+    : hosts_(std::move(hosts)), self_(std::move(self)) {
+  std::unordered_map<uint32_t, Epoch> best;
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    by_name_[hosts_[i].info.host] = i;
+    if (hosts_[i].state == HostState::kDead) continue;
+    for (const OwnedShard& owned : hosts_[i].info.owned) {
+      const auto [it, first] = best.emplace(owned.shard, owned.epoch);
+      if (!first && owned.epoch <= it->second) continue;
+      it->second = owned.epoch;
+      owners_[owned.shard] = i;
+    }
+  }
+}
 
 const HostNews* HostView::Find(const std::string& host) const {
-  for (const HostNews& news : hosts_) {
-    if (news.info.host == host) return &news;
-  }
-  return nullptr;
+  const auto it = by_name_.find(host);
+  return it == by_name_.end() ? nullptr : &hosts_[it->second];
 }
 
 bool HostView::MayLive(const Member& member) const {
@@ -32,18 +42,8 @@
 }
 
 const HostNews* HostView::OwnerOf(uint32_t shard) const {
-  const HostNews* owner = nullptr;
-  Epoch best;
-  for (const HostNews& news : hosts_) {
-    if (news.state == HostState::kDead) continue;
-    for (const OwnedShard& owned : news.info.owned) {
-      if (owned.shard != shard) continue;
-      if (owner != nullptr && owned.epoch <= best) continue;
-      owner = &news;
-      best = owned.epoch;
-    }
-  }
-  return owner;
+  const auto it = owners_.find(shard);
+  return it == owners_.end() ? nullptr : &hosts_[it->second];
 }
 
 std::vector<Candidate> HostView::Candidates(const Document& document) const {
--- a/src/host_view.h
+++ b/src/host_view.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "src/document.h"
@@ -35,6 +36,9 @@
  private:
   std::vector<HostNews> hosts_;
   std::string self_;
+  // Positions in `hosts_`, by host name and by owned shard.
+  std::unordered_map<std::string, size_t> by_name_;
+  std::unordered_map<uint32_t, size_t> owners_;
 };
 
 // True when `host` in `zone` may take new work under `document`.
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -33,6 +33,7 @@
   // Nobody else gains from an address without news.
   entry.times_told = TellLimit();
   hosts_.emplace(host, std::move(entry));
+  ++revision_;
 }
 
 std::optional<HostInfo> Membership::NextProbe() {
@@ -65,6 +66,7 @@
 void Membership::ProbeFailed(const std::string& host, int64_t now_ms) {
   const auto it = hosts_.find(host);
   if (it == hosts_.end() || it->second.news.state != HostState::kAlive) return;
+  ++revision_;
   it->second.news.state = HostState::kSuspect;
   it->second.since_ms = now_ms;
   it->second.times_told = 0;
@@ -104,13 +106,17 @@
   if (!inserted && !Newer(news, entry.news)) return;
   const bool changed = inserted || entry.news.state != news.state;
   entry.news = news;
+  ++revision_;
   entry.times_told = 0;
   if (changed) entry.since_ms = now_ms;
 }
 
 void Membership::Refute(const HostNews& news) {
   if (news.state == HostState::kAlive || news.info.boot != self_.boot) return;
-  if (news.info.counter >= self_.counter) self_.counter = news.info.counter + 1;
+  if (news.info.counter >= self_.counter) {
+    self_.counter = news.info.counter + 1;
+    ++revision_;
+  }
 }
 
 void Membership::Tick(int64_t now_ms) {
@@ -120,11 +126,13 @@
     if (entry.news.state == HostState::kSuspect &&
         age_ms >= options_.suspect_ms) {
       entry.news.state = HostState::kDead;
+      ++revision_;
       entry.since_ms = now_ms;
       entry.times_told = 0;
     }
     const bool forget =
         entry.news.state == HostState::kDead && age_ms >= options_.forget_ms;
+    if (forget) ++revision_;
     it = forget ? hosts_.erase(it) : std::next(it);
   }
 }
@@ -138,6 +146,7 @@
   self_.generation = generation;
   self_.owned = std::move(owned);
   ++self_.counter;
+  ++revision_;
 }
 
 std::vector<HostNews> Membership::All() const {
--- a/src/membership.h
+++ b/src/membership.h
@@ -83,6 +83,8 @@
   // Every other host and this one, by name.
   std::vector<HostNews> All() const;
   size_t size() const { return hosts_.size() + 1; }
+  // Rises whenever All() would change.
+  uint64_t revision() const { return revision_; }
 
  private:
   struct Entry {
@@ -98,7 +100,7 @@
   HostInfo self_;
   MembershipOptions options_;
   std::mt19937_64 random_;
-  uint32_t self_times_told_ = 0;
+  uint64_t revision_ = 1;
   std::map<std::string, Entry> hosts_;
   // The rest of the present probe round, in random order.
   std::vector<std::string> round_;
--- a/src/membership_duty.cc
+++ b/src/membership_duty.cc
@@ -48,6 +48,8 @@
 }
 
 void MembershipDuty::Publish() {
+  if (published_ == membership_.revision()) return;
+  published_ = membership_.revision();
   context_.view =
       std::make_shared<const HostView>(membership_.All(), options_.self.host);
 }
--- a/src/membership_duty.h
+++ b/src/membership_duty.h
@@ -59,6 +59,8 @@
   std::atomic<int64_t> last_contact_ms_{0};
   std::atomic<int64_t> last_peer_ms_{0};
   size_t next_seed_ = 0;
+  // Revision of the membership that was published last.
+  uint64_t published_ = 0;
 };
 
 }  // namespace pimento
