--- a/bench/capacity_slopes.cc
+++ b/bench/capacity_slopes.cc
@@ -48,8 +48,8 @@
   double value;
 };
 
-// A line through two measured points: the two around `size`, or the last two when
-// `size` lies beyond them. One line through all would hide a curve.
+// A line through two measured points: the two around `size`, or the last two
+// when `size` lies beyond them. One line through all would hide a curve.
 struct Line {
   double base = 0;
   double slope = 0;
--- /dev/null
+++ b/bench/pimento_bench.cc
@@ -0,0 +1,403 @@
+// pimento-bench: drives real daemons on loopback with a workload that a seed
+// fixes, once for each policy, taking turns, and compares them.
+//
+//   build/bin/pimento-bench --what queue     fair against first come first
+//   served build/bin/pimento-bench --what choice    affinity against round
+//   robin build/bin/pimento-bench --what cost      what the system itself costs
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <numeric>
+#include <random>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+#include "bench/lib/agent_caller.h"
+#include "bench/lib/load.h"
+#include "bench/lib/test_fleet.h"
+#include "src/document.h"
+#include "src/duty.h"
+
+namespace {
+
+using namespace pimento;
+using namespace pimento::testbed;
+namespace json = boost::json;
+
+constexpr int kSmallTeams = 7;
+constexpr double kSecondsLimit = 60;
+
+struct RunResult {
+  std::string policy;
+  // Program latency in milliseconds, by team.
+  std::map<std::string, std::vector<double>> latency;
+  double wasted_tokens = 0;
+  double cached_share = 0;
+  int refused_within_rate = 0;
+  int failures = 0;
+  double seconds = 0;
+};
+
+double Quantile(std::vector<double> values, double q) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  const auto index =
+      static_cast<size_t>(q * static_cast<double>(values.size() - 1) + 0.5);
+  return values[index];
+}
+
+std::string TeamSections() {
+  std::string text;
+  const auto section = [&text](const std::string& name, int rate, int burst) {
+    text += "[team " + name + "]\nrate = " + std::to_string(rate) +
+            "/s\nburst = " + std::to_string(burst) +
+            "\nkeys = " + KeyDigest("key-" + name) +
+            "\nservices = chat, desk, info\n";
+  };
+  section("large", 400, 400);
+  for (int i = 0; i < kSmallTeams; ++i)
+    section("small" + std::to_string(i), 50, 50);
+  return text;
+}
+
+FleetOptions Shape(const std::string& programs, const std::string& work) {
+  FleetOptions options;
+  options.programs = programs;
+  options.work_folder = work;
+  options.engines = 4;
+  options.services = 2;
+  options.teams = TeamSections();
+  options.engine_window = 4;
+  options.engine_cold_window = 2;
+  options.engine_cold_start = "300ms";
+  options.engine_faults =
+      R"({"cold_ms":200,"token_ms":3,"prefill_tokens_per_ms":4,"cache_tokens":40000})";
+  options.log_level = "warn";
+  return options;
+}
+
+struct Shared {
+  std::mutex mutex;
+  RunResult result;
+};
+
+// One program of a chain that nobody knows ahead.
+void RunProgram(const std::vector<std::string>& entries,
+                const std::string& team, int number, uint64_t seed,
+                bool long_program, Shared& shared) {
+  std::mt19937_64 random(seed);
+  AgentCaller caller(entries, "key-" + team);
+  caller.set_limit_ms(static_cast<int64_t>(kSecondsLimit * 1000));
+  const int64_t started_us = NowUs();
+  const std::string name =
+      team + "-" + std::to_string(number) + "-" + std::to_string(started_us);
+  const std::string program = caller.Create(name);
+  const int turns = long_program ? 8 + static_cast<int>(random() % 8)
+                                 : 2 + static_cast<int>(random() % 5);
+  bool failed = program.empty();
+  for (int turn = 1; turn <= turns && !failed; ++turn) {
+    const uint64_t tokens = (long_program ? 40 : 10) + random() % 20;
+    const std::string input(100 + random() % 300,
+                            static_cast<char>('a' + random() % 26));
+    failed =
+        !caller
+             .Call(program, static_cast<uint32_t>(turn), "chat", input, tokens)
+             .ok();
+    std::this_thread::sleep_for(std::chrono::milliseconds(random() % 30));
+  }
+  caller.End(program);
+  const double took_ms = static_cast<double>(NowUs() - started_us) / 1000;
+  const std::lock_guard lock(shared.mutex);
+  shared.result.latency[team].push_back(took_ms);
+  shared.result.failures += failed ? 1 : 0;
+  const auto& refusals = caller.refusals();
+  const auto it = refusals.find("rate_limited");
+  if (it != refusals.end()) shared.result.refused_within_rate += it->second;
+}
+
+RunResult RunOnce(const FleetOptions& options, const std::string& policy,
+                  uint64_t seed) {
+  std::filesystem::remove_all(options.work_folder);
+  TestFleet fleet(options);
+  fleet.Start();
+  std::vector<std::string> entries;
+  for (const std::string& host : fleet.hosts())
+    entries.push_back(fleet.Entry(host));
+  Shared shared;
+  shared.result.policy = policy;
+  std::vector<std::thread> threads;
+  const int64_t started_ms = NowMs();
+  // The large team keeps 24 programs under way; each small one two, one after
+  // the other.
+  for (int i = 0; i < 24; ++i) {
+    threads.emplace_back([&, i] {
+      RunProgram(entries, "large", i, seed * 1000 + static_cast<uint64_t>(i),
+                 true, shared);
+    });
+  }
+  for (int team = 0; team < kSmallTeams; ++team) {
+    for (int lane = 0; lane < 2; ++lane) {
+      threads.emplace_back([&, team, lane] {
+        for (int i = 0; i < 3; ++i) {
+          const int number = lane * 10 + i;
+          RunProgram(entries, "small" + std::to_string(team), number,
+                     seed * 7919 + static_cast<uint64_t>(team * 100 + number),
+                     false, shared);
+        }
+      });
+    }
+  }
+  for (std::thread& thread : threads) thread.join();
+  shared.result.seconds = static_cast<double>(NowMs() - started_ms) / 1000;
+  shared.result.wasted_tokens =
+      fleet.CounterSum("pimento_tokens_wasted_total", false);
+  double cached = 0;
+  double prefilled = 0;
+  for (const std::string& name : fleet.upstreams()) {
+    if (name.front() != 'e') continue;
+    const json::value load =
+        json::parse(Ask(fleet.Upstream(name), "GET", "/load").body);
+    cached += load.at("cached").to_number<double>();
+    prefilled += load.at("prefilled").to_number<double>();
+  }
+  shared.result.cached_share = cached / std::max(1.0, cached + prefilled);
+  return shared.result;
+}
+
+struct Summary {
+  double p50 = 0;
+  double p95 = 0;
+  double p99 = 0;
+  double worst_small = 0;
+  double large = 0;
+};
+
+Summary Summarise(const RunResult& run) {
+  std::vector<double> all;
+  Summary summary;
+  for (const auto& [team, latency] : run.latency) {
+    all.insert(all.end(), latency.begin(), latency.end());
+    const double mean = std::accumulate(latency.begin(), latency.end(), 0.0) /
+                        static_cast<double>(latency.size());
+    if (team == "large") {
+      summary.large = mean;
+    } else {
+      summary.worst_small = std::max(summary.worst_small, mean);
+    }
+  }
+  summary.p50 = Quantile(all, 0.5);
+  summary.p95 = Quantile(all, 0.95);
+  summary.p99 = Quantile(all, 0.99);
+  return summary;
+}
+
+json::object ToJson(const RunResult& run) {
+  const Summary s = Summarise(run);
+  return {{"policy", run.policy},
+          {"program_p50_ms", s.p50},
+          {"program_p95_ms", s.p95},
+          {"program_p99_ms", s.p99},
+          {"worst_small_team_mean_ms", s.worst_small},
+          {"large_team_mean_ms", s.large},
+          {"wasted_tokens", run.wasted_tokens},
+          {"cached_share", run.cached_share},
+          {"refused_within_rate", run.refused_within_rate},
+          {"failures", run.failures},
+          {"seconds", run.seconds}};
+}
+
+// Bars of one figure, a pair for each round.
+std::string Plot(const json::array& runs, const char* field,
+                 const std::string& title) {
+  double most = 1;
+  for (const json::value& run : runs)
+    most = std::max(most, run.at(field).to_number<double>());
+  std::ostringstream svg;
+  svg << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"520\" height=\""
+      << 40 + 26 * runs.size()
+      << "\" font-family=\"sans-serif\" font-size=\"12\">\n<text x=\"8\" "
+      << "y=\"18\">" << title << "</text>\n";
+  for (size_t i = 0; i < runs.size(); ++i) {
+    const double value = runs[i].at(field).to_number<double>();
+    const size_t y = 30 + 26 * i;
+    svg << "<text x=\"8\" y=\"" << y + 14 << "\">"
+        << runs[i].at("policy").as_string().c_str()
+        << "</text><rect x=\"110\" y=\"" << y << "\" height=\"18\" width=\""
+        << 330 * value / most << "\" fill=\""
+        << (i % 2 == 0 ? "#3b6ea5" : "#c0703a") << "\"/><text x=\""
+        << 116 + 330 * value / most << "\" y=\"" << y + 14 << "\">"
+        << std::lround(value) << "</text>\n";
+  }
+  svg << "</svg>\n";
+  return svg.str();
+}
+
+// Runs both policies `rounds` times, taking turns.
+void Compare(const FleetOptions& base, const std::string& what, int rounds,
+             uint64_t seed, const std::string& out) {
+  const bool queue = what == "queue";
+  const std::vector<std::string> policies =
+      queue ? std::vector<std::string>{"fair", "fifo"}
+            : std::vector<std::string>{"affinity", "round-robin"};
+  json::array runs;
+  for (int round = 0; round < rounds; ++round) {
+    for (const std::string& policy : policies) {
+      FleetOptions options = base;
+      (queue ? options.queue_policy : options.choice_policy) = policy;
+      runs.push_back(ToJson(
+          RunOnce(options, policy, seed + static_cast<uint64_t>(round))));
+      std::cout << json::serialize(runs.back()) << std::endl;
+    }
+  }
+  std::cout << "\nratio " << policies[0] << " / " << policies[1]
+            << ", pair by pair:\n";
+  for (const char* field :
+       {"program_p50_ms", "program_p95_ms", "worst_small_team_mean_ms",
+        "large_team_mean_ms", "cached_share", "seconds"}) {
+    std::cout << "  " << field << ":";
+    for (size_t i = 0; i + 1 < runs.size(); i += 2) {
+      const double a = runs[i].at(field).to_number<double>();
+      const double b = runs[i + 1].at(field).to_number<double>();
+      std::printf(" %.2f", b == 0 ? 0 : a / b);
+    }
+    std::cout << std::endl;
+  }
+  std::ofstream(out + ".json") << json::serialize(runs);
+  std::ofstream(out + ".svg")
+      << Plot(runs, "worst_small_team_mean_ms",
+              "worst small team, mean program latency, ms");
+}
+
+// Processor seconds that a process has used.
+double CpuSeconds(pid_t id) {
+  std::ifstream in("/proc/" + std::to_string(id) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(in)), {});
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string field;
+  double ticks = 0;
+  for (int i = 3; i <= 15 && fields >> field; ++i) {
+    if (i == 14 || i == 15) ticks += std::stod(field);
+  }
+  return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double FleetCpu(TestFleet& fleet) {
+  double seconds = 0;
+  for (const std::string& host : fleet.hosts()) {
+    seconds += CpuSeconds(fleet.processes().Id(host + "-scheduler"));
+    seconds += CpuSeconds(fleet.processes().Id(host + "-entry"));
+  }
+  return seconds;
+}
+
+// What a call costs beyond the upstream's own time, and a refused retry.
+void Cost(FleetOptions options) {
+  std::filesystem::remove_all(options.work_folder);
+  options.teams = "[team quilters]\nrate = 10000/s\nburst = 10000\nkeys = " +
+                  KeyDigest("key-quilters") +
+                  "\nservices = desk, info, chat\n" +
+                  "[team skips]\nrate = 0.02/s\nburst = 1\nkeys = " +
+                  KeyDigest("key-skips") + "\nservices = desk, info, chat\n";
+  options.engine_window = 64;
+  options.engine_cold_window = 64;
+  TestFleet fleet(options);
+  fleet.Start();
+  fleet.Faults("s1", R"({"delay_ms":0})");
+  constexpr int kCalls = 1'000;
+  const auto timed = [](const std::function<void(int)>& call) {
+    std::vector<double> each;
+    for (int i = 0; i < kCalls; ++i) {
+      const int64_t start_us = NowUs();
+      call(i);
+      each.push_back(static_cast<double>(NowUs() - start_us) / 1000);
+    }
+    return each;
+  };
+  const std::vector<double> direct =
+      timed([&](int) { Ask(fleet.Upstream("s1"), "POST", "/charge", "{}"); });
+  const double idle_before = FleetCpu(fleet);
+  const int64_t idle_start_ms = NowMs();
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  const double idle_rate =
+      (FleetCpu(fleet) - idle_before) /
+      (static_cast<double>(NowMs() - idle_start_ms) / 1000);
+  const auto through = [&](const std::string& team, const std::string& prefix,
+                           bool same) {
+    const double cpu = FleetCpu(fleet);
+    const int64_t start_ms = NowMs();
+    const std::vector<double> each = timed([&](int i) {
+      const std::string key = prefix + (same ? "" : std::to_string(i));
+      Ask(fleet.Entry("h1"), "POST", "/v1/services/desk/charge", "{}",
+          {{"Authorization", "Bearer key-" + team}, {"Idempotency-Key", key}});
+    });
+    const double seconds = static_cast<double>(NowMs() - start_ms) / 1000;
+    const double spent = FleetCpu(fleet) - cpu - idle_rate * seconds;
+    return std::pair(each, spent * 1e6 / kCalls);
+  };
+  const auto [accepted, accepted_us] = through("quilters", "a-", false);
+  const auto [replayed, replayed_us] = through("quilters", "r", true);
+  // Uses the burst up, then is refused every time.
+  through("skips", "w", true);
+  const auto [refused, refused_us] = through("skips", "s", true);
+  const json::object figures = {
+      {"direct_p50_ms", Quantile(direct, 0.5)},
+      {"accepted_p50_ms", Quantile(accepted, 0.5)},
+      {"accepted_p95_ms", Quantile(accepted, 0.95)},
+      {"added_p50_ms", Quantile(accepted, 0.5) - Quantile(direct, 0.5)},
+      {"accepted_cpu_us", accepted_us},
+      {"replayed_p50_ms", Quantile(replayed, 0.5)},
+      {"refused_p50_ms", Quantile(refused, 0.5)},
+      {"cached_refusals",
+       fleet.CounterSum("pimento_cached_refusals_total", true)},
+      {"replayed_cpu_us", replayed_us},
+      {"refused_cpu_us", refused_us},
+      {"refused_to_accepted_cpu", refused_us / accepted_us},
+      {"idle_cpu_percent_a_host",
+       idle_rate * 100 / static_cast<double>(fleet.hosts().size())}};
+  std::cout << json::serialize(figures) << std::endl;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("pimento-bench",
+                           "Load and experiments on loopback.");
+  options.add_options()("what", "queue, choice or cost",
+                        cxxopts::value<std::string>()->default_value("queue"))(
+      "rounds", "pairs of runs", cxxopts::value<int>()->default_value("2"))(
+      "seed", "fixes the workload",
+      cxxopts::value<uint64_t>()->default_value("1"))(
+      "programs", "folder of the built programs",
+      cxxopts::value<std::string>()->default_value("build/bin"))(
+      "out", "result files, without ending",
+      cxxopts::value<std::string>()->default_value("build/bench"))(
+      "help", "show this text");
+  const auto arguments = options.parse(argc, argv);
+  if (arguments.count("help") != 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  try {
+    const FleetOptions shape =
+        Shape(arguments["programs"].as<std::string>(), "build/bench-fleet");
+    const std::string what = arguments["what"].as<std::string>();
+    if (what == "cost") {
+      Cost(shape);
+    } else {
+      Compare(shape, what, arguments["rounds"].as<int>(),
+              arguments["seed"].as<uint64_t>(),
+              arguments["out"].as<std::string>());
+    }
+    return 0;
+  } catch (const std::exception& e) {
+    std::cerr << "pimento-bench: " << e.what() << "\n";
+    return 1;
+  }
+}
--- a/src/peer_client.cc
+++ b/src/peer_client.cc
@@ -29,6 +29,9 @@
   kj::Own<kj::PromiseFulfiller<void>> break_it;
   kj::ForkedPromise<void> ready = nullptr;
   kj::Promise<void> probing = nullptr;
+  // Calls that wait for an answer. Without any, nobody is hurt by a silent
+  // connection, and probing it would cost a host more the more peers it has.
+  int outstanding = 0;
   kj::Promise<void> watching = nullptr;
   // Asked for once: after a disconnect the library cannot make another.
   kj::Maybe<wire::Peer::Client> peer;
@@ -110,6 +113,7 @@
         .then([this, weak] {
           const auto connection = weak.lock();
           if (!connection) return kj::Promise<void>(kj::READY_NOW);
+          if (connection->outstanding == 0) return ProbeLoop(weak);
           if (cut.contains(connection->address))
             KJ_FAIL_REQUIRE("connection is cut");
           auto request = connection->Peer().probeRequest();
@@ -177,7 +181,11 @@
                                             fail] {
       state->metrics.Add(Counter::kRpcCalls);
       const uint64_t id = state->next_call++;
-      auto done = [state, id] {
+      auto done = [state, id, to] {
+        const auto open = state->connections.find(to);
+        if (open != state->connections.end() && open->second->outstanding > 0) {
+          --open->second->outstanding;
+        }
         state->loop.Deliver([state, id] { state->calls.erase(id); });
       };
       kj::Promise<void> work = nullptr;
@@ -187,6 +195,7 @@
                    .then([fail] { fail("no answer in time", true, true); });
       } else {
         Connection& connection = state->Open(to);
+        ++connection.outstanding;
         const std::weak_ptr<Connection> weak = state->connections[to];
         auto broken = connection.broken.addBranch().then(
             []() -> T { KJ_FAIL_REQUIRE("connection dropped"); });
--- a/src/scheduler_node.cc
+++ b/src/scheduler_node.cc
@@ -16,7 +16,7 @@
 const Log kLog("scheduler");
 
 constexpr size_t kExplainLines = 20'000;
-constexpr int64_t kDocumentPollMs = 30;
+constexpr int64_t kDocumentPollMs = 150;
 constexpr int64_t kGaugeMs = 1'000;
 constexpr int64_t kAnnounceMs = 100;
 // Without a word from the platform or a peer for this long, what this host
@@ -139,11 +139,25 @@
   rpc_.Stop();
 }
 
+// Tells the fleet of changes that no hook reported, such as a new generation.
+void SchedulerNode::AnnounceIfChanged() {
+  std::vector<OwnedShard> owned = shards_.Owned();
+  const uint64_t generation = context_.environment.load()->generation;
+  const bool same = owned == announced_ &&
+                    generation == announced_generation_ &&
+                    context_.leaving == announced_leaving_;
+  if (same) return;
+  announced_ = owned;
+  announced_generation_ = generation;
+  announced_leaving_ = context_.leaving;
+  membership_.Announce(std::move(owned));
+}
+
 SchedulerNode::Async<void> SchedulerNode::GaugeLoop() {
   int64_t gauge_due_ms = 0;
   for (;;) {
     co_await Sleep(kAnnounceMs);
-    membership_.Announce(shards_.Owned());
+    AnnounceIfChanged();
     if (NowMs() < gauge_due_ms) continue;
     gauge_due_ms = NowMs() + kGaugeMs;
     const ShardHost::Held held = shards_.held();
--- a/src/scheduler_node.h
+++ b/src/scheduler_node.h
@@ -68,6 +68,7 @@
   std::string StatusJson();
   Async<std::string> ShardStatus();
   Async<void> GaugeLoop();
+  void AnnounceIfChanged();
   void ApplyFaults(const std::string& body);
 
   SchedulerSettings settings_;
@@ -94,6 +95,10 @@
   MembershipDuty membership_;
   PeerServer server_;
   std::unique_ptr<HttpServer> admin_;
+  // What the fleet was told last.
+  std::vector<OwnedShard> announced_;
+  uint64_t announced_generation_ = 0;
+  bool announced_leaving_ = false;
 };
 
 }  // namespace pimento
--- a/src/slot_broker.cc
+++ b/src/slot_broker.cc
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr int64_t kAskMs = 1'000;
-constexpr int64_t kTickMs = 50;
+constexpr int64_t kTickMs = 100;
 constexpr int64_t kHintAgeMs = 2'000;
 constexpr int kDoneTries = 5;
 
@@ -129,6 +129,7 @@
 SlotBroker::Async<void> SlotBroker::TickLoop() {
   for (;;) {
     co_await Sleep(kTickMs);
+    if (gates_.empty()) continue;
     const auto view = context_.view.load();
     const auto gates = gates_;
     for (const auto& [upstream, gate] : gates) {
