--- a/src/document.cc
+++ b/src/document.cc
@@ -14,7 +14,7 @@
 namespace pimento {
 namespace {
 
-constexpr size_t kDigestHexLength = 2 * SHA256_DIGEST_LENGTH;
+constexpr size_t kDigestHexLength = size_t{2} * SHA256_DIGEST_LENGTH;
 
 bool IsDigest(const std::string& text) {
   return text.size() == kDigestHexLength &&
--- a/src/ini_file.cc
+++ b/src/ini_file.cc
@@ -108,14 +108,16 @@
       if (value == "true" || value == "false") return std::nullopt;
       return quoted + Expectation(rule.kind) + ".";
     case ValueKind::kAddress:
-      if (IsAddress(value) || (!rule.required && value.empty()))
+      if (IsAddress(value) || (!rule.required && value.empty())) {
         return std::nullopt;
+      }
       return quoted + Expectation(rule.kind) + ".";
     case ValueKind::kChoice: {
       std::vector<std::string> words;
       boost::split(words, rule.choices, boost::is_any_of("|"));
-      if (std::find(words.begin(), words.end(), value) != words.end())
+      if (std::find(words.begin(), words.end(), value) != words.end()) {
         return std::nullopt;
+      }
       return quoted + "one of " + boost::join(words, ", ") + ".";
     }
     default:
@@ -183,6 +185,7 @@
 
 std::string KnownSections(const std::vector<SectionRule>& rules) {
   std::vector<std::string> names;
+  names.reserve(rules.size());
   for (const SectionRule& rule : rules) {
     names.push_back(std::string("[") + rule.kind +
                     (rule.named ? " NAME]" : "]"));
@@ -270,18 +273,22 @@
   for (const auto& [at, line] : lines) {
     const bool header = at.starts_with("[") && at.ends_with("]");
     const std::string name = header ? at.substr(1, at.size() - 2) : "";
-    if (header && tree.find(name) == tree.not_found())
+    if (header && tree.find(name) == tree.not_found()) {
       tree.push_back({name, {}});
+    }
   }
   for (const auto& [header, body] : tree) {
     IniSection section;
     const size_t space = header.find(' ');
     section.kind = header.substr(0, space);
-    if (space != std::string::npos)
+    if (space != std::string::npos) {
       section.name = boost::trim_copy(header.substr(space));
+    }
     section.line = line_of("[" + header + "]");
     for (const auto& [key, value] : body) {
-      const int line = line_of("[" + header + "]\n" + key);
+      std::string at = "[";
+      at += header + "]\n" + key;
+      const int line = line_of(at);
       section.entries.push_back({key, boost::trim_copy(value.data()), line});
     }
     const SectionRule* rule = FindRule(rules, section.kind);
@@ -344,8 +351,9 @@
   empty.kind = kind;
   const SectionRule* rule = FindRule(rules_, kind);
   if (rule == nullptr) return empty;
-  for (const KeyRule& key : rule->keys)
+  for (const KeyRule& key : rule->keys) {
     empty.entries.push_back({key.name, key.fallback, 0});
+  }
   return empty;
 }
 
@@ -357,8 +365,9 @@
 void IniFile::ThrowIfFaulty() const {
   if (faults_.empty()) return;
   std::string all;
-  for (const IniFault& fault : faults_)
+  for (const IniFault& fault : faults_) {
     all += (all.empty() ? "" : "\n") + Describe(fault);
+  }
   throw UserError(all);
 }
 
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -55,8 +55,9 @@
                                           size_t count) {
   std::vector<HostInfo> live;
   for (const auto& [name, entry] : hosts_) {
-    if (name != host && entry.news.state == HostState::kAlive)
+    if (name != host && entry.news.state == HostState::kAlive) {
       live.push_back(entry.news.info);
+    }
   }
   std::shuffle(live.begin(), live.end(), random_);
   if (live.size() > count) live.resize(count);
@@ -140,8 +141,9 @@
 void Membership::UpdateSelf(bool leaving, uint64_t generation,
                             std::vector<OwnedShard> owned) {
   if (leaving == self_.leaving && generation == self_.generation &&
-      owned == self_.owned)
+      owned == self_.owned) {
     return;
+  }
   self_.leaving = leaving;
   self_.generation = generation;
   self_.owned = std::move(owned);
--- a/src/program_ledger.cc
+++ b/src/program_ledger.cc
@@ -98,8 +98,9 @@
     if (key.starts_with("c/")) Apply(record);
   }
   // A child may have come before its parent.
-  for (const auto& [id, program] : programs_)
+  for (const auto& [id, program] : programs_) {
     LinkToParent(id, program.record.parent);
+  }
 }
 
 void ProgramLedger::LinkToParent(const std::string& id,
@@ -107,8 +108,9 @@
   const auto it = programs_.find(parent);
   if (it == programs_.end()) return;
   std::vector<std::string>& children = it->second.children;
-  if (std::find(children.begin(), children.end(), id) == children.end())
+  if (std::find(children.begin(), children.end(), id) == children.end()) {
     children.push_back(id);
+  }
 }
 
 void ProgramLedger::Apply(const Record& record) {
@@ -155,8 +157,9 @@
                                                   : Turn::kRecorded;
   }
   if (program.running == sequence) return Turn::kRunning;
-  if (program.running != 0 || sequence != program.NextSequence())
+  if (program.running != 0 || sequence != program.NextSequence()) {
     return Turn::kAhead;
+  }
   const auto last = program.calls.rbegin();
   const bool open =
       last != program.calls.rend() && last->second.state == CallState::kIntent;
@@ -202,10 +205,12 @@
                                                         int64_t now_ms) const {
   const Usage used = Used(program);
   if (now_ms >= program.record.deadline_ms) return Reason::kBudgetTime;
-  if (used.calls + calls > program.record.budget_calls)
+  if (used.calls + calls > program.record.budget_calls) {
     return Reason::kBudgetCalls;
-  if (used.tokens + tokens > program.record.budget_tokens)
+  }
+  if (used.tokens + tokens > program.record.budget_tokens) {
     return Reason::kBudgetTokens;
+  }
   return std::nullopt;
 }
 
@@ -218,8 +223,9 @@
     engines.insert(call.earlier_upstreams.begin(),
                    call.earlier_upstreams.end());
   }
-  for (const std::string& upstream : program.record.released)
+  for (const std::string& upstream : program.record.released) {
     engines.erase(upstream);
+  }
   return engines;
 }
 
@@ -227,10 +233,12 @@
     const {
   std::vector<std::pair<std::string, std::string>> all;
   for (const auto& [id, program] : programs_) {
-    if (program.record.state == ProgramState::kLive || program.running != 0)
+    if (program.record.state == ProgramState::kLive || program.running != 0) {
       continue;
-    for (const std::string& upstream : Residences(program))
+    }
+    for (const std::string& upstream : Residences(program)) {
       all.emplace_back(id, upstream);
+    }
   }
   return all;
 }
@@ -247,10 +255,12 @@
 std::vector<std::string> ProgramLedger::Forgettable(int64_t before_ms) const {
   std::vector<std::string> ids;
   for (const auto& [id, program] : programs_) {
-    if (program.record.state == ProgramState::kLive || program.running != 0)
+    if (program.record.state == ProgramState::kLive || program.running != 0) {
       continue;
-    if (program.record.ended_ms < before_ms && Residences(program).empty())
+    }
+    if (program.record.ended_ms < before_ms && Residences(program).empty()) {
       ids.push_back(id);
+    }
   }
   return ids;
 }
@@ -258,11 +268,13 @@
 std::vector<std::pair<std::string, uint32_t>> ProgramLedger::Reopened() const {
   std::vector<std::pair<std::string, uint32_t>> open;
   for (const auto& [id, program] : programs_) {
-    if (program.calls.empty() || program.record.state != ProgramState::kLive)
+    if (program.calls.empty() || program.record.state != ProgramState::kLive) {
       continue;
+    }
     const auto& [sequence, call] = *program.calls.rbegin();
-    if (call.state == CallState::kIntent && program.running == 0)
+    if (call.state == CallState::kIntent && program.running == 0) {
       open.emplace_back(id, sequence);
+    }
   }
   return open;
 }
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -16,8 +16,9 @@
   const bool same_holder = request.holder == holder_ || !rules_.check_holder;
   const bool current =
       request.epoch > sealed_ || (request.epoch == sealed_ && same_holder);
-  if (!Addressed(request.target) || !current)
+  if (!Addressed(request.target) || !current) {
     return {.accepted = false, .sealed = sealed_};
+  }
   Adopt(request.epoch, request.holder);
   Establish(request.list);
   // A full copy that was overtaken must not wipe what came after it.
--- a/src/shard_protocol.cc
+++ b/src/shard_protocol.cc
@@ -119,8 +119,9 @@
     fenced_ = fenced_ || reply.sealed >= epoch;
     return;
   }
-  if (Contains(list_.members, from) && !Contains(holders_, from))
+  if (Contains(list_.members, from) && !Contains(holders_, from)) {
     holders_.push_back(from);
+  }
 }
 
 std::vector<AppendRequest> MakeAppends(uint32_t shard, const Epoch& epoch,
--- a/src/upstream_choice.cc
+++ b/src/upstream_choice.cc
@@ -68,8 +68,9 @@
 }  // namespace
 
 std::unique_ptr<UpstreamChoice> MakeChoice(ChoicePolicy policy, uint64_t seed) {
-  if (policy == ChoicePolicy::kRoundRobin)
+  if (policy == ChoicePolicy::kRoundRobin) {
     return std::make_unique<RoundRobinChoice>();
+  }
   return std::make_unique<AffinityChoice>(seed);
 }
 
--- a/src/upstream_gate.cc
+++ b/src/upstream_gate.cc
@@ -32,8 +32,9 @@
 
 UpstreamGate::Answer UpstreamGate::Ask(WaitingCall call, size_t max_queue) {
   if (leaving_) return Answer::kLeaving;
-  if (queue_->size() >= std::min(max_queue, options_.queue_limit))
+  if (queue_->size() >= std::min(max_queue, options_.queue_limit)) {
     return Answer::kQueueFull;
+  }
   queue_->Push(std::move(call));
   return Answer::kQueued;
 }
