--- a/bench/lib/scenario.cc
+++ b/bench/lib/scenario.cc
@@ -13,6 +13,8 @@
 #include <thread>
 
 #include "src/duty.h"
+#include "src/placement.h"
+#include "src/program_ledger.h"
 
 namespace pimento::testbed {
 namespace {
@@ -95,6 +97,7 @@
     {"say", &Scenario::Say},
     {"flood", &Scenario::Flood},
     {"note", &Scenario::Note},
+    {"mark", &Scenario::Mark},
 };
 
 const std::map<std::string, Scenario::Command> Scenario::kExpectations = {
@@ -112,6 +115,7 @@
     {"ends", &Scenario::ExpectRequestEnds},
     {"flood", &Scenario::ExpectFlood},
     {"cut", &Scenario::ExpectCut},
+    {"quiet", &Scenario::ExpectQuiet},
 };
 
 Scenario::Scenario(std::string programs, std::string work)
@@ -203,8 +207,9 @@
   orders_->Start();
 }
 
-// "owner-of PROGRAM" names the owner of a program, "owner-of-load" that of the
-// load's first program, anything else is a host.
+// "owner-of:PROGRAM" names the owner of a program, "owner-of-team:TEAM" that of
+// a team's bucket, "owner-of-load" that of the load's first program, anything
+// else is a host.
 std::string Scenario::HostFrom(const std::string& word) const {
   if (word == "owner-of-load") {
     std::string owner;
@@ -217,6 +222,10 @@
     });
     return owner;
   }
+  if (word.starts_with("owner-of-team:")) {
+    const uint32_t shard = ShardOf("team/" + word.substr(14), shards_);
+    return fleet_->OwnerOf(ProgramId(shard, "any"));
+  }
   if (word.starts_with("owner-of:")) return fleet_->OwnerOf(word.substr(9));
   return word;
 }
@@ -386,8 +395,24 @@
   }
 }
 
-// flood TEAM seconds=S: small calls to the info service from all hosts at once,
-// as fast as the callers can, each with a key of its own.
+int64_t Scenario::Started(const std::string& engine) const {
+  const std::string body = Ask(fleet_->Upstream(engine), "GET", "/load").body;
+  return json::parse(body).at("started").to_number<int64_t>();
+}
+
+// mark ENGINE: remembers how many calls it has started.
+void Scenario::Mark(const Words& words) {
+  marks_[words.at(1)] = Started(words.at(1));
+}
+
+// expect quiet ENGINE: it has started none since the mark.
+void Scenario::ExpectQuiet(const Words& words) {
+  const int64_t more = Started(words.at(2)) - marks_.at(words.at(2));
+  if (more != 0) Fail(words[2] + " started " + std::to_string(more) + " calls");
+}
+
+// flood TEAM seconds=S [kill=HOST]: small calls to the info service from all
+// hosts at once, as fast as the callers can, each with a key of its own.
 void Scenario::Flood(const Words& words) {
   const std::string team = words.at(1);
   const double seconds = std::stod(Option(words, "seconds", "2"));
@@ -414,6 +439,11 @@
       }
     });
   }
+  const std::string victim = Option(words, "kill", "");
+  if (!victim.empty()) {
+    Pause(static_cast<int64_t>(seconds * 500));
+    fleet_->KillHost(HostFrom(victim));
+  }
   for (std::thread& thread : threads) thread.join();
   result.seconds = static_cast<double>(NowUs() - start_us) / 1e6;
   flood_ = result;
--- a/bench/lib/scenario.h
+++ b/bench/lib/scenario.h
@@ -67,6 +67,7 @@
   void Say(const Words& words);
   void Flood(const Words& words);
   void Note(const Words& words);
+  void Mark(const Words& words);
 
   void ExpectFinished(const Words& words);
   void ExpectHistories(const Words& words);
@@ -82,6 +83,10 @@
   void ExpectStatus(const Words& words);
   void ExpectRequestEnds(const Words& words);
   void ExpectFlood(const Words& words);
+  void ExpectQuiet(const Words& words);
+
+  // Calls that an engine has started.
+  int64_t Started(const std::string& engine) const;
 
   std::string HostFrom(const std::string& word) const;
   std::string Mask(std::string text) const;
@@ -108,6 +113,8 @@
     std::vector<double> times;
   };
   FloodResult flood_;
+  // Calls that engines had started at a `mark`.
+  std::map<std::string, int64_t> marks_;
   std::string transcript_;
   std::vector<std::string> figures_;
 };
--- a/src/membership_duty.cc
+++ b/src/membership_duty.cc
@@ -11,7 +11,8 @@
 const Log kLog("membership");
 
 constexpr size_t kHelpers = 2;
-constexpr int64_t kHostListMs = 2'000;
+constexpr int64_t kHostListMs = 30'000;
+constexpr int64_t kHostListAloneMs = 1'000;
 // Every so many probe periods a seed address is asked, whatever is known of it.
 constexpr int kSeedEvery = 5;
 
@@ -134,13 +135,21 @@
   co_return false;
 }
 
+// The platform counts every call, so a host registers only when it has
+// something to say, and reads the list often only while it knows nobody.
 boost::asio::awaitable<void> MembershipDuty::HostListLoop() {
+  bool registered = false;
+  bool registered_leaving = false;
   for (;;) {
     try {
-      const ListedHost self{.host = options_.self.host,
-                            .rpc_address = options_.self.rpc_address,
-                            .leaving = context_.leaving};
-      co_await context_.platform->Register(self);
+      const bool leaving = context_.leaving;
+      if (!registered || leaving != registered_leaving) {
+        const ListedHost self{.host = options_.self.host,
+                              .rpc_address = options_.self.rpc_address,
+                              .leaving = leaving};
+        registered = co_await context_.platform->Register(self);
+        registered_leaving = leaving;
+      }
       const std::vector<ListedHost> hosts = co_await context_.platform->Hosts();
       last_contact_ms_ = NowMs();
       for (const ListedHost& host : hosts) {
@@ -149,7 +158,8 @@
     } catch (const std::exception& e) {
       kLog.Debug() << "The host list cannot be read: " << e.what();
     }
-    co_await Sleep(kHostListMs);
+    const bool alone = membership_.size() == 1;
+    co_await Sleep(alone ? kHostListAloneMs : kHostListMs);
   }
 }
 
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -167,6 +167,7 @@
       co_await responder.Send(std::move(answer));
       co_return;
     }
+    ++started_;
     session.released = false;
     session.used_ms = NowMs();
     const std::shared_ptr<Stream> stream =
@@ -313,7 +314,8 @@
         {"running", Running()},    {"sessions", held},
         {"collapses", collapses_}, {"most_running", most_running_},
         {"prefilled", prefilled_}, {"cached", cached_},
-        {"resumed", resumed_},     {"cold", Cold()}};
+        {"resumed", resumed_},     {"started", started_},
+        {"cold", Cold()}};
     return json::serialize(load);
   }
 
@@ -327,6 +329,7 @@
   int64_t prefilled_ = 0;
   int64_t cached_ = 0;
   int64_t resumed_ = 0;
+  int64_t started_ = 0;
 };
 
 }  // namespace
