--- a/src/ini_file.cc
+++ b/src/ini_file.cc
@@ -284,12 +284,13 @@
     if (space != std::string::npos) {
       section.name = boost::trim_copy(header.substr(space));
     }
-    section.line = line_of("[" + header + "]");
+    const std::string bracketed = Header(section);
+    section.line = line_of(bracketed);
     for (const auto& [key, value] : body) {
-      std::string at = "[";
-      at += header + "]\n" + key;
-      const int line = line_of(at);
-      section.entries.push_back({key, boost::trim_copy(value.data()), line});
+      std::string at = bracketed;
+      at.append("\n").append(key);
+      section.entries.push_back(
+          {key, boost::trim_copy(value.data()), line_of(at)});
     }
     const SectionRule* rule = FindRule(rules, section.kind);
     if (rule == nullptr || rule->named != !section.name.empty()) {
