An answer of any bytes cannot stop a shard; twins merged, request body apart

Cause, found while reading: records are JSON, and the parser refused bytes that are not UTF-8. A plain service's answer that held some would have been counted, thrown in the ledger, and ended the shard's sending loop for good.

Ruled out: callers' input (checked as UTF-8 on the way in).

Change: records are read with any bytes allowed, also from the platform's copy; a record that cannot be read makes the owner step down instead of stopping; pieces keep their length. RequestBody has a file pair of its own; TextOf stands once.

The test "an answer of any bytes survives being recorded" threw before and passes after.

--- a/src/caller_routes.cc
+++ b/src/caller_routes.cc
@@ -14,6 +14,7 @@
 #include "src/log.h"
 #include "src/placement.h"
 #include "src/program_ledger.h"
+#include "src/request_body.h"
 #include "src/signal.h"
 
 namespace pimento {
@@ -32,80 +33,6 @@
 constexpr size_t kMostRemembered = 20'000;
 constexpr int64_t kAddressLifeMs = 10'000;
 
-Refusal BadField(const std::string& field, const std::string& what) {
-  return {Reason::kBadRequest, RunState::kNotRun,
-          "The field \"" + field + "\" " + what + "."};
-}
-
-// Reads the fields of a JSON body, each with its bounds.
-class Body {
- public:
-  explicit Body(const std::string& text) {
-    if (text.empty()) return;
-    boost::system::error_code error;
-    const json::value parsed = json::parse(text, error);
-    if (error || !parsed.is_object()) {
-      throw Refusal(Reason::kBadRequest, RunState::kNotRun,
-                    "The body is not a JSON object.");
-    }
-    object_ = parsed.as_object();
-  }
-  explicit Body(json::object object) : object_(std::move(object)) {}
-
-  std::string Text(const char* field, bool required) const {
-    const json::value* value = object_.if_contains(field);
-    if (value == nullptr) {
-      if (required) throw BadField(field, "is missing");
-      return "";
-    }
-    if (!value->is_string()) throw BadField(field, "must be a string");
-    return value->as_string().c_str();
-  }
-
-  uint64_t Number(const char* field, std::optional<uint64_t> fallback,
-                  uint64_t least, uint64_t most) const {
-    const json::value* value = object_.if_contains(field);
-    if (value == nullptr) {
-      if (!fallback) throw BadField(field, "is missing");
-      return *fallback;
-    }
-    boost::system::error_code error;
-    const auto number = value->to_number<uint64_t>(error);
-    if (error || number < least || number > most) {
-      throw BadField(field, "must be a whole number from " +
-                                std::to_string(least) + " to " +
-                                std::to_string(most));
-    }
-    return number;
-  }
-
-  bool Flag(const char* field) const {
-    const json::value* value = object_.if_contains(field);
-    if (value == nullptr) return false;
-    if (!value->is_bool()) throw BadField(field, "must be true or false");
-    return value->as_bool();
-  }
-
-  Body Object(const char* field) const {
-    const json::value* value = object_.if_contains(field);
-    if (value == nullptr) return Body(json::object{});
-    if (!value->is_object()) throw BadField(field, "must be an object");
-    return Body(value->as_object());
-  }
-
-  void OnlyFields(std::initializer_list<const char*> allowed) const {
-    for (const auto& [name, value] : object_) {
-      const bool known =
-          std::any_of(allowed.begin(), allowed.end(),
-                      [&](const char* field) { return name == field; });
-      if (!known) throw BadField(name, "is not known");
-    }
-  }
-
- private:
-  json::object object_;
-};
-
 std::vector<std::string> Segments(const std::string& path) {
   std::vector<std::string> parts;
   const std::string trimmed =
@@ -362,9 +289,9 @@
 CallerRoutes::Async<void> CallerRoutes::CreateProgram(
     const HttpRequest& request, HttpResponder& responder) {
   const Caller caller = Identify(request, "");
-  const Body body(request.body);
+  const RequestBody body(request.body);
   body.OnlyFields({"budget", "deadline_ms", "parent"});
-  const Body budget = body.Object("budget");
+  const RequestBody budget = body.Object("budget");
   budget.OnlyFields({"calls", "tokens"});
   const uint32_t shards = forwarder_.environment()->document.shards;
   const std::string key = request.Header("idempotency-key");
@@ -393,7 +320,7 @@
 
 CallerRoutes::Async<void> CallerRoutes::MakeCall(const HttpRequest& request,
                                                  HttpResponder& responder) {
-  const Body body(request.body);
+  const RequestBody body(request.body);
   body.OnlyFields({"sequence", "service", "path", "input", "max_tokens",
                    "stream", "offset", "attempt"});
   CallRequest call;
--- a/src/duty.cc
+++ b/src/duty.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdlib>
 
+#include "src/errors.h"
 #include "src/log.h"
 
 namespace pimento {
@@ -12,16 +13,6 @@
 
 const Log kLog("supervisor");
 
-std::string TextOf(const std::exception_ptr& error) {
-  try {
-    std::rethrow_exception(error);
-  } catch (const std::exception& e) {
-    return e.what();
-  } catch (...) {
-    return "unknown exception";
-  }
-}
-
 }  // namespace
 
 Duty::Duty(std::string name, size_t ring_capacity)
--- a/src/errors.h
+++ b/src/errors.h
@@ -2,11 +2,23 @@
 // turns it into its own.
 #pragma once
 
+#include <exception>
 #include <stdexcept>
 #include <string>
 
 namespace pimento {
 
+// What the exception behind `error` says.
+inline std::string TextOf(const std::exception_ptr& error) {
+  try {
+    std::rethrow_exception(error);
+  } catch (const std::exception& e) {
+    return e.what();
+  } catch (...) {
+    return "unknown exception";
+  }
+}
+
 // A mistake of the user, in settings, documents or arguments. Shown as it is.
 class UserError : public std::runtime_error {
  public:
--- a/src/peer_server.cc
+++ b/src/peer_server.cc
@@ -39,14 +39,6 @@
 
 namespace {
 
-std::string TextOf(const std::exception_ptr& error) {
-  try {
-    std::rethrow_exception(error);
-  } catch (const std::exception& e) {
-    return e.what();
-  }
-}
-
 template <class Reply>
 concept HasOutcome = requires(Reply reply) {
   reply.outcome.reason;
@@ -223,7 +215,7 @@
     auto request = sink->second.writeRequest();
     request.setAttempt(attempt);
     request.setOffset(offset);
-    request.setText(text.c_str());
+    request.setText(capnp::Text::Reader(text.c_str(), text.size()));
     const uint64_t write = state.next_id++;
     State* owner = &state;
     const auto done = [owner, write] {
--- a/src/program_ledger.cc
+++ b/src/program_ledger.cc
@@ -20,7 +20,10 @@
 
 template <class T>
 T Decode(const std::string& text) {
-  return boost::json::value_to<T>(boost::json::parse(text));
+  // An upstream's answer may hold any bytes.
+  boost::json::parse_options options;
+  options.allow_invalid_utf8 = true;
+  return boost::json::value_to<T>(boost::json::parse(text, {}, options));
 }
 
 std::string Hex(uint64_t value, int digits) {
--- a/src/shard_claims.cc
+++ b/src/shard_claims.cc
@@ -23,6 +23,13 @@
 
 const Log kLog("shard");
 
+// Records hold what upstreams answered: any bytes.
+json::parse_options AnyBytes() {
+  json::parse_options options;
+  options.allow_invalid_utf8 = true;
+  return options;
+}
+
 }  // namespace
 
 // ---- Claims ----------------------------------------------------------------
@@ -145,7 +152,8 @@
     const std::optional<PlatformObject> body =
         co_await context_.platform->Read(entry.name);
     if (!body) continue;
-    MergeRecords(json::value_to<std::vector<Record>>(json::parse(body->body)),
+    MergeRecords(json::value_to<std::vector<Record>>(
+                     json::parse(body->body, {}, AnyBytes())),
                  records);
   }
   // The third member may be left; its records are worth having.
--- a/src/shard_host.h
+++ b/src/shard_host.h
@@ -116,6 +116,7 @@
 
   Async<void> SendLoop(Shard& shard);
   Async<bool> SendBatch(Shard& shard, std::vector<Record> records);
+  bool ShowCounted(Shard& shard, const std::vector<Record>& records);
   void Stamp(Shard& shard, std::vector<Record>& records);
   void StepDown(Shard& shard, const std::string& why);
   void FailQueue(Shard& shard, Reason reason);
--- a/src/shard_records.cc
+++ b/src/shard_records.cc
@@ -81,15 +81,8 @@
                      pending->records.end());
     }
     Stamp(shard, records);
-    const bool counted = co_await SendBatch(shard, records);
-    if (counted) {
-      context_.metrics->Add(Counter::kRecordBatches);
-      context_.metrics->Add(Counter::kRecordsCounted, records.size());
-      for (const Record& record : records) {
-        shard.ledger.Apply(record);
-        shard.unflushed[record.key] = record;
-      }
-    }
+    bool counted = co_await SendBatch(shard, records);
+    if (counted) counted = ShowCounted(shard, records);
     const bool fenced = shard.role != Role::kOwner;
     for (const auto& pending : batch) {
       pending->done = true;
@@ -102,6 +95,24 @@
   shard.sending = false;
 }
 
+// Lets the ledger show what has counted. Returns false when it cannot read a
+// record: another owner would not be able to either, but must not be blocked.
+bool ShardHost::ShowCounted(Shard& shard, const std::vector<Record>& records) {
+  context_.metrics->Add(Counter::kRecordBatches);
+  context_.metrics->Add(Counter::kRecordsCounted, records.size());
+  try {
+    for (const Record& record : records) {
+      shard.ledger.Apply(record);
+      shard.unflushed[record.key] = record;
+    }
+  } catch (const std::exception& e) {
+    kLog.Error() << "A record of shard " << shard.id
+                 << " cannot be read: " << e.what();
+    return false;
+  }
+  return true;
+}
+
 // Returns whether a quorum holds the batch.
 ShardHost::Async<bool> ShardHost::SendBatch(Shard& shard,
                                             std::vector<Record> records) {
--- a/test/correctness/ledger_test.cc
+++ b/test/correctness/ledger_test.cc
@@ -145,6 +145,16 @@
   CHECK(ledger.Find(child)->calls.empty());
 }
 
+TEST_CASE("an answer of any bytes survives being recorded") {
+  ProgramLedger ledger;
+  PutProgram(ledger, kProgram, 10, 1'000);
+  CallRecord call;
+  call.state = CallState::kDone;
+  call.output = std::string("\xff\xfe \0 \xc3", 7);
+  ledger.Apply(MakeRecord(kProgram, 1, call));
+  CHECK(ledger.Find(kProgram)->calls.at(1).output == call.output);
+}
+
 TEST_CASE("program names carry their shard") {
   const std::string id = ProgramId(26, "some key");
   CHECK(ShardOfProgram(id) == 26);
