--- /dev/null
+++ b/src/archive_client.cc
@@ -0,0 +1,200 @@
+#include "src/archive_client.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "src/errors.h"
+#include "src/event_log.h"
+
+namespace pimento {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// GCC 12 destroys some temporaries of a co_await expression twice: calls are
+// built in variables of their own before they are awaited.
+
+constexpr int kListChanges = 4;
+constexpr milliseconds kListPause{60};
+
+}  // namespace
+
+// Replies to one call, as they come in.
+struct ArchiveClient::Gather {
+  explicit Gather(asio::io_context& io)
+      : bell(io, steady_clock::time_point::max()) {}
+  asio::steady_timer bell;
+  std::map<uint64_t, ArchiveReply> done;
+  size_t open = 0;
+  bool stale = false;
+  std::string newer_list;
+};
+
+ArchiveClient::ArchiveClient(asio::io_context& io, ConnectionPool& pool,
+                             ArchiveClientOptions options)
+    : io_(io),
+      options_(std::move(options)),
+      rpc_(pool),
+      list_(std::make_shared<MemberList>()) {}
+
+void ArchiveClient::Adopt(const MemberList& list) {
+  if (list.version <= list_->version) return;
+  list_ = std::make_shared<MemberList>(list);
+  EventLine(Event::kMembersChanged)
+      .Number("version", static_cast<int64_t>(list.version))
+      .Number("members", static_cast<int64_t>(list.members.size()))
+      .Number("next", static_cast<int64_t>(list.next.size()));
+}
+
+std::vector<ArchiveMember> ArchiveClient::NearestFirst() const {
+  auto members = list_->All();
+  std::stable_partition(members.begin(), members.end(),
+                        [this](const ArchiveMember& member) {
+                          return member.zone == options_.zone;
+                        });
+  return members;
+}
+
+asio::awaitable<std::shared_ptr<ArchiveClient::Gather>> ArchiveClient::AskOnce(
+    const std::shared_ptr<const MemberList>& list, const Body& body) {
+  auto gather = std::make_shared<Gather>(io_);
+  auto call = std::make_shared<ArchiveCall>(
+      ArchiveCall{.list_version = list->version, .body = body});
+  for (const ArchiveMember& member : list->All()) {
+    ++gather->open;
+    asio::co_spawn(
+        io_,
+        [this, gather, call, member]() -> asio::awaitable<void> {
+          try {
+            ArchiveReply reply = co_await rpc_.Call(member.address, *call,
+                                                    options_.member_limit);
+            if (reply.verdict == ArchiveVerdict::kStaleList) {
+              gather->stale = true;
+              gather->newer_list = reply.members;
+            } else if (reply.verdict == ArchiveVerdict::kDone &&
+                       reply.member == member.id) {
+              gather->done.emplace(member.id, std::move(reply));
+            }
+          } catch (const TransportError& e) {
+            EventLine(Event::kArchiveFailed)
+                .Text("member", member.host)
+                .Text("error", e.what());
+          }
+          --gather->open;
+          gather->bell.cancel();
+        },
+        asio::detached);
+  }
+  const auto enough = [&] {
+    std::set<uint64_t> answered;
+    for (const auto& [id, reply] : gather->done) answered.insert(id);
+    return list->Quorum(answered);
+  };
+  while (gather->open > 0 && !gather->stale && !enough()) {
+    boost::system::error_code ignored;  // the bell rings by cancelling
+    co_await gather->bell.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  if (!gather->stale && !enough()) {
+    throw ArchiveError(std::to_string(gather->done.size()) + " of " +
+                       std::to_string(list->All().size()) +
+                       " members of the archive answered.");
+  }
+  co_return gather;
+}
+
+asio::awaitable<std::vector<ArchiveReply>> ArchiveClient::AskQuorum(
+    const Body& body) {
+  for (int round = 0; round < kListChanges; ++round) {
+    const auto list = list_;
+    if (list->members.empty())
+      throw ArchiveError("The archive's members are not known yet.");
+    const auto gather = co_await AskOnce(list, body);
+    if (!gather->stale) {
+      std::vector<ArchiveReply> replies;
+      for (auto& [id, reply] : gather->done) replies.push_back(reply);
+      co_return replies;
+    }
+    if (!gather->newer_list.empty())
+      Adopt(DecodeMemberList(gather->newer_list));
+    if (list_ != list) continue;
+    asio::steady_timer pause(io_, kListPause);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+  throw ArchiveError("The archive's members keep changing.");
+}
+
+asio::awaitable<bool> ArchiveClient::Reserve(TokenReservation reservation,
+                                             uint64_t budget) {
+  std::vector<std::vector<TokenReservation>> looks;
+  const Body reserve = reservation;
+  const auto first = co_await AskQuorum(reserve);
+  for (const auto& reply : first) looks.push_back(reply.reservations);
+  BudgetVerdict verdict = JudgeFirstLook(TokensSeen(looks), budget);
+  if (verdict == BudgetVerdict::kLookAgain) {
+    const Body collect = CollectCall{reservation.program};
+    const auto again = co_await AskQuorum(collect);
+    for (const auto& reply : again) looks.push_back(reply.reservations);
+    verdict = JudgeSecondLook(TokensSeen(looks), budget);
+  }
+  co_return verdict == BudgetVerdict::kFits;
+}
+
+asio::awaitable<void> ArchiveClient::Settle(TokenReservation reservation) {
+  reservation.settled = true;
+  const Body settle = std::move(reservation);
+  co_await AskQuorum(settle);
+}
+
+asio::awaitable<void> ArchiveClient::Keep(TurnRecord record) {
+  const Body keep = std::move(record);
+  co_await AskQuorum(keep);
+}
+
+asio::awaitable<std::optional<std::vector<TurnRecord>>> ArchiveClient::History(
+    std::string turn, std::string team) {
+  const auto list = list_;
+  std::vector<TurnRecord> turns;
+  std::string wanted = turn;
+  // Members that hold all that counted and lack `wanted`.
+  std::set<uint64_t> denied;
+  for (const ArchiveMember& member : NearestFirst()) {
+    ArchiveReply reply;
+    try {
+      ArchiveCall call;
+      call.list_version = list->version;
+      call.body = HistoryCall{wanted, team};
+      reply = co_await rpc_.Call(member.address, std::move(call),
+                                 options_.member_limit);
+    } catch (const TransportError& e) {
+      EventLine(Event::kArchiveFailed)
+          .Text("member", member.host)
+          .Text("error", e.what());
+      continue;
+    }
+    if (reply.verdict == ArchiveVerdict::kStaleList) {
+      if (!reply.members.empty()) Adopt(DecodeMemberList(reply.members));
+      continue;
+    }
+    if (reply.verdict != ArchiveVerdict::kDone || reply.member != member.id)
+      continue;
+    for (auto& record : reply.turns) turns.push_back(std::move(record));
+    if (reply.missing.empty()) {
+      std::reverse(turns.begin(), turns.end());
+      co_return turns;
+    }
+    if (reply.missing != wanted) denied.clear();
+    wanted = reply.missing;
+    if (reply.intact) denied.insert(member.id);
+  }
+  if (wanted == turn && list->OldQuorum(denied)) co_return std::nullopt;
+  throw ArchiveError("Turn " + wanted +
+                     " was not found, and too few members "
+                     "of the archive could deny it.");
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/archive_client.h
@@ -0,0 +1,74 @@
+// A gateway's side of the archive: begins and ends turns against a quorum of
+// its members.
+//
+// Nobody owns a program. A turn's tokens are reserved at a quorum before it
+// runs, and any two quorums share a member, so of two turns at least one sees
+// the other. That alone lets three turns each miss another one; how the sum is
+// still bounded is told in budget_rule.h.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "src/archive_rpc.h"
+#include "src/budget_rule.h"
+#include "src/member_list.h"
+
+namespace pimento {
+
+// The archive cannot say for certain: too few members answered.
+class ArchiveError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct ArchiveClientOptions {
+  std::string zone = {};
+  std::chrono::milliseconds member_limit{700};
+};
+
+class ArchiveClient {
+ public:
+  template <class T>
+  using Async = boost::asio::awaitable<T>;
+
+  ArchiveClient(boost::asio::io_context& io, ConnectionPool& pool,
+                ArchiveClientOptions options);
+
+  // Takes a list unless a newer one is known.
+  void Adopt(const MemberList& list);
+  const MemberList& list() const { return *list_; }
+
+  // Reserves `tokens` for a turn. Returns false when the program's budget does
+  // not hold them; the reservation is then withdrawn. Throws ArchiveError.
+  Async<bool> Reserve(TokenReservation reservation, uint64_t budget);
+  // Tells what a turn used; 0 for one that did not run. Throws ArchiveError.
+  Async<void> Settle(TokenReservation reservation);
+  // Keeps a turn; it counts once this returns. Throws ArchiveError.
+  Async<void> Keep(TurnRecord record);
+  // A turn and those before it, oldest first; nothing when a quorum denies it.
+  // Throws ArchiveError when that is not certain.
+  Async<std::optional<std::vector<TurnRecord>>> History(std::string turn,
+                                                        std::string team);
+
+ private:
+  struct Gather;
+  using Body = decltype(ArchiveCall::body);
+  // Sends `body` to all members and waits for a quorum of replies.
+  Async<std::vector<ArchiveReply>> AskQuorum(const Body& body);
+  Async<std::shared_ptr<Gather>> AskOnce(
+      const std::shared_ptr<const MemberList>& list, const Body& body);
+  std::vector<ArchiveMember> NearestFirst() const;
+
+  boost::asio::io_context& io_;
+  ArchiveClientOptions options_;
+  ArchiveRpc rpc_;
+  std::shared_ptr<const MemberList> list_;
+};
+
+}  // namespace pimento
--- /dev/null
+++ b/src/archive_codec.cc
@@ -0,0 +1,226 @@
+#include "src/archive_codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <cstring>
+
+#include "schema/fleet.capnp.h"
+#include "src/errors.h"
+
+namespace pimento {
+namespace {
+
+std::string BytesOf(capnp::MessageBuilder& message) {
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+// Bytes copied to where Cap'n Proto may read them.
+class Reader {
+ public:
+  explicit Reader(const std::string& bytes)
+      : words_(kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word))),
+        message_(Copied(bytes, words_), Options()) {}
+  template <class T>
+  typename T::Reader Root() {
+    return message_.getRoot<T>();
+  }
+
+ private:
+  static kj::ArrayPtr<const capnp::word> Copied(const std::string& bytes,
+                                                kj::Array<capnp::word>& words) {
+    memcpy(words.begin(), bytes.data(), words.size() * sizeof(capnp::word));
+    return words.asPtr();
+  }
+  static capnp::ReaderOptions Options() {
+    capnp::ReaderOptions options;
+    // Bounds what a reader may be made to visit; a page of records is less.
+    options.traversalLimitInWords = 8 * 1024 * 1024;
+    return options;
+  }
+
+  kj::Array<capnp::word> words_;
+  capnp::FlatArrayMessageReader message_;
+};
+
+std::string Text(capnp::Text::Reader text) {
+  return {text.begin(), text.size()};
+}
+std::string Bytes(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+capnp::Data::Reader DataOf(const std::string& text) {
+  return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
+}
+
+void Fill(wire::Reservation::Builder out, const TokenReservation& reservation) {
+  out.setProgram(reservation.program);
+  out.setTurn(reservation.turn);
+  out.setTokens(reservation.tokens);
+  out.setSettled(reservation.settled);
+}
+
+TokenReservation Read(wire::Reservation::Reader in) {
+  return {.program = Text(in.getProgram()),
+          .turn = Text(in.getTurn()),
+          .tokens = in.getTokens(),
+          .settled = in.getSettled()};
+}
+
+void Fill(wire::TurnRecord::Builder out, const TurnRecord& record) {
+  out.setTurn(record.turn);
+  out.setPrevious(record.previous);
+  out.setTeam(record.team);
+  out.setInput(DataOf(record.input));
+  out.setOutput(DataOf(record.output));
+  out.setUpstream(record.upstream);
+  out.setRetainMs(static_cast<uint64_t>(record.retain_ms));
+  out.setProgram(record.program);
+  out.setTokens(record.tokens);
+}
+
+TurnRecord Read(wire::TurnRecord::Reader in) {
+  return {.turn = Text(in.getTurn()),
+          .previous = Text(in.getPrevious()),
+          .team = Text(in.getTeam()),
+          .input = Bytes(in.getInput()),
+          .output = Bytes(in.getOutput()),
+          .upstream = Text(in.getUpstream()),
+          .retain_ms = static_cast<int64_t>(in.getRetainMs()),
+          .program = Text(in.getProgram()),
+          .tokens = in.getTokens()};
+}
+
+// One overload for each call.
+struct CallFiller {
+  wire::ArchiveCall::Builder out;
+  void operator()(const PingCall&) { out.setPing(); }
+  void operator()(const TokenReservation& call) {
+    Fill(call.settled ? out.initSettle() : out.initReserve(), call);
+  }
+  void operator()(const CollectCall& call) { out.setCollect(call.program); }
+  void operator()(const TurnRecord& call) { Fill(out.initKeep(), call); }
+  void operator()(const HistoryCall& call) {
+    auto history = out.initHistory();
+    history.setTurn(call.turn);
+    history.setTeam(call.team);
+  }
+  void operator()(const FenceCall& call) { out.setFence(call.version); }
+  void operator()(const CopyCall& call) { out.setCopy(call.from); }
+};
+
+ArchiveCall ReadCall(wire::ArchiveCall::Reader in) {
+  ArchiveCall call;
+  call.list_version = in.getListVersion();
+  switch (in.which()) {
+    case wire::ArchiveCall::RESERVE:
+      call.body = Read(in.getReserve());
+      break;
+    case wire::ArchiveCall::COLLECT:
+      call.body = CollectCall{Text(in.getCollect())};
+      break;
+    case wire::ArchiveCall::SETTLE:
+      call.body = Read(in.getSettle());
+      break;
+    case wire::ArchiveCall::KEEP:
+      call.body = Read(in.getKeep());
+      break;
+    case wire::ArchiveCall::HISTORY:
+      call.body = HistoryCall{Text(in.getHistory().getTurn()),
+                              Text(in.getHistory().getTeam())};
+      break;
+    case wire::ArchiveCall::FENCE:
+      call.body = FenceCall{in.getFence()};
+      break;
+    case wire::ArchiveCall::COPY:
+      call.body = CopyCall{in.getCopy()};
+      break;
+    case wire::ArchiveCall::PING:
+      break;
+  }
+  return call;
+}
+
+template <class Work>
+auto Decoded(const std::string& bytes, Work work) {
+  try {
+    Reader reader(bytes);
+    return work(reader);
+  } catch (const kj::Exception& e) {
+    throw StateError(std::string("A message of the archive is unreadable: ") +
+                     e.getDescription().cStr());
+  }
+}
+
+}  // namespace
+
+std::string EncodeCall(const ArchiveCall& call) {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<wire::ArchiveCall>();
+  out.setListVersion(call.list_version);
+  std::visit(CallFiller{out}, call.body);
+  return BytesOf(message);
+}
+
+std::string EncodeReply(const ArchiveReply& reply) {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<wire::ArchiveReply>();
+  out.setVerdict(static_cast<wire::ArchiveReply::Verdict>(reply.verdict));
+  out.setMemberId(reply.member);
+  out.setListVersion(reply.list_version);
+  out.setIntact(reply.intact);
+  auto reservations = out.initReservations(reply.reservations.size());
+  for (unsigned i = 0; i < reservations.size(); ++i)
+    Fill(reservations[i], reply.reservations[i]);
+  auto turns = out.initTurns(reply.turns.size());
+  for (unsigned i = 0; i < turns.size(); ++i) Fill(turns[i], reply.turns[i]);
+  out.setMissing(reply.missing);
+  out.setNext(reply.next);
+  out.setMore(reply.more);
+  out.setMembers(reply.members);
+  return BytesOf(message);
+}
+
+ArchiveCall DecodeCall(const std::string& bytes) {
+  return Decoded(bytes, [](Reader& reader) {
+    return ReadCall(reader.Root<wire::ArchiveCall>());
+  });
+}
+
+ArchiveReply DecodeReply(const std::string& bytes) {
+  return Decoded(bytes, [](Reader& reader) {
+    const auto in = reader.Root<wire::ArchiveReply>();
+    ArchiveReply reply;
+    reply.verdict = static_cast<ArchiveVerdict>(in.getVerdict());
+    reply.member = in.getMemberId();
+    reply.list_version = in.getListVersion();
+    reply.intact = in.getIntact();
+    for (const auto reservation : in.getReservations())
+      reply.reservations.push_back(Read(reservation));
+    for (const auto turn : in.getTurns()) reply.turns.push_back(Read(turn));
+    reply.missing = Text(in.getMissing());
+    reply.next = in.getNext();
+    reply.more = in.getMore();
+    reply.members = Text(in.getMembers());
+    return reply;
+  });
+}
+
+std::string EncodeEntry(const JournalEntry& entry) {
+  ArchiveCall call;
+  std::visit([&call](const auto& body) { call.body = body; }, entry);
+  return EncodeCall(call);
+}
+
+JournalEntry DecodeEntry(const std::string& bytes) {
+  const ArchiveCall call = DecodeCall(bytes);
+  if (const auto* body = std::get_if<TokenReservation>(&call.body))
+    return *body;
+  if (const auto* body = std::get_if<TurnRecord>(&call.body)) return *body;
+  if (const auto* body = std::get_if<FenceCall>(&call.body)) return *body;
+  throw StateError("A journal entry is of an unknown kind.");
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/archive_journal.cc
@@ -0,0 +1,206 @@
+#include "src/archive_journal.h"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "src/errors.h"
+#include "src/event_log.h"
+
+namespace pimento {
+namespace {
+
+constexpr uint64_t kSegmentBytes = 16 * 1024 * 1024;
+constexpr uint32_t kMostEntryBytes = 64 * 1024 * 1024;
+
+struct EntryHead {
+  uint32_t length = 0;
+  uint32_t reserved = 0;
+  uint64_t checksum = 0;
+};
+
+[[noreturn]] void Fail(const std::string& what, const std::string& path) {
+  throw StateError(what + " " + path + " failed: " + std::strerror(errno));
+}
+
+void WriteAll(int handle, const std::string& bytes, const std::string& path) {
+  size_t done = 0;
+  while (done < bytes.size()) {
+    const ssize_t wrote =
+        write(handle, bytes.data() + done, bytes.size() - done);
+    if (wrote < 0 && errno == EINTR) continue;
+    if (wrote <= 0) Fail("Writing", path);
+    done += static_cast<size_t>(wrote);
+  }
+}
+
+void SyncDirectory(const std::string& dir) {
+  const int handle = open(dir.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (handle < 0) Fail("Opening", dir);
+  const int result = fsync(handle);
+  close(handle);
+  if (result != 0) Fail("Syncing", dir);
+}
+
+std::string ReadWhole(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+int64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string Framed(const std::string& entry) {
+  EntryHead head;
+  head.length = static_cast<uint32_t>(entry.size());
+  head.checksum = XXH3_64bits(entry.data(), entry.size());
+  std::string out(reinterpret_cast<const char*>(&head), sizeof head);
+  return out + entry;
+}
+
+}  // namespace
+
+ArchiveJournal::ArchiveJournal(std::string dir) : dir_(std::move(dir)) {
+  std::error_code error;
+  std::filesystem::create_directories(dir_, error);
+  if (error)
+    throw StateError("Creating " + dir_ + " failed: " + error.message());
+}
+
+ArchiveJournal::~ArchiveJournal() {
+  if (handle_ >= 0) close(handle_);
+}
+
+uint64_t ArchiveJournal::MemberId() {
+  const std::string path = dir_ + "/member";
+  std::istringstream held(ReadWhole(path));
+  uint64_t id = 0;
+  uint64_t check = 0;
+  // A torn file is no identity: nothing was counted under it yet.
+  if (held >> id >> check && check == XXH3_64bits(&id, sizeof id)) return id;
+  std::random_device random;
+  id = (static_cast<uint64_t>(random()) << 32 | random()) >> 1;
+  const std::string text = std::to_string(id) + " " +
+                           std::to_string(XXH3_64bits(&id, sizeof id)) + "\n";
+  const int handle =
+      open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+  if (handle < 0) Fail("Creating", path);
+  WriteAll(handle, text, path);
+  const int result = fsync(handle);
+  close(handle);
+  if (result != 0) Fail("Syncing", path);
+  SyncDirectory(dir_);
+  return id;
+}
+
+std::string ArchiveJournal::PathOf(uint64_t number) const {
+  char name[32];
+  std::snprintf(name, sizeof name, "%08llu.log",
+                static_cast<unsigned long long>(number));
+  return dir_ + "/" + name;
+}
+
+void ArchiveJournal::ReplaySegment(
+    Segment& segment, const std::function<void(const std::string&)>& visit) {
+  const std::string bytes = ReadWhole(PathOf(segment.number));
+  size_t at = 0;
+  while (bytes.size() - at >= sizeof(EntryHead)) {
+    EntryHead head;
+    memcpy(&head, bytes.data() + at, sizeof head);
+    const size_t start = at + sizeof head;
+    if (head.length == 0 || head.length > kMostEntryBytes ||
+        bytes.size() - start < head.length ||
+        XXH3_64bits(bytes.data() + start, head.length) != head.checksum)
+      break;
+    visit(bytes.substr(start, head.length));
+    at = start + head.length;
+  }
+  if (at < bytes.size()) {
+    EventLine(Event::kJournal)
+        .Text("outcome", "torn_tail")
+        .Number("segment", static_cast<int64_t>(segment.number))
+        .Number("bytes_left_out", static_cast<int64_t>(bytes.size() - at));
+  }
+  segment.bytes = bytes.size();
+}
+
+void ArchiveJournal::Replay(
+    const std::function<void(const std::string&)>& visit) {
+  segments_.clear();
+  bytes_ = 0;
+  for (const auto& file : std::filesystem::directory_iterator(dir_)) {
+    if (file.path().extension() != ".log") continue;
+    segments_.push_back(
+        {.number = std::strtoull(file.path().stem().c_str(), nullptr, 10),
+         .bytes = 0,
+         .last_write_ms = UnixMs()});
+  }
+  std::sort(
+      segments_.begin(), segments_.end(),
+      [](const Segment& a, const Segment& b) { return a.number < b.number; });
+  for (Segment& segment : segments_) {
+    ReplaySegment(segment, visit);
+    bytes_ += segment.bytes;
+  }
+}
+
+void ArchiveJournal::OpenNext() {
+  if (handle_ >= 0) close(handle_);
+  const uint64_t number = segments_.empty() ? 1 : segments_.back().number + 1;
+  const std::string path = PathOf(number);
+  handle_ = open(path.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0644);
+  if (handle_ < 0) Fail("Creating", path);
+  segments_.push_back(
+      {.number = number, .bytes = 0, .last_write_ms = UnixMs()});
+  SyncDirectory(dir_);
+}
+
+void ArchiveJournal::Append(const std::vector<std::string>& entries) {
+  if (handle_ < 0 || segments_.back().bytes >= kSegmentBytes) OpenNext();
+  std::string bytes;
+  for (const std::string& entry : entries) bytes += Framed(entry);
+  const std::string path = PathOf(segments_.back().number);
+  try {
+    WriteAll(handle_, bytes, path);
+    if (fdatasync(handle_) != 0) Fail("Syncing", path);
+  } catch (const StateError&) {
+    // What follows a torn entry could not be replayed: go on in a new segment.
+    close(handle_);
+    handle_ = -1;
+    throw;
+  }
+  segments_.back().bytes += bytes.size();
+  segments_.back().last_write_ms = UnixMs();
+  bytes_ += bytes.size();
+}
+
+void ArchiveJournal::DropOld(int64_t now_ms, int64_t life_ms) {
+  bool dropped = false;
+  while (segments_.size() > 1 &&
+         segments_.front().last_write_ms + life_ms < now_ms) {
+    const std::string path = PathOf(segments_.front().number);
+    if (unlink(path.c_str()) != 0 && errno != ENOENT) Fail("Removing", path);
+    bytes_ -= segments_.front().bytes;
+    segments_.erase(segments_.begin());
+    dropped = true;
+  }
+  if (dropped) SyncDirectory(dir_);
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/archive_node.cc
@@ -0,0 +1,569 @@
+#include "src/archive_node.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <set>
+#include <sstream>
+#include <utility>
+
+#include "platform/object_codec.h"
+#include "platform/wire_names.h"
+#include "src/errors.h"
+#include "src/event_log.h"
+
+namespace pimento {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kReconcileEvery{250};
+constexpr milliseconds kPingLimit{400};
+constexpr milliseconds kCopyLimit{3'000};
+constexpr milliseconds kRegisterPause{300};
+constexpr milliseconds kSweepEvery{5'000};
+// The first list waits this long for hosts beyond the first.
+constexpr milliseconds kFirstListWait{2'500};
+constexpr size_t kMembersWanted = 3;
+constexpr int64_t kReplaceAfterMs = 1'500;
+constexpr size_t kCopyPageBytes = 256 * 1024;
+// Longer than any record lives.
+constexpr int64_t kSegmentLifeMs = 600'000;
+constexpr size_t kMostConnections = 1'000;
+constexpr uint64_t kMostCallBytes = 8 * 1024 * 1024;
+constexpr int64_t kIdleMs = 60'000;
+
+int64_t SteadyMs() {
+  return duration_cast<milliseconds>(steady_clock::now().time_since_epoch())
+      .count();
+}
+
+CallerLimits PeerLimits() {
+  return {.header_bytes = 4'096,
+          .body_bytes = kMostCallBytes,
+          .header_timeout_ms = 3'000,
+          .idle_timeout_ms = kIdleMs};
+}
+
+asio::awaitable<void> Pause(asio::io_context& io, milliseconds time) {
+  asio::steady_timer timer(io, time);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+}  // namespace
+
+ArchiveMember MemberOf(const std::string& host, const json::value& spec) {
+  const auto* object = spec.if_object();
+  if (object == nullptr) throw StateError("A registration is no object.");
+  const auto text = [object](const char* key) {
+    const auto* value = object->if_contains(key);
+    return value != nullptr && value->is_string()
+               ? std::string(value->get_string())
+               : std::string();
+  };
+  ArchiveMember member{.id = std::strtoull(text("id").c_str(), nullptr, 10),
+                       .host = host,
+                       .zone = text("zone"),
+                       .address = text("address")};
+  if (member.id == 0 || member.address.empty())
+    throw StateError("The registration of " + host + " has no id or address.");
+  return member;
+}
+
+MemberList ListOf(const StoreWatch::Objects& objects, uint64_t& revision) {
+  const auto it = objects.find(kMemberListName);
+  if (it == objects.end() || !it->second.spec.is_string()) return {};
+  revision = it->second.revision;
+  return DecodeMemberList(std::string(it->second.spec.get_string()));
+}
+
+ArchiveNode::ArchiveNode(asio::io_context& io, Duty& disk,
+                         platform::StoreClient& store, ConnectionPool& pool,
+                         ArchiveNodeOptions options)
+    : io_(io),
+      disk_(disk),
+      store_(store),
+      options_(std::move(options)),
+      rpc_(pool),
+      journal_(options_.data_dir),
+      server_(io, {.limits = PeerLimits,
+                   .handler =
+                       [this](const CallerRequest& request, AnswerSink& answer,
+                              StopToken&) { return Serve(request, answer); },
+                   .most_connections = kMostConnections}),
+      registrations_(io, store, {.kind = kArchiveKind}),
+      lists_(io, store, {.kind = kMemberListKind}),
+      retirements_(io, store, {.kind = std::string(platform::kRetirementKind)}),
+      started_(steady_clock::now()) {}
+
+void ArchiveNode::Start() {
+  id_ = journal_.MemberId();
+  size_t entries = 0;
+  const int64_t now_ms = SteadyMs();
+  journal_.Replay([&](const std::string& bytes) {
+    ++entries;
+    const JournalEntry entry = DecodeEntry(bytes);
+    if (const auto* fence = std::get_if<FenceCall>(&entry)) {
+      fence_ = std::max(fence_, fence->version);
+    } else if (const auto* turn = std::get_if<TurnRecord>(&entry)) {
+      archive_.Apply(*turn, now_ms);
+    } else {
+      archive_.Apply(std::get<TokenReservation>(entry), now_ms);
+    }
+  });
+  EventLine(Event::kJournal)
+      .Text("outcome", "replayed")
+      .Number("entries", static_cast<int64_t>(entries))
+      .Number("turns", static_cast<int64_t>(archive_.turns()))
+      .Text("member", std::to_string(id_));
+  server_.Listen(options_.address);
+  const auto adopt = [this] { AdoptList(); };
+  lists_.Start(adopt);
+  registrations_.Start([] {});
+  retirements_.Start([] {});
+  asio::co_spawn(io_, Register(), asio::detached);
+  asio::co_spawn(io_, RunMembership(), asio::detached);
+}
+
+bool ArchiveNode::Intact() const {
+  return std::any_of(list_.members.begin(), list_.members.end(),
+                     [this](const ArchiveMember& m) { return m.id == id_; });
+}
+
+void ArchiveNode::AdoptList() {
+  try {
+    uint64_t revision = 0;
+    MemberList list = ListOf(lists_.objects(), revision);
+    if (list.version <= list_.version) return;
+    list_ = std::move(list);
+    list_revision_ = revision;
+    EventLine(Event::kMembersChanged)
+        .Number("version", static_cast<int64_t>(list_.version))
+        .Text("list", EncodeMemberList(list_))
+        .Text("self", std::to_string(id_));
+  } catch (const StateError& e) {
+    EventLine(Event::kHandlerFailed).Text("error", e.what());
+  }
+}
+
+asio::awaitable<void> ArchiveNode::Serve(const CallerRequest& request,
+                                         AnswerSink& answer) {
+  ++calls_;
+  AnswerSink::Header header;
+  std::optional<ArchiveCall> call;
+  try {
+    call = DecodeCall(request.body);
+  } catch (const StateError& e) {
+    EventLine(Event::kHandlerFailed).Text("error", e.what());
+  }
+  if (!call) {
+    header.result(http::status::bad_request);
+    co_await answer.Send(std::move(header), "");
+    co_return;
+  }
+  ArchiveReply reply = co_await Handle(std::move(*call));
+  reply.member = id_;
+  reply.intact = Intact();
+  reply.list_version = std::max(list_.version, fence_);
+  header.result(http::status::ok);
+  co_await answer.Send(std::move(header), EncodeReply(reply));
+}
+
+asio::awaitable<ArchiveReply> ArchiveNode::Handle(ArchiveCall call) {
+  ArchiveReply reply{.verdict = ArchiveVerdict::kDone};
+  const int64_t now_ms = SteadyMs();
+  if (std::holds_alternative<PingCall>(call.body)) {
+    reply.next = copied_version_;
+    co_return reply;
+  }
+  if (const auto* fence = std::get_if<FenceCall>(&call.body)) {
+    const uint64_t version = std::max(fence_, fence->version);
+    fence_ = version;
+    const JournalEntry entry = FenceCall{version};
+    if (!co_await Commit(entry)) reply.verdict = ArchiveVerdict::kFailed;
+    co_return reply;
+  }
+  if (const auto* copy = std::get_if<CopyCall>(&call.body)) {
+    auto page = archive_.Copy(copy->from, kCopyPageBytes);
+    for (auto& record : page.records) {
+      if (auto* turn = std::get_if<TurnRecord>(&record))
+        reply.turns.push_back(std::move(*turn));
+      else
+        reply.reservations.push_back(
+            std::move(std::get<TokenReservation>(record)));
+    }
+    reply.next = page.next;
+    reply.more = page.more;
+    co_return reply;
+  }
+  if (call.list_version < fence_) {
+    reply.verdict = ArchiveVerdict::kStaleList;
+    if (list_.version > call.list_version)
+      reply.members = EncodeMemberList(list_);
+    co_return reply;
+  }
+  if (const auto* history = std::get_if<HistoryCall>(&call.body)) {
+    auto found = archive_.HistoryOf(history->turn, history->team);
+    reply.turns = std::move(found.turns);
+    reply.missing = std::move(found.missing);
+    co_return reply;
+  }
+  if (const auto* collect = std::get_if<CollectCall>(&call.body)) {
+    reply.reservations = archive_.ReservationsOf(collect->program);
+    co_return reply;
+  }
+  if (auto* turn = std::get_if<TurnRecord>(&call.body)) {
+    archive_.Apply(*turn, now_ms);
+    const JournalEntry entry = std::move(*turn);
+    if (!co_await Commit(entry)) reply.verdict = ArchiveVerdict::kFailed;
+    co_return reply;
+  }
+  const auto reservation = std::get<TokenReservation>(call.body);
+  archive_.Apply(reservation, now_ms);
+  // What others reserved before this call; what they reserve later sees it.
+  if (!reservation.settled)
+    reply.reservations = archive_.ReservationsOf(reservation.program);
+  const JournalEntry entry = reservation;
+  if (!co_await Commit(entry)) reply.verdict = ArchiveVerdict::kFailed;
+  co_return reply;
+}
+
+asio::awaitable<bool> ArchiveNode::Commit(const JournalEntry& entry) {
+  Pending pending = MakePending(EncodeEntry(entry));
+  const auto bell = pending.bell;
+  const auto outcome = pending.outcome;
+  pending_.push_back(std::move(pending));
+  if (!syncing_) StartBatch();
+  while (*outcome < 0) {
+    boost::system::error_code ignored;  // the bell rings by cancelling
+    co_await bell->async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  co_return *outcome == 1;
+}
+
+ArchiveNode::Pending ArchiveNode::MakePending(std::string bytes) {
+  return {.bytes = std::move(bytes),
+          .bell = std::make_shared<asio::steady_timer>(
+              io_, steady_clock::time_point::max()),
+          .outcome = std::make_shared<int>(-1)};
+}
+
+void ArchiveNode::StartBatch() {
+  syncing_ = true;
+  in_sync_ = std::move(pending_);
+  pending_.clear();
+  auto entries = std::make_shared<std::vector<std::string>>();
+  for (Pending& pending : in_sync_)
+    entries->push_back(std::move(pending.bytes));
+  const bool offered = disk_.Offer([this, entries] {
+    bool synced = true;
+    try {
+      journal_.Append(*entries);
+    } catch (const StateError& e) {
+      synced = false;
+      EventLine(Event::kJournal)
+          .Text("outcome", "failed")
+          .Text("error", e.what());
+    }
+    asio::post(io_, [this, synced] { FinishBatch(synced); });
+  });
+  if (!offered) asio::post(io_, [this] { FinishBatch(false); });
+}
+
+void ArchiveNode::FinishBatch(bool synced) {
+  ++syncs_;
+  if (!synced) ++failed_syncs_;
+  for (Pending& pending : in_sync_) {
+    *pending.outcome = synced ? 1 : 0;
+    pending.bell->cancel();
+  }
+  in_sync_.clear();
+  syncing_ = false;
+  if (!pending_.empty()) StartBatch();
+}
+
+asio::awaitable<void> ArchiveNode::Register() {
+  const json::value spec = json::object{{"id", std::to_string(id_)},
+                                        {"zone", options_.zone},
+                                        {"address", options_.address}};
+  for (;;) {
+    try {
+      const auto held = co_await store_.Read(kArchiveKind, options_.host);
+      if (held && held->spec == spec) co_return;
+      if (held)
+        co_await store_.Replace(kArchiveKind, options_.host, spec,
+                                held->revision);
+      else
+        co_await store_.Create(kArchiveKind, options_.host, spec);
+    } catch (const platform::StoreError& e) {
+      EventLine(Event::kDependencyLost)
+          .Text("dependency", "store")
+          .Text("error", e.what());
+    }
+    co_await Pause(io_, kRegisterPause);
+  }
+}
+
+MembershipInput ArchiveNode::PlanInput() const {
+  MembershipInput input{.list = list_,
+                        .self = id_,
+                        .replace_after_ms = kReplaceAfterMs,
+                        .wanted = kMembersWanted};
+  const auto now = steady_clock::now();
+  for (const auto& [host, object] : registrations_.objects()) {
+    ArchivePeer peer;
+    try {
+      peer.member = MemberOf(host, object.spec);
+    } catch (const StateError&) {
+      continue;  // a registration of another writer names no host to use
+    }
+    peer.retiring = retirements_.objects().count(host) > 0;
+    if (peer.member.id != id_) {
+      const auto it = answered_.find(peer.member.id);
+      const auto since = it == answered_.end() ? started_ : it->second;
+      peer.silent_ms = duration_cast<milliseconds>(now - since).count();
+    }
+    input.peers.push_back(std::move(peer));
+  }
+  return input;
+}
+
+asio::awaitable<void> ArchiveNode::PingAll() {
+  auto left = std::make_shared<size_t>(0);
+  auto bell = std::make_shared<asio::steady_timer>(
+      io_, steady_clock::time_point::max());
+  for (const auto& peer : PlanInput().peers) {
+    if (peer.member.id == id_) continue;
+    ++*left;
+    asio::co_spawn(
+        io_,
+        [this, left, bell, member = peer.member]() -> asio::awaitable<void> {
+          try {
+            ArchiveCall call;
+            call.list_version = list_.version;
+            const ArchiveReply reply =
+                co_await rpc_.Call(member.address, std::move(call), kPingLimit);
+            answered_[reply.member] = steady_clock::now();
+            copied_by_[reply.member] = reply.next;
+          } catch (const TransportError&) {
+            // Silence is what the plan goes by; the change of list is logged.
+          }
+          if (--*left == 0) bell->cancel();
+        },
+        asio::detached);
+  }
+  while (*left > 0) {
+    boost::system::error_code ignored;  // the bell rings by cancelling
+    co_await bell->async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+asio::awaitable<void> ArchiveNode::RunMembership() {
+  auto swept = steady_clock::now();
+  for (;;) {
+    co_await Pause(io_, kReconcileEvery);
+    if (steady_clock::now() - swept > kSweepEvery) {
+      swept = steady_clock::now();
+      archive_.Sweep(SteadyMs());
+    }
+    if (!registrations_.known() || !lists_.known() || !retirements_.known())
+      continue;
+    try {
+      if (list_.members.empty()) {
+        co_await CreateFirstList();
+        continue;
+      }
+      const bool quiet = Intact() && list_.next.empty() &&
+                         retirements_.objects().empty() &&
+                         list_.members.size() >= kMembersWanted;
+      if (quiet) {
+        answered_.clear();
+        started_ = steady_clock::now();
+        quiet_until_ = BootClock::now();
+        continue;
+      }
+      co_await PingAll();
+      co_await TakePartInChange();
+      if (auto plan = PlanMembership(PlanInput()))
+        co_await Propose(std::move(*plan));
+      co_await FinishRetirements();
+    } catch (const platform::StoreError& e) {
+      EventLine(Event::kArchiveFailed)
+          .Text("what", "membership")
+          .Text("error", e.what());
+    }
+  }
+}
+
+asio::awaitable<void> ArchiveNode::CreateFirstList() {
+  if (!options_.first_start) co_return;
+  std::vector<ArchiveMember> found;
+  for (const auto& peer : PlanInput().peers) found.push_back(peer.member);
+  const bool all = found.size() >= kMembersWanted;
+  if (!all && steady_clock::now() - started_ < kFirstListWait) co_return;
+  if (found.empty()) co_return;
+  if (found.front().id != id_ &&
+      steady_clock::now() - started_ < 2 * kFirstListWait)
+    co_return;
+  // Zones first: no two members in one zone while there are others.
+  MemberList list{.version = 1};
+  std::set<std::string> zones;
+  for (int round = 0; round < 2; ++round) {
+    for (const ArchiveMember& member : found) {
+      if (list.members.size() >= kMembersWanted || list.Contains(member.id))
+        continue;
+      if (round == 0 && zones.count(member.zone) > 0) continue;
+      zones.insert(member.zone);
+      list.members.push_back(member);
+    }
+  }
+  json::value spec(EncodeMemberList(list));
+  co_await store_.Create(kMemberListKind, kMemberListName, std::move(spec));
+}
+
+asio::awaitable<void> ArchiveNode::Propose(MemberList list) {
+  EventLine(Event::kMembersChanged)
+      .Text("outcome", "proposed")
+      .Text("list", EncodeMemberList(list));
+  json::value spec(EncodeMemberList(list));
+  co_await store_.Replace(kMemberListKind, kMemberListName, std::move(spec),
+                          list_revision_);
+}
+
+asio::awaitable<void> ArchiveNode::TakePartInChange() {
+  if (list_.next.empty()) co_return;
+  const MemberList list = list_;
+  const auto has = [](const std::vector<ArchiveMember>& members, uint64_t id) {
+    return std::any_of(members.begin(), members.end(),
+                       [id](const ArchiveMember& m) { return m.id == id; });
+  };
+  // With fewer members than before, each must hold everything.
+  const bool all_copy = list.next.size() < list.members.size();
+  if (!has(list.next, id_)) co_return;
+  if ((all_copy || !has(list.members, id_)) && copied_version_ < list.version) {
+    if (!co_await CopyAll(list)) co_return;
+    copied_version_ = list.version;
+  }
+  for (const ArchiveMember& member : list.next) {
+    if (member.id == id_ || (!all_copy && has(list.members, member.id)))
+      continue;
+    const auto it = copied_by_.find(member.id);
+    if (it == copied_by_.end() || it->second < list.version) co_return;
+  }
+  if (list_.version != list.version) co_return;
+  MemberList settled;
+  settled.version = list.version + 1;
+  settled.members = list.next;
+  co_await Propose(std::move(settled));
+}
+
+asio::awaitable<bool> ArchiveNode::CopyAll(const MemberList& list) {
+  std::set<uint64_t> fenced;
+  std::vector<ArchiveMember> sources;
+  for (const ArchiveMember& member : list.members) {
+    try {
+      if (member.id == id_) {
+        fence_ = std::max(fence_, list.version);
+        const JournalEntry entry = FenceCall{fence_};
+        if (co_await Commit(entry)) fenced.insert(id_);
+        continue;
+      }
+      ArchiveCall call;
+      call.list_version = list.version;
+      call.body = FenceCall{list.version};
+      const ArchiveReply reply =
+          co_await rpc_.Call(member.address, std::move(call), kPingLimit);
+      if (reply.verdict != ArchiveVerdict::kDone || reply.member != member.id)
+        continue;
+      fenced.insert(member.id);
+      sources.push_back(member);
+    } catch (const TransportError&) {
+      // A quorum of the others is enough.
+    }
+  }
+  if (!list.OldQuorum(fenced)) co_return false;
+  size_t records = 0;
+  const uint64_t failed_before = failed_syncs_;
+  try {
+    for (const ArchiveMember& source : sources) {
+      for (uint64_t from = 0;;) {
+        ArchiveCall call;
+        call.list_version = list.version;
+        call.body = CopyCall{from};
+        ArchiveReply page =
+            co_await rpc_.Call(source.address, std::move(call), kCopyLimit);
+        if (page.verdict != ArchiveVerdict::kDone || page.member != source.id)
+          co_return false;
+        auto entries = std::make_shared<std::vector<std::string>>();
+        for (auto& record : page.reservations) {
+          archive_.Apply(record, SteadyMs());
+          entries->push_back(EncodeEntry(record));
+        }
+        for (auto& record : page.turns) {
+          archive_.Apply(record, SteadyMs());
+          entries->push_back(EncodeEntry(record));
+        }
+        records += entries->size();
+        for (auto& entry : *entries)
+          pending_.push_back(MakePending(std::move(entry)));
+        from = page.next;
+        if (!page.more) break;
+      }
+    }
+  } catch (const TransportError& e) {
+    EventLine(Event::kArchiveFailed)
+        .Text("what", "copy")
+        .Text("error", e.what());
+    co_return false;
+  }
+  // All that was handed over before this entry is synced with it or before it.
+  const JournalEntry last = FenceCall{list.version};
+  if (!co_await Commit(last)) co_return false;
+  if (failed_syncs_ != failed_before) co_return false;
+  EventLine(Event::kCopied)
+      .Number("version", static_cast<int64_t>(list.version))
+      .Number("records", static_cast<int64_t>(records));
+  co_return true;
+}
+
+asio::awaitable<void> ArchiveNode::FinishRetirements() {
+  for (const auto& [host, object] : retirements_.objects()) {
+    const auto progress = platform::DecodeRetirement(object.status);
+    if (progress == platform::RetirementProgress::kCompleted) continue;
+    const bool member =
+        std::any_of(list_.members.begin(), list_.members.end(),
+                    [&](const ArchiveMember& m) { return m.host == host; });
+    // The list may be older than the retirement: only a member that went may be
+    // said to be empty, and only by one that stays.
+    const bool settled = list_.next.empty() && lists_.reachable() &&
+                         lists_.fresh_as_of() > quiet_until_;
+    const bool running = progress == platform::RetirementProgress::kRunning;
+    if (!Intact() || (member && running) || (!member && !settled)) continue;
+    const auto next = member ? platform::RetirementProgress::kRunning
+                             : platform::RetirementProgress::kCompleted;
+    co_await store_.ReplaceStatus(std::string(platform::kRetirementKind), host,
+                                  platform::EncodeRetirement(next));
+    EventLine(Event::kRetirement)
+        .Text("host_retired", host)
+        .Text("state", member ? "running" : "completed");
+  }
+}
+
+std::string ArchiveNode::MetricsText() const {
+  std::ostringstream out;
+  out << "pimento_archive_turns " << archive_.turns() << "\n"
+      << "pimento_archive_programs " << archive_.programs() << "\n"
+      << "pimento_archive_bytes " << archive_.bytes() << "\n"
+      << "pimento_archive_calls_total " << calls_ << "\n"
+      << "pimento_archive_syncs_total " << syncs_ << "\n"
+      << "pimento_archive_list_version " << list_.version << "\n";
+  return out.str();
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/archive_rpc.cc
@@ -0,0 +1,45 @@
+#include "src/archive_rpc.h"
+
+#include <utility>
+
+#include "src/errors.h"
+
+namespace pimento {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kIdleLimit{8'000};
+constexpr size_t kMostReplyBytes = 16 * 1024 * 1024;
+
+}  // namespace
+
+asio::awaitable<ArchiveReply> ArchiveRpc::Call(std::string address,
+                                               ArchiveCall call,
+                                               milliseconds limit) {
+  const auto until = std::chrono::steady_clock::now() + limit;
+  auto request = std::make_shared<KeptConnection::Request>(http::verb::post,
+                                                           "/archive", 11);
+  request->set(http::field::host, address);
+  request->body() = EncodeCall(call);
+  request->prepare_payload();
+  auto connection = co_await pool_.Acquire(address, limit);
+  co_await connection->Send(request, until);
+  const auto* header = co_await connection->ReadHeader(until);
+  const int status = static_cast<int>(header->result_int());
+  const std::string body =
+      co_await connection->ReadRest(until, kMostReplyBytes);
+  pool_.Release(std::move(connection), kIdleLimit);
+  if (status != 200)
+    throw TransportError("The archive at " + address + " answered " +
+                         std::to_string(status) + ".");
+  try {
+    co_return DecodeReply(body);
+  } catch (const StateError& e) {
+    throw TransportError(e.what());
+  }
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/boot_clock.h
@@ -0,0 +1,26 @@
+// A clock that also counts the time for which the machine was suspended, which
+// the steady clock does not. What must not outlive a bound is aged by it.
+#pragma once
+
+#include <time.h>
+
+#include <chrono>
+
+namespace pimento {
+
+struct BootClock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point(std::chrono::seconds(now.tv_sec) +
+                      std::chrono::nanoseconds(now.tv_nsec));
+  }
+};
+
+}  // namespace pimento
--- /dev/null
+++ b/src/event_splitter.cc
@@ -0,0 +1,63 @@
+#include "src/event_splitter.h"
+
+#include <string_view>
+
+namespace pimento {
+namespace {
+
+// Position after the blank line that ends the first event, or npos.
+size_t EndOfEvent(const std::string& text) {
+  const size_t plain = text.find("\n\n");
+  const size_t carriage = text.find("\r\n\r\n");
+  if (plain == std::string::npos && carriage == std::string::npos)
+    return std::string::npos;
+  if (carriage < plain) return carriage + 4;
+  return plain + 2;
+}
+
+// The value of `line` if its field is `name`; a space after the colon belongs
+// to neither.
+bool FieldValue(std::string_view line, std::string_view name,
+                std::string_view& value) {
+  if (!line.starts_with(name)) return false;
+  line.remove_prefix(name.size());
+  if (!line.starts_with(':')) return false;
+  line.remove_prefix(1);
+  if (line.starts_with(' ')) line.remove_prefix(1);
+  value = line;
+  return true;
+}
+
+StreamEvent ParseEvent(std::string raw) {
+  StreamEvent event;
+  std::string_view rest = raw;
+  while (!rest.empty()) {
+    const size_t end = rest.find('\n');
+    std::string_view line = rest.substr(0, end);
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    std::string_view value;
+    if (FieldValue(line, "id", value)) event.id = value;
+    if (!FieldValue(line, "data", value)) continue;
+    if (event.has_data) event.data += '\n';
+    event.data += value;
+    event.has_data = true;
+  }
+  event.raw = std::move(raw);
+  return event;
+}
+
+}  // namespace
+
+std::vector<StreamEvent> EventSplitter::Feed(const std::string& piece) {
+  held_ += piece;
+  std::vector<StreamEvent> events;
+  for (;;) {
+    const size_t end = EndOfEvent(held_);
+    if (end == std::string::npos) return events;
+    events.push_back(ParseEvent(held_.substr(0, end)));
+    held_.erase(0, end);
+  }
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/gateway_peers.cc
@@ -0,0 +1,215 @@
+#include "src/gateway_peers.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstring>
+
+#include "schema/fleet.capnp.h"
+#include "src/errors.h"
+#include "src/event_log.h"
+#include "src/kept_connection.h"
+
+namespace pimento {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kSendEvery{100};
+constexpr size_t kMostDatagramBytes = 16 * 1024;
+constexpr size_t kMostEntries = 400;
+
+}  // namespace
+
+std::string EncodeNews(const GatewayNews& news) {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<wire::GatewayNews>();
+  out.setHost(news.host);
+  out.setBoot(news.boot);
+  out.setSequence(news.sequence);
+  out.setZone(news.zone);
+  out.setCallersAddress(news.callers_address);
+  out.setReady(news.ready);
+  out.setStateVersion(news.state_version);
+  out.setStateAgeMs(news.state_age_ms);
+  auto loads = out.initLoads(
+      static_cast<unsigned>(std::min(news.loads.size(), kMostEntries)));
+  for (unsigned i = 0; i < loads.size(); ++i) {
+    loads[i].setUpstream(news.loads[i].first);
+    loads[i].setInFlight(static_cast<uint32_t>(news.loads[i].second));
+  }
+  auto teams = out.initTeams(
+      static_cast<unsigned>(std::min(news.teams.size(), kMostEntries)));
+  for (unsigned i = 0; i < teams.size(); ++i) {
+    teams[i].setTeam(news.teams[i].first);
+    teams[i].setAdmitted(news.teams[i].second);
+  }
+  auto echoes = out.initEchoes(
+      static_cast<unsigned>(std::min(news.echoes.size(), kMostEntries)));
+  for (unsigned i = 0; i < echoes.size(); ++i) {
+    echoes[i].setHost(news.echoes[i].host);
+    echoes[i].setBoot(news.echoes[i].boot);
+    echoes[i].setSequence(news.echoes[i].sequence);
+  }
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+GatewayNews DecodeNews(const std::string& bytes) {
+  try {
+    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    memcpy(words.begin(), bytes.data(), words.size() * sizeof(capnp::word));
+    capnp::FlatArrayMessageReader message(words.asPtr());
+    const auto in = message.getRoot<wire::GatewayNews>();
+    GatewayNews news{.host = in.getHost(),
+                     .boot = in.getBoot(),
+                     .sequence = in.getSequence(),
+                     .zone = in.getZone(),
+                     .callers_address = in.getCallersAddress(),
+                     .ready = in.getReady(),
+                     .state_version = in.getStateVersion(),
+                     .state_age_ms = in.getStateAgeMs()};
+    for (const auto load : in.getLoads())
+      news.loads.emplace_back(load.getUpstream(), load.getInFlight());
+    for (const auto team : in.getTeams())
+      news.teams.emplace_back(team.getTeam(), team.getAdmitted());
+    for (const auto echo : in.getEchoes())
+      news.echoes.push_back(
+          {echo.getHost(), echo.getBoot(), echo.getSequence()});
+    return news;
+  } catch (const kj::Exception& e) {
+    throw StateError(std::string("A gateway's news are unreadable: ") +
+                     e.getDescription().cStr());
+  }
+}
+
+std::vector<std::pair<std::string, int64_t>> GatewayView::Take(
+    const GatewayNews& news, int64_t now_ms) {
+  Peer& peer = peers_[news.host];
+  const bool restarted = peer.news.boot != news.boot;
+  if (restarted && news.boot < peer.news.boot) return {};
+  if (!restarted && news.sequence <= peer.news.sequence) return {};
+  // At first sight its past is in the buckets of those that heard it already.
+  const bool first_sight = peer.news.host.empty();
+  std::unordered_map<std::string, int64_t> before;
+  if (!restarted) {
+    for (const auto& [team, count] : peer.news.teams) before[team] = count;
+  }
+  std::vector<std::pair<std::string, int64_t>> spent;
+  for (const auto& [team, count] : news.teams) {
+    const int64_t more = count - before[team];
+    if (more != 0 && !first_sight) spent.emplace_back(team, more);
+  }
+  peer.news = news;
+  peer.heard_ms = now_ms;
+  return spent;
+}
+
+std::vector<const GatewayNews*> GatewayView::Heard(int64_t now_ms) const {
+  std::vector<const GatewayNews*> heard;
+  for (const auto& [host, peer] : peers_) {
+    if (now_ms - peer.heard_ms < silent_after_ms_) heard.push_back(&peer.news);
+  }
+  return heard;
+}
+
+std::unordered_map<uint64_t, int64_t> GatewayView::Loads(int64_t now_ms) const {
+  std::unordered_map<uint64_t, int64_t> loads;
+  for (const GatewayNews* news : Heard(now_ms)) {
+    for (const auto& [upstream, count] : news->loads) loads[upstream] += count;
+  }
+  return loads;
+}
+
+int64_t GatewayView::AgeMs(const std::string& host, int64_t now_ms) const {
+  const auto it = peers_.find(host);
+  return it == peers_.end() ? now_ms : now_ms - it->second.heard_ms;
+}
+
+std::vector<NewsEcho> GatewayView::Echoes(int64_t now_ms) const {
+  std::vector<NewsEcho> echoes;
+  for (const GatewayNews* news : Heard(now_ms))
+    echoes.push_back({news->host, news->boot, news->sequence});
+  return echoes;
+}
+
+GatewayPeers::GatewayPeers(asio::io_context& io, const std::string& ip,
+                           uint16_t port)
+    : io_(io), socket_(io) {
+  boost::system::error_code error;
+  const udp::endpoint endpoint(asio::ip::make_address_v4(ip, error), port);
+  if (!error) socket_.open(udp::v4(), error);
+  if (!error) socket_.bind(endpoint, error);
+  if (error)
+    throw TransportError("Cannot receive datagrams on " + ip + ":" +
+                             std::to_string(port) + ": " + error.message(),
+                         false);
+}
+
+void GatewayPeers::set_peers(const std::vector<std::string>& addresses) {
+  peers_.clear();
+  for (const std::string& address : addresses) {
+    const auto endpoint = ParseEndpoint(address);
+    peers_.emplace_back(endpoint.address(), endpoint.port());
+  }
+}
+
+void GatewayPeers::Start(std::function<GatewayNews()> compose,
+                         std::function<void(const GatewayNews&)> on_news) {
+  compose_ = std::move(compose);
+  on_news_ = std::move(on_news);
+  asio::co_spawn(io_, Send(), asio::detached);
+  asio::co_spawn(io_, Receive(), asio::detached);
+}
+
+void GatewayPeers::Announce() {
+  GatewayNews news = compose_();
+  news.sequence = ++sequence_;
+  sent_[sequence_ % sent_.size()] = BootClock::now();
+  const std::string bytes = EncodeNews(news);
+  for (const udp::endpoint& peer : peers_) {
+    boost::system::error_code ignored;  // news are lost now and then anyway
+    socket_.send_to(asio::buffer(bytes), peer, 0, ignored);
+  }
+}
+
+std::optional<BootClock::time_point> GatewayPeers::SentAt(
+    uint64_t sequence) const {
+  if (sequence > sequence_ || sequence + sent_.size() <= sequence_)
+    return std::nullopt;
+  return sent_[sequence % sent_.size()];
+}
+
+asio::awaitable<void> GatewayPeers::Send() {
+  for (;;) {
+    Announce();
+    asio::steady_timer timer(io_, kSendEvery);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> GatewayPeers::Receive() {
+  std::string bytes(kMostDatagramBytes, '\0');
+  for (;;) {
+    udp::endpoint from;
+    boost::system::error_code error;
+    const size_t got = co_await socket_.async_receive_from(
+        asio::buffer(bytes), from,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) co_return;
+    if (error) continue;  // an unreachable peer shows up here
+    try {
+      on_news_(DecodeNews(bytes.substr(0, got)));
+    } catch (const StateError& e) {
+      EventLine(Event::kHandlerFailed).Text("error", e.what());
+    }
+  }
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/gateway_peers.h
@@ -0,0 +1,107 @@
+// News among gateways by datagram: who is up and ready, what each has in
+// flight, what each admitted for teams, and the age of its desired state.
+#pragma once
+
+#include <array>
+#include <boost/asio.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/boot_clock.h"
+
+namespace pimento {
+
+// Newest news that a gateway has of another.
+struct NewsEcho {
+  std::string host = {};
+  uint64_t boot = 0;
+  uint64_t sequence = 0;
+};
+
+// What one gateway says.
+struct GatewayNews {
+  std::string host = {};
+  // Start of the process, Unix microseconds.
+  uint64_t boot = 0;
+  uint64_t sequence = 0;
+  std::string zone = {};
+  // Where callers connect.
+  std::string callers_address = {};
+  bool ready = false;
+  int64_t state_version = 0;
+  // How long ago that version was known to be the newest, milliseconds.
+  int64_t state_age_ms = 0;
+  // Calls in flight, by upstream hash.
+  std::vector<std::pair<uint64_t, int64_t>> loads = {};
+  // Requests admitted since the start, by team.
+  std::vector<std::pair<std::string, int64_t>> teams = {};
+  std::vector<NewsEcho> echoes = {};
+};
+
+std::string EncodeNews(const GatewayNews& news);
+// Throws StateError.
+GatewayNews DecodeNews(const std::string& bytes);
+
+// What is known of the others. Pure: times come in.
+class GatewayView {
+ public:
+  // Milliseconds without news after which a gateway counts as silent.
+  explicit GatewayView(int64_t silent_after_ms)
+      : silent_after_ms_(silent_after_ms) {}
+
+  // Returns what the gateway admitted since its last news, by team; nothing for
+  // news that is older than what is known.
+  std::vector<std::pair<std::string, int64_t>> Take(const GatewayNews& news,
+                                                    int64_t now_ms);
+  // Gateways that are heard.
+  std::vector<const GatewayNews*> Heard(int64_t now_ms) const;
+  // Calls in flight at those, by upstream hash.
+  std::unordered_map<uint64_t, int64_t> Loads(int64_t now_ms) const;
+  int64_t AgeMs(const std::string& host, int64_t now_ms) const;
+  std::vector<NewsEcho> Echoes(int64_t now_ms) const;
+
+ private:
+  struct Peer {
+    GatewayNews news;
+    int64_t heard_ms = 0;
+  };
+  int64_t silent_after_ms_;
+  std::map<std::string, Peer> peers_;
+};
+
+// Sends and receives the news of one gateway.
+class GatewayPeers {
+ public:
+  GatewayPeers(boost::asio::io_context& io, const std::string& ip,
+               uint16_t port);
+
+  // `compose` makes this gateway's news; `on_news` gets those of others.
+  void Start(std::function<GatewayNews()> compose,
+             std::function<void(const GatewayNews&)> on_news);
+  // Addresses ("10.0.0.1:7780") of the other gateways.
+  void set_peers(const std::vector<std::string>& addresses);
+  // Sends at once, not only at the next interval.
+  void Announce();
+  // When the news of this number were sent; nothing when that is long ago.
+  std::optional<BootClock::time_point> SentAt(uint64_t sequence) const;
+
+ private:
+  boost::asio::awaitable<void> Send();
+  boost::asio::awaitable<void> Receive();
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::udp::socket socket_;
+  std::vector<boost::asio::ip::udp::endpoint> peers_;
+  std::function<GatewayNews()> compose_;
+  std::function<void(const GatewayNews&)> on_news_;
+  uint64_t sequence_ = 0;
+  // Times of the newest sends, by number modulo the size.
+  std::array<BootClock::time_point, 64> sent_{};
+};
+
+}  // namespace pimento
--- /dev/null
+++ b/src/gateway_server.h
@@ -0,0 +1,36 @@
+// The addresses on which a gateway serves: callers, the directory, readiness
+// and metrics.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "src/caller_connection.h"
+#include "src/gateway_state.h"
+
+namespace pimento {
+
+class GatewayServer {
+ public:
+  explicit GatewayServer(GatewayState& state);
+
+  // Throws TransportError when an address cannot be listened on.
+  void Listen();
+  // Begins a planned stop. `on_done` is called once it is over.
+  void Drain(std::function<void()> on_done);
+
+ private:
+  boost::asio::awaitable<void> ServeService(const CallerRequest& request,
+                                            AnswerSink& answer);
+  boost::asio::awaitable<void> WaitForEnd(std::function<void()> on_done);
+
+  GatewayState& state_;
+  CallerServer callers_;
+  // Directory, readiness and metrics.
+  CallerServer services_;
+};
+
+// A host's metrics are served on this port, path /metrics.
+inline constexpr const char* kMetricsPort = "9464";
+
+}  // namespace pimento
--- /dev/null
+++ b/src/gateway_state.cc
@@ -0,0 +1,287 @@
+#include "src/gateway_state.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "platform/object_codec.h"
+#include "platform/wire_names.h"
+#include "src/archive_node.h"
+#include "src/errors.h"
+#include "src/event_log.h"
+
+namespace pimento {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr int64_t kPeerSilentMs = 450;
+constexpr milliseconds kHousekeepingEvery{50};
+constexpr milliseconds kRegisterPause{300};
+// Longest waits of watches. The desired state's is short: each answer says that
+// no key was taken away.
+constexpr milliseconds kConfigWait{1'000};
+constexpr milliseconds kUpstreamWait{2'500};
+constexpr milliseconds kRareWait{4'000};
+// Part of the time allowed for withdrawing a key that the desired state may be
+// old: the rest is for requests on their way to an upstream.
+constexpr double kUsableShare = 0.85;
+
+uint64_t UnixUs() {
+  return static_cast<uint64_t>(
+      duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+}  // namespace
+
+GatewayState::GatewayState(asio::io_context& io,
+                           const platform::BootSettings& settings,
+                           Metrics& metrics)
+    : io_(io),
+      settings_(settings),
+      metrics_(metrics),
+      pool_(io.get_executor()),
+      store_(pool_, settings.store_address),
+      table_({.cold_factor = settings.cold_factor,
+              .cold_slack = settings.cold_slack,
+              .zone = settings.zone}),
+      dispatcher_(io, table_, metrics),
+      archive_(io, pool_, {.zone = settings.zone}),
+      view_(kPeerSilentMs),
+      peers_(io, settings.ip, settings.first_port),
+      config_watch_(
+          io, store_,
+          {.kind = std::string(platform::kConfigKind), .wait = kConfigWait}),
+      upstream_watch_(io, store_,
+                      {.kind = std::string(platform::kUpstreamKind),
+                       .wait = kUpstreamWait,
+                       .holds_vanished = true}),
+      zone_watch_(
+          io, store_,
+          {.kind = std::string(platform::kDrainedZoneKind), .wait = kRareWait}),
+      member_watch_(io, store_, {.kind = kMemberListKind, .wait = kRareWait}),
+      gateway_watch_(io, store_, {.kind = kGatewayKind, .wait = kRareWait}),
+      boot_(UnixUs()) {}
+
+void GatewayState::Start() {
+  config_watch_.Start([this] { OnConfig(); });
+  upstream_watch_.Start([this] { OnUpstreams(); });
+  zone_watch_.Start([this] { OnDrainedZones(); });
+  member_watch_.Start([this] { OnMembers(); });
+  gateway_watch_.Start([this] { OnGateways(); });
+  peers_.Start([this] { return Compose(); },
+               [this](const GatewayNews& news) { OnNews(news); });
+  asio::co_spawn(io_, Register(), asio::detached);
+  asio::co_spawn(io_, Housekeeping(), asio::detached);
+}
+
+void GatewayState::Drain() {
+  draining_ = true;
+  peers_.Announce();
+}
+
+void GatewayState::OnConfig() {
+  const auto& objects = config_watch_.objects();
+  const auto it = objects.find(std::string(platform::kConfigName));
+  if (it == objects.end()) return;
+  try {
+    auto parts = platform::DecodeDesiredState(it->second.spec);
+    if (desired_ && parts.version <= desired_->version()) return;
+    desired_ = std::make_shared<DesiredState>(std::move(parts));
+  } catch (const StateError& e) {
+    EventLine(Event::kHandlerFailed).Text("error", e.what());
+    return;
+  }
+  quota_.set_teams(*desired_, SteadyMs());
+  table_.set_services(*desired_);
+  EventLine(Event::kStateInForce)
+      .Number("version", desired_->version())
+      .Number("routes", static_cast<int64_t>(desired_->routes().size()))
+      .Text("source", "store");
+  dispatcher_.Poke();
+}
+
+void GatewayState::OnUpstreams() {
+  const int64_t now_ms = SteadyMs();
+  std::set<std::string> present;
+  for (const auto& [id, object] : upstream_watch_.objects()) {
+    const auto entry = platform::DecodeUpstream(id, object.spec);
+    if (!entry) continue;
+    present.insert(id);
+    if (!table_.Put(*entry, now_ms)) continue;
+    EventLine(Event::kUpstreamChanged)
+        .Text("upstream", id)
+        .Text("service", entry->service)
+        .Text("address", entry->address)
+        .Text("zone", entry->zone)
+        .Text("state", entry->leaving ? "leaving" : "serving")
+        .Number("cold_left_ms", entry->cold_left_ms)
+        .Number("revision", static_cast<int64_t>(object.revision));
+  }
+  for (const std::string& id : table_.ids()) {
+    if (present.count(id) > 0) continue;
+    table_.Remove(id);
+    EventLine(Event::kUpstreamRemoved).Text("upstream", id);
+  }
+  dispatcher_.Poke();
+}
+
+void GatewayState::OnDrainedZones() {
+  std::set<std::string> zones;
+  std::string names;
+  for (const auto& [zone, object] : zone_watch_.objects()) {
+    zones.insert(zone);
+    names += names.empty() ? zone : "," + zone;
+  }
+  table_.set_drained_zones(std::move(zones));
+  EventLine(Event::kZonesDrained).Text("zones", names);
+  dispatcher_.Poke();
+}
+
+void GatewayState::OnMembers() {
+  try {
+    uint64_t revision = 0;
+    archive_.Adopt(ListOf(member_watch_.objects(), revision));
+  } catch (const StateError& e) {
+    EventLine(Event::kHandlerFailed).Text("error", e.what());
+  }
+}
+
+void GatewayState::OnGateways() {
+  std::vector<std::string> addresses;
+  int64_t count = 0;
+  for (const auto& [host, object] : gateway_watch_.objects()) {
+    ++count;
+    if (host == settings_.host || !object.spec.is_object()) continue;
+    const auto* address = object.spec.get_object().if_contains("news_address");
+    if (address != nullptr && address->is_string())
+      addresses.emplace_back(address->get_string());
+  }
+  gateways_ = std::max<int64_t>(1, count);
+  try {
+    peers_.set_peers(addresses);
+  } catch (const TransportError& e) {
+    EventLine(Event::kHandlerFailed).Text("error", e.what());
+  }
+  UpdateFleet();
+}
+
+void GatewayState::OnNews(const GatewayNews& news) {
+  const int64_t now_ms = SteadyMs();
+  if (view_.AgeMs(news.host, now_ms) > kPeerSilentMs)
+    EventLine(Event::kPeerSeen).Text("peer", news.host);
+  for (const auto& [team, count] : view_.Take(news, now_ms))
+    quota_.Spent(team, count);
+  // A peer vouches for this version: its word was written after what it echoes
+  // was sent, however long it lay in a buffer.
+  if (!desired_ || news.state_version != desired_->version()) return;
+  for (const NewsEcho& echo : news.echoes) {
+    if (echo.host != settings_.host || echo.boot != boot_) continue;
+    const auto sent = peers_.SentAt(echo.sequence);
+    if (!sent) continue;
+    const milliseconds age(std::max<int64_t>(0, news.state_age_ms));
+    relayed_fresh_ = std::max(relayed_fresh_, *sent - age);
+  }
+}
+
+GatewayNews GatewayState::Compose() const {
+  GatewayNews news{.host = settings_.host,
+                   .boot = boot_,
+                   .zone = settings_.zone,
+                   .callers_address = settings_.callers_address,
+                   .ready = Ready(),
+                   .state_version = desired_ ? desired_->version() : 0,
+                   .state_age_ms = StateAgeMs()};
+  news.loads = table_.OwnLoad();
+  news.echoes = view_.Echoes(SteadyMs());
+  for (const auto& [team, count] : quota_.admitted())
+    news.teams.emplace_back(team, count);
+  return news;
+}
+
+int64_t GatewayState::StateAgeMs() const {
+  const auto fresh = std::max(relayed_fresh_, config_watch_.fresh_as_of());
+  return duration_cast<milliseconds>(BootClock::now() - fresh).count();
+}
+
+DesiredStatePtr GatewayState::Usable() const {
+  if (!desired_) return nullptr;
+  const auto most = static_cast<int64_t>(
+      static_cast<double>(settings_.revoke_ms) * kUsableShare);
+  return StateAgeMs() <= most ? desired_ : nullptr;
+}
+
+bool GatewayState::Ready() const {
+  return !draining_ && Usable() != nullptr && upstream_watch_.known() &&
+         !archive_.list().members.empty();
+}
+
+std::vector<std::string> GatewayState::ReadyAddresses() const {
+  std::vector<std::string> addresses;
+  if (Ready()) addresses.push_back(settings_.callers_address);
+  for (const GatewayNews* news : view_.Heard(SteadyMs())) {
+    if (news->ready) addresses.push_back(news->callers_address);
+  }
+  return addresses;
+}
+
+void GatewayState::UpdateFleet() {
+  const int64_t now_ms = SteadyMs();
+  const auto heard = static_cast<int64_t>(view_.Heard(now_ms).size()) + 1;
+  table_.set_gateways(std::max(gateways_, heard));
+  quota_.set_fleet(std::max(gateways_, heard), heard);
+  table_.set_others_load(view_.Loads(now_ms));
+}
+
+asio::awaitable<void> GatewayState::Register() {
+  const json::value spec =
+      json::object{{"zone", settings_.zone},
+                   {"news_address",
+                    settings_.ip + ":" + std::to_string(settings_.first_port)}};
+  for (;;) {
+    try {
+      const auto held = co_await store_.Read(kGatewayKind, settings_.host);
+      if (held && held->spec == spec) co_return;
+      if (held)
+        co_await store_.Replace(kGatewayKind, settings_.host, spec,
+                                held->revision);
+      else
+        co_await store_.Create(kGatewayKind, settings_.host, spec);
+    } catch (const platform::StoreError& e) {
+      EventLine(Event::kDependencyLost)
+          .Text("dependency", "store")
+          .Text("error", e.what());
+    }
+    asio::steady_timer pause(io_, kRegisterPause);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> GatewayState::Housekeeping() {
+  for (;;) {
+    asio::steady_timer timer(io_, kHousekeepingEvery);
+    co_await timer.async_wait(asio::use_awaitable);
+    UpdateFleet();
+    dispatcher_.Poke();
+    const int64_t now_ms = SteadyMs();
+    constexpr int64_t kSweepEveryMs = 1'000;
+    if (now_ms - last_housekeeping_ms_ >= kSweepEveryMs) {
+      last_housekeeping_ms_ = now_ms;
+      pool_.Sweep();
+    }
+    const bool usable = Usable() != nullptr;
+    if (usable == was_usable_) continue;
+    was_usable_ = usable;
+    EventLine(usable ? Event::kStateFresh : Event::kStateStale)
+        .Number("version", desired_ ? desired_->version() : 0)
+        .Number("age_ms", StateAgeMs());
+  }
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/gateway_state.h
@@ -0,0 +1,95 @@
+// What one gateway believes: the desired state and its age, upstreams, zones
+// taken out, the archive's members, the other gateways. Everything a request
+// needs is here in memory.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/boot_settings.h"
+#include "platform/store_client.h"
+#include "src/archive_client.h"
+#include "src/desired_state.h"
+#include "src/dispatcher.h"
+#include "src/gateway_peers.h"
+#include "src/metrics.h"
+#include "src/store_watch.h"
+#include "src/team_quota.h"
+#include "src/upstream_table.h"
+
+namespace pimento {
+
+class GatewayState {
+ public:
+  GatewayState(boost::asio::io_context& io,
+               const platform::BootSettings& settings, Metrics& metrics);
+
+  void Start();
+  // Says "not ready" from now on.
+  void Drain();
+
+  // The desired state in force, or null when none is known or its age does not
+  // allow its use any more.
+  DesiredStatePtr Usable() const;
+  // The same without regard to its age, for limits on callers.
+  DesiredStatePtr Latest() const { return desired_; }
+  // Milliseconds since the desired state was known to be the newest.
+  int64_t StateAgeMs() const;
+  bool Ready() const;
+  // Addresses of ready gateways, this one included while it is ready.
+  std::vector<std::string> ReadyAddresses() const;
+
+  UpstreamTable& table() { return table_; }
+  Dispatcher& dispatcher() { return dispatcher_; }
+  TeamQuota& quota() { return quota_; }
+  ArchiveClient& archive() { return archive_; }
+  ConnectionPool& pool() { return pool_; }
+  Metrics& metrics() { return metrics_; }
+  const platform::BootSettings& settings() const { return settings_; }
+  boost::asio::io_context& io() { return io_; }
+
+ private:
+  void OnConfig();
+  void OnUpstreams();
+  void OnDrainedZones();
+  void OnMembers();
+  void OnGateways();
+  void OnNews(const GatewayNews& news);
+  GatewayNews Compose() const;
+  boost::asio::awaitable<void> Register();
+  boost::asio::awaitable<void> Housekeeping();
+  void UpdateFleet();
+
+  boost::asio::io_context& io_;
+  platform::BootSettings settings_;
+  Metrics& metrics_;
+  ConnectionPool pool_;
+  platform::StoreClient store_;
+  UpstreamTable table_;
+  Dispatcher dispatcher_;
+  TeamQuota quota_;
+  ArchiveClient archive_;
+  GatewayView view_;
+  GatewayPeers peers_;
+  StoreWatch config_watch_;
+  StoreWatch upstream_watch_;
+  StoreWatch zone_watch_;
+  StoreWatch member_watch_;
+  StoreWatch gateway_watch_;
+  DesiredStatePtr desired_;
+  // When `desired_` was last known to be the newest, by a peer's word.
+  BootClock::time_point relayed_fresh_{};
+  // Registered gateways, this one included.
+  int64_t gateways_ = 1;
+  uint64_t boot_ = 0;
+  bool draining_ = false;
+  bool was_usable_ = false;
+  int64_t last_housekeeping_ms_ = 0;
+};
+
+inline constexpr const char* kGatewayKind = "pimento-gateways";
+
+}  // namespace pimento
--- /dev/null
+++ b/src/kept_connection.cc
@@ -0,0 +1,203 @@
+#include "src/kept_connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "src/errors.h"
+
+namespace pimento {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+// Bodies above this are sent while the answer is read.
+constexpr size_t kLongBodyBytes = 16 * 1024;
+constexpr size_t kPieceBytes = 8 * 1024;
+constexpr milliseconds kUnansweredLimit{900};
+// Probes on idle connections: first after a second, then each second.
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 2;
+
+[[noreturn]] void Fail(const std::string& what, const beast::error_code& error,
+                       bool sent) {
+  throw TransportError(what + " failed: " + error.message(), sent,
+                       error == beast::error::timeout);
+}
+
+}  // namespace
+
+void SetSilenceBounds(tcp::socket& socket, milliseconds unanswered) {
+  const int handle = socket.native_handle();
+  const int on = 1;
+  const auto limit = static_cast<unsigned int>(unanswered.count());
+  // A socket without these options works; its silence is found by time-outs.
+  setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+  setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeSeconds, sizeof(int));
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeSeconds, sizeof(int));
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(int));
+}
+
+tcp::endpoint ParseEndpoint(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  beast::error_code error;
+  const auto ip = asio::ip::make_address_v4(address.substr(0, colon), error);
+  const int port =
+      colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
+  constexpr int kMostPort = 65'535;
+  if (error || port <= 0 || port > kMostPort) {
+    throw TransportError(
+        "\"" + address + "\" is no address of the form IP:PORT.", false);
+  }
+  return {ip, static_cast<uint16_t>(port)};
+}
+
+KeptConnection::KeptConnection(asio::any_io_executor executor)
+    : stream_(std::move(executor)), sending_(std::make_shared<bool>(false)) {}
+
+asio::awaitable<void> KeptConnection::Connect(tcp::endpoint endpoint,
+                                              milliseconds limit) {
+  beast::error_code error;
+  stream_.expires_after(limit);
+  co_await stream_.async_connect(
+      endpoint, asio::redirect_error(asio::use_awaitable, error));
+  if (error) Fail("A connection to " + address_, error, false);
+  SetSilenceBounds(stream_.socket(), kUnansweredLimit);
+}
+
+asio::awaitable<void> KeptConnection::Send(std::shared_ptr<Request> request,
+                                           SteadyTime until) {
+  parser_.reset();
+  failed_ = true;
+  ++exchanges_;
+  stream_.expires_at(until);
+  if (request->body().size() <= kLongBodyBytes) {
+    beast::error_code error;
+    co_await http::async_write(
+        stream_, *request, asio::redirect_error(asio::use_awaitable, error));
+    if (error) Fail("A request to " + address_, error, true);
+    co_return;
+  }
+  *sending_ = true;
+  auto sending = sending_;
+  http::async_write(
+      stream_, *request,
+      [request, sending](beast::error_code, size_t) { *sending = false; });
+}
+
+asio::awaitable<const KeptConnection::ResponseHeader*>
+KeptConnection::ReadHeader(SteadyTime until) {
+  parser_.emplace();
+  parser_->body_limit(boost::none);
+  stream_.expires_at(until);
+  beast::error_code error;
+  co_await http::async_read_header(
+      stream_, buffer_, *parser_,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (error) Fail("An answer from " + address_, error, true);
+  co_return &parser_->get().base();
+}
+
+asio::awaitable<std::string> KeptConnection::ReadPiece(SteadyTime until) {
+  char piece[kPieceBytes];
+  while (!parser_->is_done()) {
+    parser_->get().body().data = piece;
+    parser_->get().body().size = sizeof piece;
+    parser_->get().body().more = true;
+    stream_.expires_at(until);
+    beast::error_code error;
+    co_await http::async_read_some(
+        stream_, buffer_, *parser_,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error == http::error::need_buffer) error = {};
+    if (error) Fail("An answer from " + address_, error, true);
+    const size_t size = sizeof piece - parser_->get().body().size;
+    if (size > 0) co_return std::string(piece, size);
+  }
+  failed_ = false;
+  co_return std::string();
+}
+
+asio::awaitable<std::string> KeptConnection::ReadRest(SteadyTime until,
+                                                      size_t most) {
+  std::string body;
+  for (;;) {
+    const std::string piece = co_await ReadPiece(until);
+    if (piece.empty()) break;
+    if (body.size() + piece.size() > most) {
+      throw TransportError("An answer from " + address_ + " is longer than " +
+                           std::to_string(most) + " bytes.");
+    }
+    body += piece;
+  }
+  co_return body;
+}
+
+bool KeptConnection::reusable() const {
+  return !failed_ && !*sending_ && parser_ && parser_->is_done() &&
+         parser_->keep_alive() && buffer_.size() == 0;
+}
+
+bool KeptConnection::Quiet() {
+  char byte;
+  const ssize_t got =
+      recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void KeptConnection::Close() {
+  beast::error_code ignored;  // the connection is given up either way
+  stream_.socket().close(ignored);
+}
+
+asio::awaitable<std::unique_ptr<KeptConnection>> ConnectionPool::Acquire(
+    std::string address, milliseconds connect_limit) {
+  auto& idle = idle_[address];
+  const auto now = std::chrono::steady_clock::now();
+  while (!idle.empty()) {
+    auto connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->idle_until_ > now && connection->Quiet())
+      co_return connection;
+  }
+  const auto endpoint = ParseEndpoint(address);
+  auto connection = std::make_unique<KeptConnection>(executor_);
+  connection->address_ = address;
+  ++opened_;
+  co_await connection->Connect(endpoint, connect_limit);
+  co_return connection;
+}
+
+void ConnectionPool::Release(std::unique_ptr<KeptConnection> connection,
+                             milliseconds idle) {
+  if (!connection->reusable()) return;
+  connection->idle_until_ = std::chrono::steady_clock::now() + idle;
+  connection->stream_.expires_never();
+  idle_[connection->address_].push_back(std::move(connection));
+}
+
+void ConnectionPool::Sweep() {
+  const auto now = std::chrono::steady_clock::now();
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    auto& connections = it->second;
+    std::erase_if(connections, [now](const auto& connection) {
+      return connection->idle_until_ <= now || !connection->Quiet();
+    });
+    it = connections.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+size_t ConnectionPool::idle(const std::string& address) const {
+  const auto it = idle_.find(address);
+  return it == idle_.end() ? 0 : it->second.size();
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/main/archive_main.cc
@@ -0,0 +1,41 @@
+// pimento-archive: keeps turns and budgets on one host with a disk.
+#include "src/archive_node.h"
+#include "src/main/platform_main.h"
+
+namespace {
+
+using namespace pimento;
+
+constexpr size_t kDiskRing = 1'024;
+
+void Serve(const platform::BootSettings& settings) {
+  boost::asio::io_context io(1);
+  Supervisor supervisor("archive");
+  Duty& disk = supervisor.Add("disk", kDiskRing);
+  ConnectionPool pool(io.get_executor());
+  platform::StoreClient store(pool, settings.store_address);
+  ArchiveNode node(
+      io, disk, store, pool,
+      {.host = settings.host,
+       .zone = settings.zone,
+       .address = settings.ip + ":" + std::to_string(settings.first_port),
+       .data_dir = settings.data_dir,
+       .first_start = settings.first_start});
+  supervisor.Start();
+  node.Start();
+  boost::asio::co_spawn(io, ServeSignals(io, [&io] { io.stop(); }),
+                        boost::asio::detached);
+  io.run();
+  EventLine(Event::kStopped).Text("program", "pimento-archive");
+  FlushEventLog();
+  // What coroutines still hold refers to objects that end here.
+  _exit(kExitDone);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return pimento::RunOnPlatform(
+      argc, argv, "pimento-archive",
+      "Keeps turns and budgets on one host with a disk.", Serve);
+}
--- /dev/null
+++ b/src/stop_token.h
@@ -0,0 +1,39 @@
+// Tells one request's work that it should stop, and why. Single-threaded.
+//
+//   token.set_on_stop([&] { connection.Close(); });
+//   ...
+//   token.Stop(StopReason::kCallerLeft);   // closes the connection
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string_view>
+#include <utility>
+
+namespace pimento {
+
+enum class StopReason : uint8_t { kNone, kCallerLeft, kTimeLimit };
+
+class StopToken {
+ public:
+  StopReason reason() const { return reason_; }
+  bool stopped() const { return reason_ != StopReason::kNone; }
+  // The first reason stays.
+  void Stop(StopReason reason) {
+    if (stopped()) return;
+    reason_ = reason;
+    if (on_stop_) on_stop_();
+  }
+  // What ends the work's present wait; called at once when already stopped.
+  void set_on_stop(std::function<void()> on_stop) {
+    on_stop_ = std::move(on_stop);
+    if (stopped() && on_stop_) on_stop_();
+  }
+  void clear_on_stop() { on_stop_ = nullptr; }
+
+ private:
+  StopReason reason_ = StopReason::kNone;
+  std::function<void()> on_stop_;
+};
+
+}  // namespace pimento
