--- a/bench/lib/process_set.cc
+++ b/bench/lib/process_set.cc
@@ -28,12 +28,16 @@
 
 void ProcessSet::Start(const std::string& name, const std::string& program,
                        const std::vector<std::string>& arguments,
-                       const std::string& log_file) {
+                       const std::string& log_file,
+                       const std::map<std::string, std::string>& variables) {
   auto started = std::make_unique<Process>();
   FILE* log = std::fopen(log_file.c_str(), "a");
   if (log == nullptr) throw std::runtime_error("Cannot write " + log_file);
+  process::environment environment = boost::this_process::environment();
+  for (const auto& [key, value] : variables) environment[key] = value;
   started->child = process::child(
-      process::exe = program, process::args = arguments, process::std_out > log,
+      process::exe = program, process::args = arguments,
+      process::env = environment, process::std_out > log,
       process::std_err > log, process::std_in < process::null);
   std::fclose(log);
   processes_[name] = std::move(started);
--- a/bench/lib/process_set.h
+++ b/bench/lib/process_set.h
@@ -17,10 +17,12 @@
   // Kills what still runs.
   ~ProcessSet();
 
-  // Starts `program` with `arguments`; output goes to `log_file`.
+  // Starts `program` with `arguments`, and `variables` on top of the present
+  // environment; output goes to `log_file`.
   void Start(const std::string& name, const std::string& program,
              const std::vector<std::string>& arguments,
-             const std::string& log_file);
+             const std::string& log_file,
+             const std::map<std::string, std::string>& variables = {});
   bool Running(const std::string& name);
   void Signal(const std::string& name, int signal_number);
   void Kill(const std::string& name);
--- /dev/null
+++ b/standins/model_server.cc
@@ -0,0 +1,106 @@
+// Stand-in for an upstream of the users' platform: a model server that streams
+// events, or a plain service. It expects the headers that the system sets and
+// keeps an account of what it ran.
+//
+// The events of a stream are words made from the body and the position, so that
+// a caller can tell the whole answer: event N is "w<hash of body and N>".
+// Switches: id, tokens (events of a stream, by 12), event_ms, shed (count of
+// requests refused as not run), cut_after (count of streams broken off after
+// two events), lose_answers (count of requests run without an answer). GET
+// /runs lists what ran: id, path, team, key, body.
+#include <algorithm>
+
+#include "src/duty.h"
+#include "standins/standin_main.h"
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace pimento;
+
+constexpr const char* kRequestId = "x-pimentopulley-request-id";
+
+class ModelServer {
+ public:
+  explicit ModelServer(standin::Switches& switches) : switches_(switches) {}
+
+  asio::awaitable<void> Handle(const HttpRequest& request,
+                               HttpResponder& responder) {
+    if (request.path == "/runs") {
+      HttpAnswer answer{.body = json::serialize(runs_)};
+      co_await responder.Send(answer);
+      co_return;
+    }
+    HttpAnswer answer;
+    answer.headers["X-Pimentopulley-Request-Id"] = request.Header(kRequestId);
+    const std::string id = std::to_string(switches_.Number("id"));
+    if (request.Header("x-pimentopulley-expect-instance") != id) {
+      answer.status = 421;
+      co_await responder.Send(answer);
+      co_return;
+    }
+    if (switches_.Take("shed")) {
+      answer.status = 503;
+      answer.headers["X-Pimentopulley-Not-Run"] = "1";
+      co_await responder.Send(answer);
+      co_return;
+    }
+    runs_.push_back({{"id", request.Header(kRequestId)},
+                     {"path", request.path},
+                     {"team", request.Header("x-pimentopulley-tenant")},
+                     {"key", request.Header("authorization")},
+                     {"body", request.body}});
+    if (switches_.Take("lose_answers")) {
+      responder.Abort();
+      co_return;
+    }
+    answer.headers["X-Pimentopulley-Server-Stamp"] = "stamp-" + id;
+    if (request.Header("x-pimentopulley-token-count").empty()) {
+      co_await Sleep(switches_.Number("event_ms"));
+      answer.body = "done " + request.Header(kRequestId);
+      co_await responder.Send(answer);
+      co_return;
+    }
+    co_await Stream(request, responder, answer);
+  }
+
+ private:
+  asio::awaitable<void> Stream(const HttpRequest& request,
+                               HttpResponder& responder, HttpAnswer answer) {
+    answer.content_type = "text/event-stream";
+    co_await responder.Begin(answer);
+    const std::string resumed = request.Header("last-event-id");
+    const int64_t first = resumed.empty() ? 1 : std::stoll(resumed) + 1;
+    const bool cut = switches_.Take("cut_after");
+    for (int64_t i = first; i <= switches_.Number("tokens"); ++i) {
+      co_await Sleep(switches_.Number("event_ms"));
+      if (cut && i == first + 2) {
+        co_await responder.Write("id: " + std::to_string(i) + "\nda");
+        responder.Abort();
+        co_return;
+      }
+      const size_t word =
+          std::hash<std::string>()(request.body + "/" + std::to_string(i));
+      co_await responder.Write("id: " + std::to_string(i) + "\ndata: w" +
+                               std::to_string(word) + "\n\n");
+    }
+    co_await responder.End();
+  }
+
+  standin::Switches& switches_;
+  json::array runs_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  standin::Switches switches({{"id", 1}, {"tokens", 4}, {"event_ms", 5}});
+  ModelServer server(switches);
+  return standin::Main(
+      argc, argv, "standin-model-server", switches, [&](asio::io_context&) {
+        return [&](const HttpRequest& request, HttpResponder& responder) {
+          return server.Handle(request, responder);
+        };
+      });
+}
--- /dev/null
+++ b/test/correctness/member_list_test.cc
@@ -0,0 +1,142 @@
+// Quorums of the archive's member list, and who changes it when.
+#include "src/member_list.h"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace pimento;
+
+ArchiveMember Member(uint64_t id) {
+  return {.id = id,
+          .host = "h" + std::to_string(id),
+          .zone = "z" + std::to_string(id),
+          .address = "10.0.0." + std::to_string(id) + ":7780"};
+}
+
+MemberList ListOf(std::vector<uint64_t> members,
+                  std::vector<uint64_t> next = {}) {
+  MemberList list{.version = 4};
+  for (const uint64_t id : members) list.members.push_back(Member(id));
+  for (const uint64_t id : next) list.next.push_back(Member(id));
+  return list;
+}
+
+MembershipInput Input(MemberList list, uint64_t self,
+                      std::vector<uint64_t> hosts) {
+  MembershipInput input{.list = std::move(list), .self = self};
+  for (const uint64_t id : hosts) input.peers.push_back({.member = Member(id)});
+  return input;
+}
+
+std::vector<uint64_t> Ids(const std::vector<ArchiveMember>& members) {
+  std::vector<uint64_t> ids;
+  for (const auto& member : members) ids.push_back(member.id);
+  return ids;
+}
+
+}  // namespace
+
+TEST_CASE("a quorum is a majority of each list that may be in force") {
+  CHECK(ListOf({1, 2, 3}).Quorum({1, 3}));
+  CHECK_FALSE(ListOf({1, 2, 3}).Quorum({1}));
+  const auto changing = ListOf({1, 2, 3}, {1, 2, 4});
+  CHECK(changing.Quorum({1, 2}));
+  CHECK_FALSE(changing.Quorum({1, 3}));
+  CHECK_FALSE(changing.Quorum({1, 4}));
+  CHECK(changing.Quorum({1, 3, 4}));
+  CHECK_FALSE(ListOf({}).Quorum({}));
+  CHECK_FALSE(ListOf({1, 2}).Quorum({1}));
+}
+
+TEST_CASE("any quorum before, during and after a change meets the next") {
+  // Every pair of neighbouring lists: a quorum of one meets one of the other.
+  const std::vector<MemberList> lists = {
+      ListOf({1, 2, 3}), ListOf({1, 2, 3}, {1, 2, 4}), ListOf({1, 2, 4})};
+  for (size_t i = 0; i + 1 < lists.size(); ++i) {
+    for (unsigned a = 0; a < 16; ++a) {
+      for (unsigned b = 0; b < 16; ++b) {
+        std::set<uint64_t> first;
+        std::set<uint64_t> second;
+        for (unsigned bit = 0; bit < 4; ++bit) {
+          if ((a & 1U << bit) != 0) first.insert(bit + 1);
+          if ((b & 1U << bit) != 0) second.insert(bit + 1);
+        }
+        if (!lists[i].Quorum(first) || !lists[i + 1].Quorum(second)) continue;
+        CAPTURE(a);
+        CAPTURE(b);
+        CHECK((a & b) != 0);
+      }
+    }
+  }
+}
+
+TEST_CASE("the list survives its encoding") {
+  const auto list = ListOf({1, 2, 3}, {2, 3});
+  const auto back = DecodeMemberList(EncodeMemberList(list));
+  CHECK(back.version == list.version);
+  CHECK(Ids(back.members) == Ids(list.members));
+  CHECK(Ids(back.next) == Ids(list.next));
+  CHECK(back.members[0].address == list.members[0].address);
+  CHECK_THROWS(DecodeMemberList("{\"version\":1}"));
+}
+
+TEST_CASE("a host that lost its disk takes the place of its old self") {
+  auto input = Input(ListOf({1, 2, 3}), 9, {1, 2});
+  ArchiveMember emptied = Member(9);
+  emptied.host = "h3";
+  input.peers.push_back({.member = emptied});
+  const auto plan = PlanMembership(input);
+  REQUIRE(plan);
+  CHECK(plan->version == 5);
+  CHECK(Ids(plan->members) == std::vector<uint64_t>{1, 2, 3});
+  CHECK(Ids(plan->next) == std::vector<uint64_t>{1, 2, 9});
+}
+
+TEST_CASE("a new host replaces a silent member only after the hold") {
+  auto input = Input(ListOf({1, 2, 3}), 4, {1, 2, 3, 4});
+  CHECK_FALSE(PlanMembership(input));
+  input.peers[1].silent_ms = input.replace_after_ms - 1;
+  CHECK_FALSE(PlanMembership(input));
+  input.peers[1].silent_ms = input.replace_after_ms;
+  const auto plan = PlanMembership(input);
+  REQUIRE(plan);
+  CHECK(Ids(plan->next) == std::vector<uint64_t>{1, 3, 4});
+}
+
+TEST_CASE("a retiring member goes to a spare host, or without one if need be") {
+  auto with_spare = Input(ListOf({1, 2, 3}), 1, {1, 2, 3, 4});
+  with_spare.peers[2].retiring = true;
+  CHECK_FALSE(PlanMembership(with_spare));
+  with_spare.self = 4;
+  REQUIRE(PlanMembership(with_spare));
+  CHECK(Ids(PlanMembership(with_spare)->next) ==
+        std::vector<uint64_t>{1, 2, 4});
+
+  auto alone = Input(ListOf({1, 2, 3}), 1, {1, 2, 3});
+  alone.peers[2].retiring = true;
+  REQUIRE(PlanMembership(alone));
+  CHECK(Ids(PlanMembership(alone)->next) == std::vector<uint64_t>{1, 2});
+
+  auto two = Input(ListOf({1, 2}), 1, {1, 2});
+  two.peers[1].retiring = true;
+  CHECK_FALSE(PlanMembership(two));
+}
+
+TEST_CASE("a change whose newcomer went silent is given up") {
+  auto input = Input(ListOf({1, 2, 3}, {1, 2, 4}), 1, {1, 2, 3, 4});
+  CHECK_FALSE(PlanMembership(input));
+  input.peers[3].silent_ms = input.replace_after_ms;
+  const auto plan = PlanMembership(input);
+  REQUIRE(plan);
+  CHECK(Ids(plan->members) == std::vector<uint64_t>{1, 2, 3});
+  CHECK(plan->next.empty());
+  CHECK(plan->version == 5);
+}
+
+TEST_CASE("a host joins a list that has fewer members than wanted") {
+  const auto plan = PlanMembership(Input(ListOf({1, 2}), 3, {1, 2, 3}));
+  REQUIRE(plan);
+  CHECK(Ids(plan->next) == std::vector<uint64_t>{1, 2, 3});
+  CHECK_FALSE(PlanMembership(Input(ListOf({}), 3, {1, 2, 3})));
+}
--- /dev/null
+++ b/test/correctness/team_quota_test.cc
@@ -0,0 +1,183 @@
+// Replays of teams that send many times their rate through all gateways.
+#include "src/team_quota.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+
+namespace {
+
+using namespace pimento;
+
+DesiredState StateWith(double rate, double burst) {
+  DesiredState::Parts parts;
+  parts.teams.push_back(
+      {.name = "large", .rate_per_second = rate, .burst = burst});
+  return DesiredState(std::move(parts));
+}
+
+// Gateways that exchange news each 100 ms, fed by one team.
+class Fleet {
+ public:
+  Fleet(int gateways, double rate, double burst)
+      : quotas_(static_cast<size_t>(gateways)),
+        told_(quotas_.size()),
+        cut_(quotas_.size(), false),
+        rate_(rate),
+        burst_(burst) {
+    for (auto& quota : quotas_) {
+      quota.set_teams(StateWith(rate, burst), 0);
+      quota.set_fleet(gateways, gateways);
+    }
+  }
+
+  void Cut(size_t gateway) { cut_[gateway] = true; }
+  void Restart(size_t gateway) {
+    quotas_[gateway] = TeamQuota();
+    quotas_[gateway].set_teams(StateWith(rate_, burst_), now_ms_);
+    quotas_[gateway].set_fleet(count(), count());
+    told_[gateway] = 0;
+  }
+  void Limit(double rate, double burst) {
+    rate_ = rate;
+    burst_ = burst;
+    for (auto& quota : quotas_)
+      quota.set_teams(StateWith(rate, burst), now_ms_);
+  }
+
+  // Sends `per_second` through all gateways in turn.
+  void Run(int64_t for_ms, double per_second) {
+    double due = 0;
+    size_t next = 0;
+    for (const int64_t end = now_ms_ + for_ms; now_ms_ < end; ++now_ms_) {
+      for (due += per_second / 1'000; due >= 1; due -= 1) {
+        const size_t gateway = next++ % quotas_.size();
+        ++asked_;
+        if (quotas_[gateway].Take("large", now_ms_) == 0)
+          admitted_.push_back(now_ms_);
+      }
+      if (now_ms_ % 100 == 99) Exchange();
+    }
+  }
+
+  // Most requests admitted in any window of `window_ms`.
+  size_t MostIn(int64_t window_ms) const {
+    size_t most = 0;
+    std::deque<int64_t> window;
+    for (const int64_t at : admitted_) {
+      window.push_back(at);
+      while (window.front() <= at - window_ms) window.pop_front();
+      most = std::max(most, window.size());
+    }
+    return most;
+  }
+  size_t admitted() const { return admitted_.size(); }
+  size_t asked() const { return asked_; }
+  int64_t count() const { return static_cast<int64_t>(quotas_.size()); }
+
+ private:
+  void Exchange() {
+    int64_t whole = 0;
+    for (size_t i = 0; i < quotas_.size(); ++i) whole += cut_[i] ? 0 : 1;
+    for (size_t i = 0; i < quotas_.size(); ++i) {
+      quotas_[i].set_fleet(count(), cut_[i] ? 1 : whole);
+      if (cut_[i]) continue;
+      const auto& counts = quotas_[i].admitted();
+      const auto it = counts.find("large");
+      const int64_t total = it == counts.end() ? 0 : it->second;
+      for (size_t j = 0; j < quotas_.size(); ++j) {
+        if (j != i && !cut_[j]) quotas_[j].Spent("large", total - told_[i]);
+      }
+      told_[i] = total;
+    }
+  }
+
+  std::vector<TeamQuota> quotas_;
+  std::vector<int64_t> told_;
+  std::vector<bool> cut_;
+  std::vector<int64_t> admitted_;
+  double rate_;
+  double burst_;
+  size_t asked_ = 0;
+  int64_t now_ms_ = 0;
+};
+
+constexpr int64_t kWindowMs = 5'000;
+
+// (rate x window + burst) x 1.1 + 20: what the platform allows in a window.
+size_t Allowed(double rate, double burst) {
+  return static_cast<size_t>((rate * 5 + burst) * 1.1 + 20);
+}
+
+}  // namespace
+
+TEST_CASE("a team that sends eight times its rate gets its rate and burst") {
+  Fleet fleet(6, 170, 170);
+  fleet.Run(2'000, 100);
+  fleet.Run(12'000, 1'360);
+  CHECK(fleet.MostIn(kWindowMs) <= Allowed(170, 170));
+  // And no less than it is owed.
+  CHECK(fleet.admitted() >= static_cast<size_t>(170 * 12));
+}
+
+TEST_CASE("what a team sends within its rate is all admitted") {
+  Fleet fleet(6, 170, 170);
+  fleet.Run(3'000, 60);
+  const size_t before = fleet.asked() - fleet.admitted();
+  fleet.Run(20'000, 150);
+  // The buckets start empty: only the first second may refuse.
+  CHECK(before <= 12);
+  CHECK(fleet.asked() - fleet.admitted() - before <= 3);
+}
+
+TEST_CASE("gateways that are cut off in a flood leave the others their share") {
+  Fleet fleet(6, 170, 170);
+  fleet.Run(3'000, 100);
+  fleet.Run(3'000, 1'360);
+  fleet.Cut(1);
+  fleet.Cut(4);
+  fleet.Run(8'000, 1'360);
+  CHECK(fleet.MostIn(kWindowMs) <= Allowed(170, 170));
+}
+
+TEST_CASE("gateways that restart in a flood do not give the burst again") {
+  Fleet fleet(6, 170, 170);
+  fleet.Run(3'000, 100);
+  for (size_t gateway = 0; gateway < 6; ++gateway) {
+    fleet.Run(700, 1'360);
+    fleet.Restart(gateway);
+  }
+  fleet.Run(5'000, 1'360);
+  CHECK(fleet.MostIn(kWindowMs) <= Allowed(170, 170));
+}
+
+TEST_CASE("a lower limit binds at once, however full the bucket was") {
+  Fleet fleet(6, 170, 170);
+  fleet.Run(5'000, 100);
+  fleet.Limit(20, 20);
+  const size_t before = fleet.admitted();
+  fleet.Run(5'000, 600);
+  CHECK(fleet.admitted() - before <= Allowed(20, 20));
+}
+
+TEST_CASE("a refusal tells when one more would be admitted") {
+  TeamQuota quota;
+  quota.set_teams(StateWith(10, 5), 0);
+  quota.set_fleet(1, 1);
+  const int64_t wait = quota.Take("large", 0);
+  CHECK(wait == 100);
+  CHECK(quota.Take("large", wait) == 0);
+  CHECK(quota.Take("unlimited", 0) == 0);
+}
+
+TEST_CASE("what did not run is given back") {
+  TeamQuota quota;
+  quota.set_teams(StateWith(10, 5), 0);
+  quota.set_fleet(1, 1);
+  CHECK(quota.Take("large", 100) == 0);
+  CHECK(quota.Take("large", 100) > 0);
+  quota.Return("large");
+  CHECK(quota.Take("large", 100) == 0);
+  CHECK(quota.admitted().at("large") == 1);
+}
--- /dev/null
+++ b/test/error/archive_journal_test.cc
@@ -0,0 +1,126 @@
+// The archive's journal on a disk that tears and loses what was not synced.
+#include "src/archive_journal.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+namespace {
+
+using namespace pimento;
+
+class TempDir {
+ public:
+  TempDir() {
+    char name[] = "/tmp/pimento-journal-XXXXXX";
+    path_ = mkdtemp(name);
+  }
+  ~TempDir() { std::filesystem::remove_all(path_); }
+  std::string path() const { return path_ + "/data"; }
+
+ private:
+  std::string path_;
+};
+
+std::vector<std::string> ReplayAll(const std::string& dir) {
+  ArchiveJournal journal(dir);
+  std::vector<std::string> entries;
+  journal.Replay(
+      [&entries](const std::string& entry) { entries.push_back(entry); });
+  return entries;
+}
+
+std::string OnlySegment(const std::string& dir) {
+  return dir + "/00000001.log";
+}
+
+}  // namespace
+
+TEST_CASE("what was appended comes back in order, over restarts") {
+  TempDir dir;
+  {
+    ArchiveJournal journal(dir.path());
+    journal.Append({"one", "two"});
+  }
+  {
+    ArchiveJournal journal(dir.path());
+    journal.Replay([](const std::string&) {});
+    journal.Append({"three"});
+  }
+  CHECK(ReplayAll(dir.path()) ==
+        std::vector<std::string>{"one", "two", "three"});
+}
+
+TEST_CASE("the member's id stays with the disk and not with the process") {
+  TempDir dir;
+  const uint64_t id = ArchiveJournal(dir.path()).MemberId();
+  CHECK(id != 0);
+  CHECK(ArchiveJournal(dir.path()).MemberId() == id);
+  std::filesystem::remove_all(dir.path());
+  CHECK(ArchiveJournal(dir.path()).MemberId() != id);
+}
+
+TEST_CASE("a torn id is no id") {
+  TempDir dir;
+  const uint64_t id = ArchiveJournal(dir.path()).MemberId();
+  std::filesystem::resize_file(dir.path() + "/member", 7);
+  CHECK(ArchiveJournal(dir.path()).MemberId() != id);
+}
+
+TEST_CASE("a tail cut at any byte costs no entry before it, nor any after") {
+  TempDir dir;
+  {
+    ArchiveJournal journal(dir.path());
+    journal.Append({"first entry"});
+    journal.Append({"second entry"});
+  }
+  const auto whole = std::filesystem::file_size(OnlySegment(dir.path()));
+  for (auto size = whole; size-- > 0;) {
+    std::filesystem::resize_file(OnlySegment(dir.path()), size);
+    const auto entries = ReplayAll(dir.path());
+    CAPTURE(size);
+    REQUIRE(entries.size() <= 1);
+    if (!entries.empty()) CHECK(entries[0] == "first entry");
+    // 16 bytes of head and 11 of text.
+    CHECK(entries.empty() == (size < 27));
+  }
+  ArchiveJournal journal(dir.path());
+  journal.Replay([](const std::string&) {});
+  journal.Append({"after the loss of power"});
+  CHECK(ReplayAll(dir.path()).back() == "after the loss of power");
+}
+
+TEST_CASE("spoiled bytes end a segment and never come back as an entry") {
+  std::mt19937 random(7);
+  for (int round = 0; round < 60; ++round) {
+    TempDir dir;
+    {
+      ArchiveJournal journal(dir.path());
+      journal.Append({"aaaaaaaa", "bbbbbbbb", "cccccccc"});
+    }
+    std::fstream file(OnlySegment(dir.path()),
+                      std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(static_cast<std::streamoff>(random() % 72));
+    file.put(static_cast<char>(random() % 256));
+    file.close();
+    for (const auto& entry : ReplayAll(dir.path())) {
+      const bool known =
+          entry == "aaaaaaaa" || entry == "bbbbbbbb" || entry == "cccccccc";
+      CHECK(known);
+    }
+  }
+}
+
+TEST_CASE("old segments go once all in them has lapsed") {
+  TempDir dir;
+  ArchiveJournal journal(dir.path());
+  journal.Append({std::string(17 * 1024 * 1024, 'x')});
+  journal.Append({"young"});
+  CHECK(journal.bytes() > 17 * 1024 * 1024);
+  journal.DropOld(4'000'000'000'000, 1'000);
+  CHECK(journal.bytes() < 1'024);
+  CHECK(ReplayAll(dir.path()) == std::vector<std::string>{"young"});
+}
--- /dev/null
+++ b/test/platform/path_test.cc
@@ -0,0 +1,436 @@
+// The whole path on the users' platform: real programs as processes, stand-ins
+// for store and upstreams, and what callers and upstreams see.
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <set>
+#include <thread>
+
+#include "bench/lib/platform_fleet.h"
+
+namespace pimento::testbed {
+namespace {
+
+namespace json = boost::json;
+
+PlatformFleet MakeFleet(const std::string& name,
+                        PlatformFleet::Options options = {}) {
+  return PlatformFleet("build/bin", "build/platform/" + name, options);
+}
+
+void Pause(int64_t milliseconds) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
+}
+
+// All that the upstreams of a kind ran.
+json::array RunsOf(PlatformFleet& fleet, const std::string& kind, int count) {
+  json::array all;
+  for (int i = 0; i < count; ++i) {
+    const auto runs = json::parse(fleet.Runs(kind + "-" + std::to_string(i)));
+    for (const auto& run : runs.as_array()) all.push_back(run);
+  }
+  return all;
+}
+
+std::string BodyOfRun(const json::array& runs, const std::string& id) {
+  for (const auto& run : runs) {
+    if (run.at("id").as_string() == id)
+      return std::string(run.at("body").as_string());
+  }
+  return "(did not run)";
+}
+
+size_t CountRuns(const json::array& runs, const std::string& id) {
+  size_t count = 0;
+  for (const auto& run : runs) count += run.at("id").as_string() == id ? 1 : 0;
+  return count;
+}
+
+// The data of a stream's events, each followed by a line feed.
+std::string DataOf(const std::string& stream) {
+  std::string data;
+  std::istringstream in(stream);
+  for (std::string line; std::getline(in, line);)
+    if (line.starts_with("data: ")) data += line.substr(6) + "\n";
+  return data;
+}
+
+// Tries until the answer is not 503: what callers do.
+CallerAnswer CallUntilServed(PlatformFleet& fleet, int gateway, CallerCall call,
+                             int64_t limit_ms) {
+  const std::string id = call.headers["X-Pimentopulley-Request-Id"];
+  CallerAnswer answer;
+  for (int64_t waited = 0; waited <= limit_ms; waited += 150) {
+    call.headers["X-Pimentopulley-Request-Id"] =
+        waited == 0 ? id : id + "-" + std::to_string(waited);
+    answer = fleet.Call(gateway, call);
+    if (answer.status != 503) return answer;
+    Pause(150);
+  }
+  return answer;
+}
+
+}  // namespace
+
+TEST_CASE("a chain of turns is whole at the upstream, through any gateway") {
+  auto fleet = MakeFleet("chain");
+  const auto first = fleet.Call(0, fleet.Turn("t1", "p", "", "hello "));
+  REQUIRE(first.status == 200);
+  CHECK(first.whole);
+  CHECK(first.headers.at("x-pimentopulley-server-stamp").starts_with("stamp-"));
+  const auto second = fleet.Call(1, fleet.Turn("t2", "p", "t1", "and "));
+  REQUIRE(second.status == 200);
+  const auto third = fleet.Call(0, fleet.Turn("t3", "p", "t2", "bye"));
+  REQUIRE(third.status == 200);
+  const auto runs = RunsOf(fleet, "talk", 2);
+  CHECK(BodyOfRun(runs, "t1") == "hello ");
+  CHECK(BodyOfRun(runs, "t2") == "hello " + DataOf(first.body) + "and ");
+  CHECK(BodyOfRun(runs, "t3") ==
+        "hello " + DataOf(first.body) + "and " + DataOf(second.body) + "bye");
+  for (const auto& run : runs) {
+    CHECK(run.at("team").as_string() == "quilters");
+    CHECK(run.at("key").as_string().empty());
+  }
+  // A turn that never was, and another team's.
+  CHECK(fleet.Call(0, fleet.Turn("t4", "p", "none", "x")).status == 404);
+  auto foreign = fleet.Turn("t5", "q", "t1", "x");
+  foreign.headers["Authorization"] = "Token key-of-others";
+  CHECK(fleet.Call(0, foreign).status == 404);
+  CHECK(CountRuns(RunsOf(fleet, "talk", 2), "t5") == 0);
+}
+
+TEST_CASE("a program's budget holds over gateways, at once and one by one") {
+  auto fleet = MakeFleet("budget");
+  // 4 events of 12 tokens a turn, 60 reserved: 200 holds three of them.
+  std::vector<std::thread> callers;
+  std::array<int, 8> status{};
+  for (size_t i = 0; i < status.size(); ++i) {
+    callers.emplace_back([&, i] {
+      auto call = fleet.Turn("b" + std::to_string(i), "p", "", "x", 200);
+      status[i] = fleet.Call(static_cast<int>(i % 2), call).status;
+    });
+  }
+  for (auto& caller : callers) caller.join();
+  const auto served = std::count(status.begin(), status.end(), 200);
+  const auto spent = std::count(status.begin(), status.end(), 402);
+  CHECK(served + spent == 8);
+  CHECK(served <= 4);
+  int more = 0;
+  for (int i = 0; i < 8; ++i) {
+    auto call = fleet.Turn("c" + std::to_string(i), "p", "", "x", 200);
+    more += fleet.Call(i % 2, call).status == 200 ? 1 : 0;
+  }
+  // 200 and the most of one turn are 260: five turns of 48.
+  CHECK(served + more <= 5);
+  CHECK(served + more >= 3);
+  const auto runs = RunsOf(fleet, "talk", 2);
+  CHECK(runs.size() == static_cast<size_t>(served + more));
+}
+
+TEST_CASE("turns and budgets outlive the death of every archive at once") {
+  auto fleet = MakeFleet("all_killed");
+  REQUIRE(fleet.Call(0, fleet.Turn("t1", "p", "", "a", 60)).status == 200);
+  for (int i = 0; i < 3; ++i)
+    fleet.processes().Kill("archive-" + std::to_string(i));
+  CHECK(fleet.Call(0, fleet.Turn("t2", "p", "t1", "b")).status == 503);
+  for (int i = 0; i < 3; ++i)
+    fleet.StartHost("archive-" + std::to_string(i), false);
+  const auto next =
+      CallUntilServed(fleet, 1, fleet.Turn("t3", "q", "t1", "b"), 8'000);
+  CHECK(next.status == 200);
+  CHECK(fleet.Call(1, fleet.Turn("t4", "p", "", "b", 60)).status == 402);
+}
+
+TEST_CASE("a member that lost its disk denies nothing and is filled again") {
+  auto fleet = MakeFleet("wiped");
+  for (int i = 0; i < 20; ++i)
+    REQUIRE(fleet
+                .Call(i % 2, fleet.Turn("t" + std::to_string(i),
+                                        "p" + std::to_string(i), "", "a"))
+                .status == 200);
+  fleet.processes().Kill("archive-1");
+  fleet.WipeDisk("archive-1");
+  fleet.StartHost("archive-1", false);
+  for (int i = 0; i < 20; ++i) {
+    const auto answer = fleet.Call(
+        i % 2,
+        fleet.Turn("u" + std::to_string(i), "q", "t" + std::to_string(i), "b"));
+    CAPTURE(i);
+    CHECK(answer.status != 404);
+  }
+  // Once it is a member again, the two others may go one after the other.
+  bool back = false;
+  for (int i = 0; i < 60 && !back; ++i, Pause(100)) {
+    back = fleet.Log("archive-1").find("\"event\":\"copied\"") !=
+           std::string::npos;
+  }
+  REQUIRE(back);
+  Pause(800);
+  fleet.processes().Kill("archive-0");
+  fleet.WipeDisk("archive-0");
+  for (int i = 0; i < 20; ++i) {
+    const auto answer = CallUntilServed(
+        fleet, i % 2,
+        fleet.Turn("v" + std::to_string(i), "r", "t" + std::to_string(i), "b"),
+        4'000);
+    CAPTURE(i);
+    CHECK(answer.status == 200);
+  }
+}
+
+TEST_CASE("a host to be emptied is done only when two others hold everything") {
+  auto fleet = MakeFleet("retire");
+  for (int i = 0; i < 10; ++i)
+    REQUIRE(fleet.Call(i % 2, fleet.Turn("t" + std::to_string(i), "p", "", "a"))
+                .status == 200);
+  fleet.PutObject("retirements", "archive-2", R"({"over_s":10})");
+  bool completed = false;
+  for (int i = 0; i < 100 && !completed; ++i, Pause(100)) {
+    completed = fleet.Object("retirements", "archive-2").find("completed") !=
+                std::string::npos;
+  }
+  REQUIRE(completed);
+  fleet.processes().Kill("archive-2");
+  fleet.WipeDisk("archive-2");
+  for (int i = 0; i < 10; ++i) {
+    const auto answer = CallUntilServed(
+        fleet, i % 2,
+        fleet.Turn("u" + std::to_string(i), "q", "t" + std::to_string(i), "b"),
+        4'000);
+    CAPTURE(i);
+    CHECK(answer.status == 200);
+  }
+}
+
+TEST_CASE("what must not repeat runs once, and \"not run\" is true") {
+  auto fleet = MakeFleet("once");
+  fleet.Faults("desk-0", R"({"lose_answers":2})");
+  fleet.Faults("desk-1", R"({"lose_answers":2})");
+  std::set<int> seen;
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "c" + std::to_string(i);
+    const auto answer = fleet.Call(0, fleet.Plain(id, false));
+    seen.insert(answer.status);
+    const size_t runs = CountRuns(RunsOf(fleet, "desk", 2), id);
+    CAPTURE(answer.status);
+    CHECK(runs <= 1);
+    if (answer.status == 503 || answer.status == 429) CHECK(runs == 0);
+    if (answer.status == 200) CHECK(answer.body == "done " + id);
+  }
+  CHECK(seen.count(502) == 1);
+  CHECK(seen.count(200) == 1);
+  // Refused by one, served by the other, at once.
+  fleet.Faults("desk-0", R"({"shed":1,"lose_answers":0})");
+  fleet.Faults("desk-1", R"({"shed":1,"lose_answers":0})");
+  const auto both = fleet.Call(0, fleet.Plain("d1", false));
+  CHECK(both.status == 503);
+  CHECK(both.headers.count("retry-after") == 1);
+  CHECK(CountRuns(RunsOf(fleet, "desk", 2), "d1") == 0);
+  fleet.Faults("desk-0", R"({"shed":1})");
+  for (int i = 0; i < 4; ++i)
+    CHECK(fleet.Call(0, fleet.Plain("e" + std::to_string(i), false)).status ==
+          200);
+}
+
+TEST_CASE("a lost answer of what may repeat is made again elsewhere") {
+  auto fleet = MakeFleet("again");
+  fleet.Faults("desk-0", R"({"lose_answers":1})");
+  for (int i = 0; i < 4; ++i)
+    CHECK(fleet.Call(0, fleet.Plain("s" + std::to_string(i), true)).status ==
+          200);
+}
+
+TEST_CASE("a broken stream goes on elsewhere, or never looks complete") {
+  auto fleet = MakeFleet("streams");
+  fleet.Faults("talk-0", R"({"cut_after":1,"tokens":6})");
+  fleet.Faults("talk-1", R"({"cut_after":1,"tokens":6})");
+  auto resumed = fleet.Turn("r1", "p", "", "x");
+  resumed.target = "/resumed/turn";
+  const auto cut_twice = fleet.Call(0, resumed);
+  CHECK(cut_twice.status == 200);
+  CHECK_FALSE(cut_twice.whole);
+  fleet.Faults("talk-0", R"({"cut_after":1})");
+  fleet.Faults("talk-1", R"({"cut_after":0})");
+  int whole = 0;
+  for (int i = 0; i < 4; ++i) {
+    resumed.headers["X-Pimentopulley-Request-Id"] = "s" + std::to_string(i);
+    const auto answer = fleet.Call(0, resumed);
+    whole += answer.whole ? 1 : 0;
+    for (int event = 1; event <= 6 && answer.whole; ++event) {
+      const std::string line = "id: " + std::to_string(event) + "\n";
+      const size_t at = answer.body.find(line);
+      CAPTURE(answer.body);
+      CHECK(at != std::string::npos);
+      CHECK(answer.body.find(line, at + 1) == std::string::npos);
+    }
+  }
+  CHECK(whole == 4);
+  fleet.Faults("talk-0", R"({"cut_after":1})");
+  fleet.Faults("talk-1", R"({"cut_after":1})");
+  const auto kept = fleet.Call(0, fleet.Turn("k1", "p", "", "x"));
+  CHECK_FALSE(kept.whole);
+  CHECK(CountRuns(RunsOf(fleet, "talk", 2), "k1") == 1);
+  CHECK(fleet.Call(0, fleet.Turn("k2", "p", "k1", "x")).status == 404);
+}
+
+TEST_CASE("malformed, oversized and smuggled requests reach no upstream") {
+  auto fleet = MakeFleet("bad_input");
+  const std::string head =
+      "POST /open/x HTTP/1.1\r\nHost: x.example\r\n"
+      "X-Pimentopulley-Request-Id: bad\r\n";
+  const std::string smuggled =
+      "POST /charge/x HTTP/1.1\r\nHost: x.example\r\n"
+      "X-Pimentopulley-Request-Id: smuggled\r\nContent-Length: 0\r\n\r\n";
+  struct Case {
+    const char* what;
+    std::string bytes;
+    std::string status;
+  };
+  const std::vector<Case> cases = {
+      {"two lengths",
+       head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde" + smuggled,
+       "400"},
+      {"length and chunks",
+       head +
+           "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+           smuggled,
+       "400"},
+      {"chunks and length",
+       head +
+           "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" +
+           smuggled,
+       "400"},
+      {"unknown coding", head + "Transfer-Encoding: gzip\r\n\r\n" + smuggled,
+       "400"},
+      {"bare line feeds",
+       "POST /open/x HTTP/1.1\nHost: x.example\n\n" + smuggled, "400"},
+      {"negative length", head + "Content-Length: -4\r\n\r\n" + smuggled,
+       "400"},
+      {"no host", "POST /open/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "400"},
+      {"two hosts",
+       "POST /open/x HTTP/1.1\r\nHost: a\r\nHost: x.example\r\nContent-Length: "
+       "0\r\n\r\n",
+       "400"},
+      {"space before colon", head + "Content-Length : 4\r\n\r\nabcd", "400"},
+      {"bad chunk size",
+       head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + smuggled, "400"},
+      {"no protocol", "hello\r\n\r\n", "400"},
+      {"header too large",
+       head + "X-Long: " + std::string(9'000, 'a') + "\r\n\r\n", "431"},
+      {"body too large",
+       head + "Content-Length: 70000\r\n\r\n" + std::string(70'000, 'a'),
+       "413"},
+      {"unknown route",
+       "POST /none/x HTTP/1.1\r\nHost: x.example\r\nContent-Length: 0\r\n\r\n",
+       "404"},
+      {"unknown key",
+       "POST /charge/x HTTP/1.1\r\nHost: x.example\r\nAuthorization: Token "
+       "no\r\nContent-Length: 0\r\n\r\n",
+       "401"},
+      {"no key",
+       "POST /charge/x HTTP/1.1\r\nHost: x.example\r\nContent-Length: "
+       "0\r\n\r\n",
+       "401"},
+      {"negative deadline",
+       head + "X-Pimentopulley-Deadline-Ms: -3\r\nContent-Length: 0\r\n\r\n",
+       "400"},
+      {"negative budget",
+       head + "X-Pimentopulley-Token-Budget: -3\r\nContent-Length: 0\r\n\r\n",
+       "400"},
+  };
+  for (const Case& c : cases) {
+    const std::string answer = fleet.Raw(0, c.bytes, 1'500);
+    CAPTURE(c.what);
+    CAPTURE(answer);
+    CHECK(answer.starts_with("HTTP/1.1 " + c.status));
+  }
+  CHECK(RunsOf(fleet, "desk", 2).empty());
+  // A header that never ends, and a body that never comes.
+  CHECK(fleet.Raw(0, "POST /open/x HTT", 2'500).find(" 200 ") ==
+        std::string::npos);
+  CHECK(fleet.Raw(0, head + "Content-Length: 9\r\n\r\nabc", 1'500)
+            .find(" 200 ") == std::string::npos);
+  CHECK(RunsOf(fleet, "desk", 2).empty());
+  // Two requests in one packet are two answers.
+  const std::string one =
+      "GET /open/x HTTP/1.1\r\nHost: x.example\r\n"
+      "X-Pimentopulley-Request-Id: p1\r\n\r\n";
+  std::string two = one;
+  two.replace(two.find("p1"), 2, "p2");
+  const std::string both = fleet.Raw(0, one + two, 1'500);
+  CHECK(both.find("done p1") < both.find("done p2"));
+  CHECK(both.find("done p2") != std::string::npos);
+}
+
+TEST_CASE(
+    "a withdrawn key stops everywhere, and where the store is silent too") {
+  auto fleet = MakeFleet("keys", {.revoke_ms = 3'000});
+  CHECK(fleet.Call(0, fleet.Plain("k1", true)).status == 200);
+  fleet.PutState(2, {"another-key"});
+  bool stopped = false;
+  for (int i = 0; i < 30 && !stopped; ++i, Pause(50)) {
+    stopped =
+        fleet.Call(0, fleet.Plain("k" + std::to_string(10 + i), true)).status ==
+            401 &&
+        fleet.Call(1, fleet.Plain("m" + std::to_string(10 + i), true)).status ==
+            401;
+  }
+  CHECK(stopped);
+  // A version that is older than the one in force changes nothing.
+  fleet.PutState(1, {fleet.key()});
+  Pause(500);
+  CHECK(fleet.Call(0, fleet.Plain("k3", true)).status == 401);
+}
+
+TEST_CASE("a planned stop ends no stream, and the directory drops the host") {
+  auto fleet = MakeFleet("stop");
+  fleet.Faults("talk-0", R"({"tokens":20,"event_ms":60})");
+  fleet.Faults("talk-1", R"({"tokens":20,"event_ms":60})");
+  CallerAnswer answer;
+  std::thread caller(
+      [&] { answer = fleet.Call(0, fleet.Turn("s1", "p", "", "x")); });
+  Pause(300);
+  fleet.processes().Signal("gateway-0", SIGTERM);
+  Pause(200);
+  CHECK_FALSE(fleet.Ready(0));
+  caller.join();
+  CHECK(answer.status == 200);
+  CHECK(answer.whole);
+  CHECK(fleet.Call(1, fleet.Turn("s2", "p", "s1", "y")).status == 200);
+}
+
+TEST_CASE("lost and late answers of the store do not stop a start") {
+  auto fleet = MakeFleet("lost_answers", {.gateways = 1});
+  fleet.Faults("store", R"({"lose_answers":3,"lose_before":1,"late_ms":700})");
+  fleet.processes().Kill("archive-0");
+  fleet.WipeDisk("archive-0");
+  fleet.StartHost("archive-0", false);
+  bool back = false;
+  for (int i = 0; i < 100 && !back; ++i, Pause(100))
+    back = fleet.Log("archive-0").find("\"event\":\"copied\"") !=
+           std::string::npos;
+  CHECK(back);
+  CHECK(
+      CallUntilServed(fleet, 0, fleet.Turn("t1", "p", "", "x"), 3'000).status ==
+      200);
+}
+
+TEST_CASE("dropped history and outages of the store lose no change") {
+  auto fleet = MakeFleet("compaction");
+  fleet.Faults("store", R"({"down":true})");
+  Pause(300);
+  fleet.Faults("store", R"({"down":false})");
+  fleet.PutState(5, {fleet.key(), "second"});
+  auto call = fleet.Plain("x1", true);
+  call.headers["Authorization"] = "Token second";
+  bool served = false;
+  for (int i = 0; i < 40 && !served; ++i, Pause(50)) {
+    call.headers["X-Pimentopulley-Request-Id"] = "x" + std::to_string(i);
+    served = fleet.Call(0, call).status == 200;
+  }
+  CHECK(served);
+}
+
+}  // namespace pimento::testbed
