Turns at a host without the archive are refused at once

Change: member_health.h notes who does not answer; suspect members get one probe in 200 ms, turns go on without them or fail at once; without a likely quorum the host is not ready. Directory answers live 1 s.

--- a/src/archive_client.cc
+++ b/src/archive_client.cc
@@ -18,6 +18,12 @@
 // GCC 12 destroys some temporaries of a co_await expression twice: calls are
 // built in variables of their own before they are awaited.
 
+int64_t NowMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             steady_clock::now().time_since_epoch())
+      .count();
+}
+
 constexpr int kListChanges = 4;
 constexpr milliseconds kListPause{60};
 
@@ -56,22 +62,69 @@
                         [this](const ArchiveMember& member) {
                           return member.zone == options_.zone;
                         });
+  std::stable_partition(members.begin(), members.end(),
+                        [this](const ArchiveMember& member) {
+                          return !health_.Suspect(member.id);
+                        });
   return members;
 }
 
+asio::awaitable<ArchiveReply> ArchiveClient::CallMember(
+    ArchiveMember member, const ArchiveCall& call) {
+  std::string failure;
+  try {
+    ArchiveReply reply =
+        co_await rpc_.Call(member.address, call, options_.member_limit);
+    if (health_.Suspect(member.id))
+      EventLine(Event::kDependencyRegained)
+          .Text("dependency", "archive")
+          .Text("member", member.host);
+    health_.Answered(member.id);
+    co_return reply;
+  } catch (const TransportError& e) {
+    failure = e.what();
+  }
+  if (!health_.Suspect(member.id))
+    EventLine(Event::kDependencyLost)
+        .Text("dependency", "archive")
+        .Text("member", member.host)
+        .Text("error", failure);
+  health_.Failed(member.id, NowMs());
+  throw TransportError(failure);
+}
+
+void ArchiveClient::Probe() {
+  for (const ArchiveMember& member : list_->All()) {
+    if (!health_.Suspect(member.id) || !health_.TakeTurn(member.id, NowMs()))
+      continue;
+    asio::co_spawn(
+        io_,
+        [this, member]() -> asio::awaitable<void> {
+          ArchiveCall ping;
+          ping.list_version = list_->version;
+          try {
+            co_await CallMember(member, ping);
+          } catch (const TransportError&) {
+            // The first failure was logged; the member stays suspect.
+          }
+        },
+        asio::detached);
+  }
+}
+
 asio::awaitable<std::shared_ptr<ArchiveClient::Gather>> ArchiveClient::AskOnce(
     const std::shared_ptr<const MemberList>& list, const Body& body) {
   auto gather = std::make_shared<Gather>(io_);
   auto call = std::make_shared<ArchiveCall>(
       ArchiveCall{.list_version = list->version, .body = body});
   for (const ArchiveMember& member : list->All()) {
+    if (health_.Suspect(member.id)) continue;
     ++gather->open;
     asio::co_spawn(
         io_,
         [this, gather, call, member]() -> asio::awaitable<void> {
           try {
-            ArchiveReply reply = co_await rpc_.Call(member.address, *call,
-                                                    options_.member_limit);
+            ArchiveReply reply = co_await CallMember(member, *call);
             if (reply.verdict == ArchiveVerdict::kStaleList) {
               gather->stale = true;
               gather->newer_list = reply.members;
@@ -79,10 +132,8 @@
                        reply.member == member.id) {
               gather->done.emplace(member.id, std::move(reply));
             }
-          } catch (const TransportError& e) {
-            EventLine(Event::kArchiveFailed)
-                .Text("member", member.host)
-                .Text("error", e.what());
+          } catch (const TransportError&) {
+            // The quorum counts without it; its loss was logged.
           }
           --gather->open;
           gather->bell.cancel();
@@ -113,6 +164,8 @@
     const auto list = list_;
     if (list->members.empty())
       throw ArchiveError("The archive's members are not known yet.");
+    if (!likely())
+      throw ArchiveError("Too few members of the archive answer.");
     const auto gather = co_await AskOnce(list, body);
     if (!gather->stale) {
       std::vector<ArchiveReply> replies;
@@ -157,6 +210,8 @@
 
 asio::awaitable<std::optional<std::vector<TurnRecord>>> ArchiveClient::History(
     std::string turn, std::string team) {
+  if (!likely())
+    throw ArchiveError("Too few members of the archive answer.");
   const auto list = list_;
   std::vector<TurnRecord> turns;
   std::string wanted = turn;
@@ -168,13 +223,9 @@
       ArchiveCall call;
       call.list_version = list->version;
       call.body = HistoryCall{wanted, team};
-      reply = co_await rpc_.Call(member.address, std::move(call),
-                                 options_.member_limit);
-    } catch (const TransportError& e) {
-      EventLine(Event::kArchiveFailed)
-          .Text("member", member.host)
-          .Text("error", e.what());
-      continue;
+      reply = co_await CallMember(member, call);
+    } catch (const TransportError&) {
+      continue;  // the next member is asked; the loss was logged
     }
     if (reply.verdict == ArchiveVerdict::kStaleList) {
       if (!reply.members.empty()) Adopt(DecodeMemberList(reply.members));
--- a/src/archive_client.h
+++ b/src/archive_client.h
@@ -17,6 +17,7 @@
 
 #include "src/archive_rpc.h"
 #include "src/budget_rule.h"
+#include "src/member_health.h"
 #include "src/member_list.h"
 
 namespace pimento {
@@ -29,7 +30,7 @@
 
 struct ArchiveClientOptions {
   std::string zone = {};
-  std::chrono::milliseconds member_limit{700};
+  std::chrono::milliseconds member_limit{450};
 };
 
 class ArchiveClient {
@@ -43,6 +44,10 @@
   // Takes a list unless a newer one is known.
   void Adopt(const MemberList& list);
   const MemberList& list() const { return *list_; }
+  // False while too few members answer: turns would be refused.
+  bool likely() const { return health_.QuorumLikely(*list_); }
+  // Asks suspect members whether they are back.
+  void Probe();
 
   // Reserves `tokens` for a turn. Returns false when the program's budget does
   // not hold them; the reservation is then withdrawn. Throws ArchiveError.
@@ -63,11 +68,15 @@
   Async<std::vector<ArchiveReply>> AskQuorum(const Body& body);
   Async<std::shared_ptr<Gather>> AskOnce(
       const std::shared_ptr<const MemberList>& list, const Body& body);
+  // Members of the own zone first, suspect ones last.
   std::vector<ArchiveMember> NearestFirst() const;
+  // Calls one member and notes whether it answers. Throws TransportError.
+  Async<ArchiveReply> CallMember(ArchiveMember member, const ArchiveCall& call);
 
   boost::asio::io_context& io_;
   ArchiveClientOptions options_;
   ArchiveRpc rpc_;
+  MemberHealth health_{{}};
   std::shared_ptr<const MemberList> list_;
 };
 
--- a/src/gateway_server.cc
+++ b/src/gateway_server.cc
@@ -18,7 +18,7 @@
 
 // Callers ask again after this time, so that those of a host that goes are soon
 // elsewhere.
-constexpr double kDirectoryTtlS = 2.0;
+constexpr double kDirectoryTtlS = 1.0;
 constexpr milliseconds kIdleGrace{300};
 constexpr milliseconds kStopPoll{50};
 // Callers that still hold this host's address keep coming for a while.
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -219,7 +219,7 @@
 
 bool GatewayState::Ready() const {
   return !draining_ && Usable() != nullptr && upstream_watch_.known() &&
-         !archive_.list().members.empty();
+         archive_.likely();
 }
 
 std::vector<std::string> GatewayState::ReadyAddresses() const {
@@ -269,6 +269,7 @@
     co_await timer.async_wait(asio::use_awaitable);
     UpdateFleet();
     dispatcher_.Poke();
+    archive_.Probe();
     const int64_t now_ms = SteadyMs();
     constexpr int64_t kSweepEveryMs = 1'000;
     if (now_ms - last_housekeeping_ms_ >= kSweepEveryMs) {
