An outage of the store does not stop every gateway; slow hosts are left out

Ruled out: a longer bound for all, which would let withdrawn keys work at a host that alone is cut off. Change: store_outage.h: a gateway goes on only while three quarters of all hosts prove, by words no older than 0.9 s, that the store has not answered them either; one host that hears it ends it.

Change: strain_gauge.h, hosts whose timers fire late are left out of the directory while the others can do without.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -22,6 +22,10 @@
   # The newest news that this gateway has of each other one: whoever finds its
   # own number here knows that this was written after it was sent.
   echoes @10 :List(Echo);
+  # True while the gateway is behind with its work.
+  strained @11 :Bool;
+  # How long ago the store last answered it.
+  storeSilentMs @12 :Int64;
 }
 
 struct Echo {
@@ -109,4 +113,6 @@
   next @7 :UInt64;
   more @8 :Bool;
   members @9 :Text;
+  # How long ago the store last answered the member.
+  storeSilentMs @10 :Int64;
 }
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -48,7 +48,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -180,7 +180,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd38a5c82d5a0291, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(bd38a5c82d5a0291, 5, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -234,6 +234,10 @@
   inline bool hasEchoes() const;
   inline  ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>::Reader getEchoes() const;
 
+  inline bool getStrained() const;
+
+  inline  ::int64_t getStoreSilentMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -319,6 +323,12 @@
   inline void adoptEchoes(::capnp::Orphan< ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>> disownEchoes();
 
+  inline bool getStrained();
+  inline void setStrained(bool value);
+
+  inline  ::int64_t getStoreSilentMs();
+  inline void setStoreSilentMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1146,6 +1156,8 @@
   inline bool hasMembers() const;
   inline  ::capnp::Text::Reader getMembers() const;
 
+  inline  ::int64_t getStoreSilentMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1220,6 +1232,9 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownMembers();
 
+  inline  ::int64_t getStoreSilentMs();
+  inline void setStoreSilentMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1522,6 +1537,34 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool GatewayNews::Reader::getStrained() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool GatewayNews::Builder::getStrained() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void GatewayNews::Builder::setStrained(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t GatewayNews::Reader::getStoreSilentMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GatewayNews::Builder::getStoreSilentMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void GatewayNews::Builder::setStoreSilentMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Echo::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2681,6 +2724,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t ArchiveReply::Reader::getStoreSilentMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ArchiveReply::Builder::getStoreSilentMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ArchiveReply::Builder::setStoreSilentMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/archive_client.cc
+++ b/src/archive_client.cc
@@ -72,6 +72,7 @@
 asio::awaitable<ArchiveReply> ArchiveClient::CallMember(
     ArchiveMember member, const ArchiveCall& call) {
   std::string failure;
+  const auto asked = BootClock::now();
   try {
     ArchiveReply reply =
         co_await rpc_.Call(member.address, call, options_.member_limit);
@@ -80,6 +81,8 @@
           .Text("dependency", "archive")
           .Text("member", member.host);
     health_.Answered(member.id);
+    if (on_store_word_)
+      on_store_word_(member.host, reply.store_silent_ms, asked);
     co_return reply;
   } catch (const TransportError& e) {
     failure = e.what();
@@ -164,8 +167,7 @@
     const auto list = list_;
     if (list->members.empty())
       throw ArchiveError("The archive's members are not known yet.");
-    if (!likely())
-      throw ArchiveError("Too few members of the archive answer.");
+    if (!likely()) throw ArchiveError("Too few members of the archive answer.");
     const auto gather = co_await AskOnce(list, body);
     if (!gather->stale) {
       std::vector<ArchiveReply> replies;
@@ -210,8 +212,7 @@
 
 asio::awaitable<std::optional<std::vector<TurnRecord>>> ArchiveClient::History(
     std::string turn, std::string team) {
-  if (!likely())
-    throw ArchiveError("Too few members of the archive answer.");
+  if (!likely()) throw ArchiveError("Too few members of the archive answer.");
   const auto list = list_;
   std::vector<TurnRecord> turns;
   std::string wanted = turn;
--- a/src/archive_client.h
+++ b/src/archive_client.h
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "src/archive_rpc.h"
+#include "src/boot_clock.h"
 #include "src/budget_rule.h"
 #include "src/member_health.h"
 #include "src/member_list.h"
@@ -46,6 +47,13 @@
   const MemberList& list() const { return *list_; }
   // False while too few members answer: turns would be refused.
   bool likely() const { return health_.QuorumLikely(*list_); }
+  // Called with each reply: the member's host, how long the store has not
+  // answered it, and a time before which that was not yet said.
+  using OnStoreWord =
+      std::function<void(const std::string&, int64_t, BootClock::time_point)>;
+  void set_on_store_word(OnStoreWord on_word) {
+    on_store_word_ = std::move(on_word);
+  }
   // Asks suspect members whether they are back.
   void Probe();
 
@@ -78,6 +86,7 @@
   ArchiveRpc rpc_;
   MemberHealth health_{{}};
   std::shared_ptr<const MemberList> list_;
+  OnStoreWord on_store_word_;
 };
 
 }  // namespace pimento
--- a/src/archive_codec.cc
+++ b/src/archive_codec.cc
@@ -180,6 +180,7 @@
   out.setNext(reply.next);
   out.setMore(reply.more);
   out.setMembers(reply.members);
+  out.setStoreSilentMs(reply.store_silent_ms);
   return BytesOf(message);
 }
 
@@ -204,6 +205,7 @@
     reply.next = in.getNext();
     reply.more = in.getMore();
     reply.members = Text(in.getMembers());
+    reply.store_silent_ms = in.getStoreSilentMs();
     return reply;
   });
 }
--- a/src/archive_codec.h
+++ b/src/archive_codec.h
@@ -54,6 +54,8 @@
   bool more = false;
   // The newer member list, encoded, for kStaleList.
   std::string members = {};
+  // How long ago the store last answered the member, milliseconds.
+  int64_t store_silent_ms = 0;
 };
 
 std::string EncodeCall(const ArchiveCall& call);
--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -169,6 +169,7 @@
   reply.member = id_;
   reply.intact = Intact();
   reply.list_version = std::max(list_.version, fence_);
+  reply.store_silent_ms = store_.SilentMs();
   header.result(http::status::ok);
   co_await answer.Send(std::move(header), EncodeReply(reply));
 }
--- a/src/boot_clock.h
+++ b/src/boot_clock.h
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include <chrono>
+#include <cstdint>
 
 namespace pimento {
 
@@ -23,4 +24,11 @@
   }
 };
 
+// Milliseconds of the boot clock.
+inline int64_t BootMs(BootClock::time_point at = BootClock::now()) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             at.time_since_epoch())
+      .count();
+}
+
 }  // namespace pimento
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -33,6 +33,7 @@
   kZonesDrained,
   kPeerSeen,
   kPeerLost,
+  kStrain,
   kCallQueued,
   kCallOffered,
   kOfferFailed,
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -35,6 +35,8 @@
   out.setZone(news.zone);
   out.setCallersAddress(news.callers_address);
   out.setReady(news.ready);
+  out.setStrained(news.strained);
+  out.setStoreSilentMs(news.store_silent_ms);
   out.setStateVersion(news.state_version);
   out.setStateAgeMs(news.state_age_ms);
   auto loads = out.initLoads(
@@ -73,8 +75,10 @@
                      .zone = in.getZone(),
                      .callers_address = in.getCallersAddress(),
                      .ready = in.getReady(),
+                     .strained = in.getStrained(),
                      .state_version = in.getStateVersion(),
-                     .state_age_ms = in.getStateAgeMs()};
+                     .state_age_ms = in.getStateAgeMs(),
+                     .store_silent_ms = in.getStoreSilentMs()};
     for (const auto load : in.getLoads())
       news.loads.emplace_back(load.getUpstream(), load.getInFlight());
     for (const auto team : in.getTeams())
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -33,9 +33,13 @@
   // Where callers connect.
   std::string callers_address = {};
   bool ready = false;
+  // True while it is behind with its work.
+  bool strained = false;
   int64_t state_version = 0;
   // How long ago that version was known to be the newest, milliseconds.
   int64_t state_age_ms = 0;
+  // How long ago the store last answered it, milliseconds.
+  int64_t store_silent_ms = 0;
   // Calls in flight, by upstream hash.
   std::vector<std::pair<uint64_t, int64_t>> loads = {};
   // Requests admitted since the start, by team.
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -30,6 +30,8 @@
 // Part of the time allowed for withdrawing a key that the desired state may be
 // old: the rest is for requests on their way to an upstream.
 constexpr double kUsableShare = 0.85;
+// In an outage of the store the last desired state is used this long.
+constexpr int64_t kLongestOutageMs = 60'000;
 
 uint64_t UnixUs() {
   return static_cast<uint64_t>(
@@ -77,6 +79,10 @@
   gateway_watch_.Start([this] { OnGateways(); });
   peers_.Start([this] { return Compose(); },
                [this](const GatewayNews& news) { OnNews(news); });
+  archive_.set_on_store_word([this](const std::string& host, int64_t silent_ms,
+                                    BootClock::time_point as_of) {
+    outage_.Note(host, silent_ms, BootMs(as_of));
+  });
   asio::co_spawn(io_, Register(), asio::detached);
   asio::co_spawn(io_, Housekeeping(), asio::detached);
 }
@@ -178,13 +184,14 @@
     EventLine(Event::kPeerSeen).Text("peer", news.host);
   for (const auto& [team, count] : view_.Take(news, now_ms))
     quota_.Spent(team, count);
-  // A peer vouches for this version: its word was written after what it echoes
-  // was sent, however long it lay in a buffer.
-  if (!desired_ || news.state_version != desired_->version()) return;
+  // A peer's word was written after what it echoes was sent, however long it
+  // lay in a buffer.
   for (const NewsEcho& echo : news.echoes) {
     if (echo.host != settings_.host || echo.boot != boot_) continue;
     const auto sent = peers_.SentAt(echo.sequence);
     if (!sent) continue;
+    outage_.Note(news.host, news.store_silent_ms, BootMs(*sent));
+    if (!desired_ || news.state_version != desired_->version()) continue;
     const milliseconds age(std::max<int64_t>(0, news.state_age_ms));
     relayed_fresh_ = std::max(relayed_fresh_, *sent - age);
   }
@@ -196,8 +203,10 @@
                    .zone = settings_.zone,
                    .callers_address = settings_.callers_address,
                    .ready = Ready(),
+                   .strained = strain_.strained(),
                    .state_version = desired_ ? desired_->version() : 0,
-                   .state_age_ms = StateAgeMs()};
+                   .state_age_ms = StateAgeMs(),
+                   .store_silent_ms = store_.SilentMs()};
   news.loads = table_.OwnLoad();
   news.echoes = view_.Echoes(SteadyMs());
   for (const auto& [team, count] : quota_.admitted())
@@ -214,7 +223,15 @@
   if (!desired_) return nullptr;
   const auto most = static_cast<int64_t>(
       static_cast<double>(settings_.revoke_ms) * kUsableShare);
-  return StateAgeMs() <= most ? desired_ : nullptr;
+  const int64_t age_ms = StateAgeMs();
+  if (age_ms <= most) return desired_;
+  return age_ms <= kLongestOutageMs && StoreIsDown() ? desired_ : nullptr;
+}
+
+bool GatewayState::StoreIsDown() const {
+  const auto hosts =
+      gateways_ + static_cast<int64_t>(archive_.list().All().size());
+  return outage_.Proved(hosts, BootMs());
 }
 
 bool GatewayState::Ready() const {
@@ -223,12 +240,17 @@
 }
 
 std::vector<std::string> GatewayState::ReadyAddresses() const {
-  std::vector<std::string> addresses;
-  if (Ready()) addresses.push_back(settings_.callers_address);
-  for (const GatewayNews* news : view_.Heard(SteadyMs())) {
-    if (news->ready) addresses.push_back(news->callers_address);
-  }
-  return addresses;
+  std::vector<std::string> sound;
+  std::vector<std::string> strained;
+  const auto add = [&](bool ready, bool behind, const std::string& address) {
+    if (ready) (behind ? strained : sound).push_back(address);
+  };
+  add(Ready(), strain_.strained(), settings_.callers_address);
+  for (const GatewayNews* news : view_.Heard(SteadyMs()))
+    add(news->ready, news->strained, news->callers_address);
+  if (!MayLeaveOut(strained.size(), sound.size() + strained.size()))
+    sound.insert(sound.end(), strained.begin(), strained.end());
+  return sound;
 }
 
 void GatewayState::UpdateFleet() {
@@ -263,13 +285,26 @@
   }
 }
 
+void GatewayState::ObserveStrain(steady_clock::time_point due) {
+  const std::chrono::duration<double, std::milli> late =
+      steady_clock::now() - due;
+  const bool before = strain_.strained();
+  strain_.Observe(late.count(), SteadyMs());
+  if (strain_.strained() == before) return;
+  EventLine(Event::kStrain)
+      .Text("state", before ? "relieved" : "strained")
+      .Number("late_us", static_cast<int64_t>(strain_.average_ms() * 1'000));
+}
+
 asio::awaitable<void> GatewayState::Housekeeping() {
   for (;;) {
     asio::steady_timer timer(io_, kHousekeepingEvery);
     co_await timer.async_wait(asio::use_awaitable);
+    ObserveStrain(timer.expiry());
     UpdateFleet();
     dispatcher_.Poke();
     archive_.Probe();
+    outage_.Note(settings_.host, store_.SilentMs(), BootMs());
     const int64_t now_ms = SteadyMs();
     constexpr int64_t kSweepEveryMs = 1'000;
     if (now_ms - last_housekeeping_ms_ >= kSweepEveryMs) {
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -16,7 +16,9 @@
 #include "src/dispatcher.h"
 #include "src/gateway_peers.h"
 #include "src/metrics.h"
+#include "src/store_outage.h"
 #include "src/store_watch.h"
+#include "src/strain_gauge.h"
 #include "src/team_quota.h"
 #include "src/upstream_table.h"
 
@@ -39,7 +41,8 @@
   // Milliseconds since the desired state was known to be the newest.
   int64_t StateAgeMs() const;
   bool Ready() const;
-  // Addresses of ready gateways, this one included while it is ready.
+  // Where callers should connect: ready gateways, but for strained ones while
+  // the others can do without.
   std::vector<std::string> ReadyAddresses() const;
 
   UpstreamTable& table() { return table_; }
@@ -62,6 +65,9 @@
   boost::asio::awaitable<void> Register();
   boost::asio::awaitable<void> Housekeeping();
   void UpdateFleet();
+  // True while it is proved that no host reaches the store.
+  bool StoreIsDown() const;
+  void ObserveStrain(std::chrono::steady_clock::time_point due);
 
   boost::asio::io_context& io_;
   platform::BootSettings settings_;
@@ -88,6 +94,8 @@
   bool draining_ = false;
   bool was_usable_ = false;
   int64_t last_housekeeping_ms_ = 0;
+  StrainGauge strain_{{}};
+  StoreOutage outage_{{}};
 };
 
 inline constexpr const char* kGatewayKind = "pimento-gateways";
--- a/test/correctness/member_health_test.cc
+++ b/test/correctness/member_health_test.cc
@@ -28,7 +28,8 @@
   CHECK(health.TakeTurn(1, 1'500));
 }
 
-TEST_CASE("a host cut off from the archive refuses at once, until one answers") {
+TEST_CASE(
+    "a host cut off from the archive refuses at once, until one answers") {
   MemberHealth health({.probe_every_ms = 200});
   health.Failed(1, 1'000);
   health.Failed(2, 1'000);
