A team over its rate is refused by whole programs

Change: a program's start is charged what programs of the team need on average; gateways tell each other which programs run (program_memory.h).

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -26,6 +26,8 @@
   strained @11 :Bool;
   # How long ago the store last answered it.
   storeSilentMs @12 :Int64;
+  # Hashes of programs that this gateway saw first, lately.
+  programs @13 :List(UInt64);
 }
 
 struct Echo {
@@ -44,6 +46,8 @@
   team @0 :Text;
   # Requests admitted since the gateway started, less those that did not run.
   admitted @1 :Int64;
+  # Programs whose first request was admitted here.
+  started @2 :Int64;
 }
 
 struct ArchiveCall {
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -48,7 +48,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 6, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -93,7 +93,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b1772c2b428967cb, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b1772c2b428967cb, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -238,6 +238,9 @@
 
   inline  ::int64_t getStoreSilentMs() const;
 
+  inline bool hasPrograms() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getPrograms() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -329,6 +332,14 @@
   inline  ::int64_t getStoreSilentMs();
   inline void setStoreSilentMs( ::int64_t value);
 
+  inline bool hasPrograms();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getPrograms();
+  inline void setPrograms( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPrograms(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initPrograms(unsigned int size);
+  inline void adoptPrograms(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownPrograms();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -549,6 +560,8 @@
 
   inline  ::int64_t getAdmitted() const;
 
+  inline  ::int64_t getStarted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -587,6 +600,9 @@
   inline  ::int64_t getAdmitted();
   inline void setAdmitted( ::int64_t value);
 
+  inline  ::int64_t getStarted();
+  inline void setStarted( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1565,6 +1581,44 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GatewayNews::Reader::hasPrograms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayNews::Builder::hasPrograms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GatewayNews::Reader::getPrograms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GatewayNews::Builder::getPrograms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void GatewayNews::Builder::setPrograms( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void GatewayNews::Builder::setPrograms(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GatewayNews::Builder::initPrograms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void GatewayNews::Builder::adoptPrograms(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GatewayNews::Builder::disownPrograms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool Echo::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1703,6 +1757,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t TeamUse::Reader::getStarted() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TeamUse::Builder::getStarted() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TeamUse::Builder::setStarted( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::pimento::wire::ArchiveCall::Which ArchiveCall::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -209,11 +209,17 @@
 
 void Call::Admit() {
   if (team_ == nullptr) return;
-  const int64_t wait_ms = state_.quota().Take(team_->name, SteadyMs());
+  const int64_t now_ms = SteadyMs();
+  const bool starts =
+      !head_.program.empty() && !state_.programs().Known(head_.program);
+  const int64_t wait_ms = state_.quota().Take(team_->name, starts, now_ms);
   if (wait_ms > 0)
     throw Refusal(Reason::kRateLimited, RunState::kNotRun,
-                  "Team " + team_->name + " is over its rate.", wait_ms);
+                  "Team " + team_->name + " is over its rate" +
+                      (starts ? " for new programs." : "."),
+                  wait_ms);
   admitted_ = true;
+  if (!head_.program.empty()) state_.programs().Admitted(head_.program, now_ms);
 }
 
 asio::awaitable<void> Call::LoadHistory() {
@@ -249,6 +255,7 @@
         .Text("request", head_.request_id)
         .Text("program", head_.program)
         .Number("reserved", static_cast<int64_t>(reservation.tokens))
+        .Number("prompt_parts", static_cast<int64_t>(head_.prompt.size()))
         .Number("list_version",
                 static_cast<int64_t>(state_.archive().list().version))
         .Number("took_ms", TookMs());
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -49,8 +49,13 @@
       static_cast<unsigned>(std::min(news.teams.size(), kMostEntries)));
   for (unsigned i = 0; i < teams.size(); ++i) {
     teams[i].setTeam(news.teams[i].first);
-    teams[i].setAdmitted(news.teams[i].second);
+    teams[i].setAdmitted(news.teams[i].second.admitted);
+    teams[i].setStarted(news.teams[i].second.started);
   }
+  auto programs = out.initPrograms(
+      static_cast<unsigned>(std::min(news.programs.size(), kMostEntries)));
+  for (unsigned i = 0; i < programs.size(); ++i)
+    programs.set(i, news.programs[i]);
   auto echoes = out.initEchoes(
       static_cast<unsigned>(std::min(news.echoes.size(), kMostEntries)));
   for (unsigned i = 0; i < echoes.size(); ++i) {
@@ -82,7 +87,11 @@
     for (const auto load : in.getLoads())
       news.loads.emplace_back(load.getUpstream(), load.getInFlight());
     for (const auto team : in.getTeams())
-      news.teams.emplace_back(team.getTeam(), team.getAdmitted());
+      news.teams.emplace_back(
+          team.getTeam(),
+          TeamQuota::Use{team.getAdmitted(), team.getStarted()});
+    for (const uint64_t program : in.getPrograms())
+      news.programs.push_back(program);
     for (const auto echo : in.getEchoes())
       news.echoes.push_back(
           {echo.getHost(), echo.getBoot(), echo.getSequence()});
@@ -93,7 +102,7 @@
   }
 }
 
-std::vector<std::pair<std::string, int64_t>> GatewayView::Take(
+std::vector<std::pair<std::string, TeamQuota::Use>> GatewayView::Take(
     const GatewayNews& news, int64_t now_ms) {
   Peer& peer = peers_[news.host];
   const bool restarted = peer.news.boot != news.boot;
@@ -101,14 +110,17 @@
   if (!restarted && news.sequence <= peer.news.sequence) return {};
   // At first sight its past is in the buckets of those that heard it already.
   const bool first_sight = peer.news.host.empty();
-  std::unordered_map<std::string, int64_t> before;
+  std::unordered_map<std::string, TeamQuota::Use> before;
   if (!restarted) {
-    for (const auto& [team, count] : peer.news.teams) before[team] = count;
+    for (const auto& [team, use] : peer.news.teams) before[team] = use;
   }
-  std::vector<std::pair<std::string, int64_t>> spent;
-  for (const auto& [team, count] : news.teams) {
-    const int64_t more = count - before[team];
-    if (more != 0 && !first_sight) spent.emplace_back(team, more);
+  std::vector<std::pair<std::string, TeamQuota::Use>> spent;
+  for (const auto& [team, use] : news.teams) {
+    const TeamQuota::Use& known = before[team];
+    const TeamQuota::Use more{use.admitted - known.admitted,
+                              use.started - known.started};
+    const bool changed = more.admitted != 0 || more.started != 0;
+    if (changed && !first_sight) spent.emplace_back(team, more);
   }
   peer.news = news;
   peer.heard_ms = now_ms;
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "src/boot_clock.h"
+#include "src/team_quota.h"
 
 namespace pimento {
 
@@ -42,8 +43,10 @@
   int64_t store_silent_ms = 0;
   // Calls in flight, by upstream hash.
   std::vector<std::pair<uint64_t, int64_t>> loads = {};
-  // Requests admitted since the start, by team.
-  std::vector<std::pair<std::string, int64_t>> teams = {};
+  // Use since the start, by team.
+  std::vector<std::pair<std::string, TeamQuota::Use>> teams = {};
+  // Hashes of programs that it saw first, lately.
+  std::vector<uint64_t> programs = {};
   std::vector<NewsEcho> echoes = {};
 };
 
@@ -60,8 +63,8 @@
 
   // Returns what the gateway admitted since its last news, by team; nothing for
   // news that is older than what is known.
-  std::vector<std::pair<std::string, int64_t>> Take(const GatewayNews& news,
-                                                    int64_t now_ms);
+  std::vector<std::pair<std::string, TeamQuota::Use>> Take(
+      const GatewayNews& news, int64_t now_ms);
   // Gateways that are heard.
   std::vector<const GatewayNews*> Heard(int64_t now_ms) const;
   // Calls in flight at those, by upstream hash.
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -182,8 +182,9 @@
   const int64_t now_ms = SteadyMs();
   if (view_.AgeMs(news.host, now_ms) > kPeerSilentMs)
     EventLine(Event::kPeerSeen).Text("peer", news.host);
-  for (const auto& [team, count] : view_.Take(news, now_ms))
-    quota_.Spent(team, count);
+  for (const auto& [team, use] : view_.Take(news, now_ms))
+    quota_.Spent(team, use);
+  for (const uint64_t program : news.programs) programs_.Heard(program, now_ms);
   // A peer's word was written after what it echoes was sent, however long it
   // lay in a buffer.
   for (const NewsEcho& echo : news.echoes) {
@@ -197,7 +198,7 @@
   }
 }
 
-GatewayNews GatewayState::Compose() const {
+GatewayNews GatewayState::Compose() {
   GatewayNews news{.host = settings_.host,
                    .boot = boot_,
                    .zone = settings_.zone,
@@ -209,8 +210,9 @@
                    .store_silent_ms = store_.SilentMs()};
   news.loads = table_.OwnLoad();
   news.echoes = view_.Echoes(SteadyMs());
-  for (const auto& [team, count] : quota_.admitted())
-    news.teams.emplace_back(team, count);
+  for (const auto& [team, use] : quota_.used())
+    news.teams.emplace_back(team, use);
+  news.programs = programs_.ToTell();
   return news;
 }
 
@@ -310,6 +312,7 @@
     if (now_ms - last_housekeeping_ms_ >= kSweepEveryMs) {
       last_housekeeping_ms_ = now_ms;
       pool_.Sweep();
+      programs_.Sweep(now_ms);
     }
     const bool usable = Usable() != nullptr;
     if (usable == was_usable_) continue;
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -16,6 +16,7 @@
 #include "src/dispatcher.h"
 #include "src/gateway_peers.h"
 #include "src/metrics.h"
+#include "src/program_memory.h"
 #include "src/store_outage.h"
 #include "src/store_watch.h"
 #include "src/strain_gauge.h"
@@ -48,6 +49,7 @@
   UpstreamTable& table() { return table_; }
   Dispatcher& dispatcher() { return dispatcher_; }
   TeamQuota& quota() { return quota_; }
+  ProgramMemory& programs() { return programs_; }
   ArchiveClient& archive() { return archive_; }
   ConnectionPool& pool() { return pool_; }
   Metrics& metrics() { return metrics_; }
@@ -61,7 +63,7 @@
   void OnMembers();
   void OnGateways();
   void OnNews(const GatewayNews& news);
-  GatewayNews Compose() const;
+  GatewayNews Compose();
   boost::asio::awaitable<void> Register();
   boost::asio::awaitable<void> Housekeeping();
   void UpdateFleet();
@@ -77,6 +79,7 @@
   UpstreamTable table_;
   Dispatcher dispatcher_;
   TeamQuota quota_;
+  ProgramMemory programs_;
   ArchiveClient archive_;
   GatewayView view_;
   GatewayPeers peers_;
--- /dev/null
+++ b/src/program_memory.cc
@@ -0,0 +1,52 @@
+#include "src/program_memory.h"
+
+#include <algorithm>
+
+#include "src/upstream_table.h"
+
+namespace pimento {
+namespace {
+
+// Longer than any pause between two requests of a program.
+constexpr int64_t kLifeMs = 30'000;
+constexpr size_t kMostPrograms = 200'000;
+constexpr int kTimesTold = 3;
+constexpr size_t kMostTold = 64;
+
+}  // namespace
+
+bool ProgramMemory::Known(const std::string& program) const {
+  return seen_ms_.contains(HashOf(program));
+}
+
+void ProgramMemory::Admitted(const std::string& program, int64_t now_ms) {
+  const uint64_t hash = HashOf(program);
+  if (seen_ms_.size() >= kMostPrograms) return;
+  const auto [it, added] = seen_ms_.try_emplace(hash, now_ms);
+  it->second = now_ms;
+  if (added) telling_.push_back({hash, kTimesTold});
+}
+
+void ProgramMemory::Heard(uint64_t program_hash, int64_t now_ms) {
+  if (seen_ms_.size() < kMostPrograms) seen_ms_[program_hash] = now_ms;
+}
+
+std::vector<uint64_t> ProgramMemory::ToTell() {
+  std::vector<uint64_t> told;
+  const size_t count = std::min(telling_.size(), kMostTold);
+  for (size_t i = 0; i < count; ++i) {
+    Telling telling = telling_.front();
+    telling_.pop_front();
+    told.push_back(telling.program_hash);
+    if (--telling.times_left > 0) telling_.push_back(telling);
+  }
+  return told;
+}
+
+void ProgramMemory::Sweep(int64_t now_ms) {
+  std::erase_if(seen_ms_, [now_ms](const auto& program) {
+    return program.second < now_ms - kLifeMs;
+  });
+}
+
+}  // namespace pimento
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -7,6 +7,11 @@
 namespace {
 
 constexpr double kMsPerSecond = 1'000;
+// Until enough programs of a team were seen.
+constexpr double kUsualNeed = 12;
+constexpr double kUsualWeight = 6;
+// Programs after which what is known of a team's need counts half.
+constexpr double kMostRemembered = 60;
 
 }  // namespace
 
@@ -18,11 +23,15 @@
     Bucket bucket = old == buckets_.end() ? Bucket{} : old->second;
     // What was admitted before this gateway started is not known: its buckets
     // start empty. A team that is new to a running one has its burst.
-    if (old == buckets_.end() && started_) bucket.tokens = team.burst;
+    if (old == buckets_.end() && started_) {
+      bucket.tokens = team.burst;
+      bucket.claims = team.burst;
+    }
     if (old == buckets_.end()) bucket.filled_ms = now_ms;
     bucket.rate = team.rate_per_second;
     bucket.burst = team.burst;
     bucket.tokens = std::min(bucket.tokens, bucket.burst);
+    bucket.claims = std::min(bucket.claims, bucket.burst);
     buckets[team.name] = bucket;
   }
   buckets_ = std::move(buckets);
@@ -38,22 +47,45 @@
 void TeamQuota::Fill(Bucket& bucket, int64_t now_ms) const {
   const auto passed = static_cast<double>(now_ms - bucket.filled_ms);
   bucket.filled_ms = now_ms;
-  bucket.tokens += passed * bucket.rate * share_ / kMsPerSecond;
-  bucket.tokens = std::min(bucket.tokens, std::max(1.0, bucket.burst * share_));
+  const double more = passed * bucket.rate * share_ / kMsPerSecond;
+  const double most = std::max(1.0, bucket.burst * share_);
+  bucket.tokens = std::min(bucket.tokens + more, most);
+  bucket.claims = std::min(bucket.claims + more, most);
 }
 
-int64_t TeamQuota::Take(const std::string& team, int64_t now_ms) {
+double TeamQuota::Need(const Bucket& bucket) {
+  return (bucket.recent_admitted + kUsualNeed * kUsualWeight) /
+         (bucket.recent_started + kUsualWeight);
+}
+
+void TeamQuota::Count(Bucket& bucket, const Use& more) {
+  bucket.recent_admitted += static_cast<double>(more.admitted);
+  bucket.recent_started += static_cast<double>(more.started);
+  if (bucket.recent_started < kMostRemembered) return;
+  bucket.recent_admitted /= 2;
+  bucket.recent_started /= 2;
+}
+
+int64_t TeamQuota::Take(const std::string& team, bool starts, int64_t now_ms) {
   const auto it = buckets_.find(team);
   if (it == buckets_.end()) return 0;
   Bucket& bucket = it->second;
   Fill(bucket, now_ms);
-  if (bucket.tokens < 1) {
+  const double lacking =
+      std::max(1 - bucket.tokens, starts ? 1 - bucket.claims : 0);
+  if (lacking > 0) {
     const double per_ms = std::max(1e-6, bucket.rate * share_ / kMsPerSecond);
-    return std::max<int64_t>(
-        1, static_cast<int64_t>(std::ceil((1 - bucket.tokens) / per_ms)));
+    return std::max<int64_t>(1,
+                             static_cast<int64_t>(std::ceil(lacking / per_ms)));
   }
+  Use& used = used_[team];
   bucket.tokens -= 1;
-  ++admitted_[team];
+  ++used.admitted;
+  if (starts) {
+    bucket.claims -= Need(bucket);
+    ++used.started;
+  }
+  Count(bucket, {.admitted = 1, .started = starts ? 1 : 0});
   return 0;
 }
 
@@ -61,12 +93,16 @@
   const auto it = buckets_.find(team);
   if (it == buckets_.end()) return;
   it->second.tokens += 1;
-  --admitted_[team];
+  --used_[team].admitted;
 }
 
-void TeamQuota::Spent(const std::string& team, int64_t count) {
+void TeamQuota::Spent(const std::string& team, const Use& more) {
   const auto it = buckets_.find(team);
-  if (it != buckets_.end()) it->second.tokens -= static_cast<double>(count);
+  if (it == buckets_.end()) return;
+  Bucket& bucket = it->second;
+  bucket.tokens -= static_cast<double>(more.admitted);
+  bucket.claims -= static_cast<double>(more.started) * Need(bucket);
+  Count(bucket, more);
 }
 
 }  // namespace pimento
--- a/src/team_quota.h
+++ b/src/team_quota.h
@@ -10,6 +10,12 @@
 //
 //   6 gateways, rate 60, burst 60; one hears 3 of 5 others
 //   -> it admits 4/6 of the rate from a bucket of at most 40
+//
+// What a team asks beyond its rate is refused by whole programs: a program that
+// started needs more requests to end well, and one refused midway has wasted
+// what it used. So a start is charged what programs of the team need on
+// average, from a second bucket of the same rate and burst, and requests of
+// programs that run are refused only when the first bucket is empty.
 #pragma once
 
 #include <cstdint>
@@ -26,30 +32,41 @@
   // Gateways that may admit, and how many of them are heard, this one included.
   void set_fleet(int64_t gateways, int64_t heard);
 
-  // Takes one request of `team`. Returns 0, or the milliseconds after which one
-  // may be admitted.
-  int64_t Take(const std::string& team, int64_t now_ms);
+  // Takes one request of `team`; `starts` when it is the first of a program.
+  // Returns 0, or the milliseconds after which one may be admitted.
+  int64_t Take(const std::string& team, bool starts, int64_t now_ms);
   // Gives back what did not run.
   void Return(const std::string& team);
-  // Another gateway admitted `count` more, or gave some back.
-  void Spent(const std::string& team, int64_t count);
-  // Own admissions since the start, less returned ones, by team.
-  const std::unordered_map<std::string, int64_t>& admitted() const {
-    return admitted_;
-  }
+  // Requests that ran and programs that started, since the gateway's start.
+  struct Use {
+    int64_t admitted = 0;
+    int64_t started = 0;
+  };
+  // Another gateway admitted so much more, or gave some back.
+  void Spent(const std::string& team, const Use& more);
+  // Own use by team.
+  const std::unordered_map<std::string, Use>& used() const { return used_; }
 
  private:
   struct Bucket {
     double rate = 0;
     double burst = 0;
     double tokens = 0;
+    // What programs that start may still claim; below zero while overdrawn.
+    double claims = 0;
     int64_t filled_ms = 0;
+    // Use by all gateways, with less weight for what is long ago.
+    double recent_admitted = 0;
+    double recent_started = 0;
   };
   void Fill(Bucket& bucket, int64_t now_ms) const;
+  static void Count(Bucket& bucket, const Use& more);
+  // Requests that a program needs on average.
+  static double Need(const Bucket& bucket);
 
   std::unordered_map<std::string, Bucket> buckets_;
   // Others go by differences.
-  std::unordered_map<std::string, int64_t> admitted_;
+  std::unordered_map<std::string, Use> used_;
   double share_ = 1;
   // True once the first desired state was taken.
   bool started_ = false;
--- a/test/correctness/team_quota_test.cc
+++ b/test/correctness/team_quota_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <random>
 
 namespace {
 
@@ -54,7 +55,7 @@
       for (due += per_second / 1'000; due >= 1; due -= 1) {
         const size_t gateway = next++ % quotas_.size();
         ++asked_;
-        if (quotas_[gateway].Take("large", now_ms_) == 0)
+        if (quotas_[gateway].Take("large", false, now_ms_) == 0)
           admitted_.push_back(now_ms_);
       }
       if (now_ms_ % 100 == 99) Exchange();
@@ -83,11 +84,12 @@
     for (size_t i = 0; i < quotas_.size(); ++i) {
       quotas_[i].set_fleet(count(), cut_[i] ? 1 : whole);
       if (cut_[i]) continue;
-      const auto& counts = quotas_[i].admitted();
-      const auto it = counts.find("large");
-      const int64_t total = it == counts.end() ? 0 : it->second;
+      const auto& uses = quotas_[i].used();
+      const auto it = uses.find("large");
+      const int64_t total = it == uses.end() ? 0 : it->second.admitted;
       for (size_t j = 0; j < quotas_.size(); ++j) {
-        if (j != i && !cut_[j]) quotas_[j].Spent("large", total - told_[i]);
+        if (j != i && !cut_[j])
+          quotas_[j].Spent("large", {.admitted = total - told_[i]});
       }
       told_[i] = total;
     }
@@ -165,19 +167,77 @@
   TeamQuota quota;
   quota.set_teams(StateWith(10, 5), 0);
   quota.set_fleet(1, 1);
-  const int64_t wait = quota.Take("large", 0);
+  const int64_t wait = quota.Take("large", false, 0);
   CHECK(wait == 100);
-  CHECK(quota.Take("large", wait) == 0);
-  CHECK(quota.Take("unlimited", 0) == 0);
+  CHECK(quota.Take("large", false, wait) == 0);
+  CHECK(quota.Take("unlimited", true, 0) == 0);
 }
 
 TEST_CASE("what did not run is given back") {
   TeamQuota quota;
   quota.set_teams(StateWith(10, 5), 0);
   quota.set_fleet(1, 1);
-  CHECK(quota.Take("large", 100) == 0);
-  CHECK(quota.Take("large", 100) > 0);
+  CHECK(quota.Take("large", false, 100) == 0);
+  CHECK(quota.Take("large", false, 100) > 0);
   quota.Return("large");
-  CHECK(quota.Take("large", 100) == 0);
-  CHECK(quota.admitted().at("large") == 1);
+  CHECK(quota.Take("large", false, 100) == 0);
+  CHECK(quota.used().at("large").admitted == 1);
+}
+
+namespace {
+
+// Programs of 12 requests, one each 100 ms; a program ends badly at its third
+// refused request in a row. Returns how many ended well.
+int ProgramsServed(double rate, double programs_per_second, bool by_program) {
+  constexpr int kRequests = 12;
+  constexpr int64_t kStepMs = 100;
+  struct Program {
+    int done = 0;
+    int refused = 0;
+    int64_t next_ms = 0;
+  };
+  TeamQuota quota;
+  quota.set_teams(StateWith(rate, rate), 0);
+  quota.set_fleet(1, 1);
+  std::vector<Program> running;
+  std::mt19937 random(4);
+  int served = 0;
+  double due = 0;
+  for (int64_t now = 0; now < 30'000; now += 10) {
+    for (due += programs_per_second / 100; due >= 1; due -= 1)
+      running.push_back({.next_ms = now});
+    // Requests of many programs come in any order.
+    std::shuffle(running.begin(), running.end(), random);
+    for (Program& program : running) {
+      if (program.next_ms > now) continue;
+      const bool starts = by_program && program.done == 0;
+      program.next_ms = now + kStepMs;
+      if (quota.Take("large", starts, now) == 0) {
+        ++program.done;
+        program.refused = 0;
+      } else {
+        ++program.refused;
+      }
+    }
+    std::erase_if(running, [&served](const Program& program) {
+      served += program.done == kRequests ? 1 : 0;
+      return program.done == kRequests || program.refused == 3;
+    });
+  }
+  return served;
+}
+
+}  // namespace
+
+TEST_CASE("a team over its rate gets whole programs instead of halves") {
+  // Three times what the rate holds: 60 a second are 5 programs a second.
+  const int by_request = ProgramsServed(60, 15, false);
+  const int by_program = ProgramsServed(60, 15, true);
+  MESSAGE("programs served by program / by request: " << by_program << " / "
+                                                      << by_request);
+  CHECK(by_program > 2 * by_request);
+  // 5 a second for 30 s, but for the first and last seconds.
+  CHECK(by_program >= 110);
+  // Within the rate nothing changes.
+  CHECK(ProgramsServed(60, 4, true) >= ProgramsServed(60, 4, false) - 2);
 }
