Reservations go to the nearest quorum; loops get what is left of a rate

Cause 1: each turn cost nine calls to the archive, half of the processor time of a gateway.

Cause 2: beyond its rate a team's looping programs, with their parallel turns, took the rate from those that would end. Change: a program that had four times the usual need is admitted only while half of the burst is left; requests of running programs wait up to 450 ms, each for a place of its own, instead of being refused and coming back at once.

--- a/src/archive_client.cc
+++ b/src/archive_client.cc
@@ -26,6 +26,8 @@
 
 constexpr int kListChanges = 4;
 constexpr milliseconds kListPause{60};
+// A member that takes longer is late: the others are asked too.
+constexpr milliseconds kLateAfter{40};
 
 }  // namespace
 
@@ -37,6 +39,8 @@
   std::map<uint64_t, ArchiveReply> done;
   size_t open = 0;
   bool stale = false;
+  // True when a member failed, so that the others are needed.
+  bool lacking = false;
   std::string newer_list;
 };
 
@@ -115,40 +119,67 @@
   }
 }
 
+void ArchiveClient::Ask(const std::shared_ptr<Gather>& gather,
+                        const std::shared_ptr<const ArchiveCall>& call,
+                        const ArchiveMember& member) {
+  ++gather->open;
+  asio::co_spawn(
+      io_,
+      [this, gather, call, member]() -> asio::awaitable<void> {
+        try {
+          ArchiveReply reply = co_await CallMember(member, *call);
+          if (reply.verdict == ArchiveVerdict::kStaleList) {
+            gather->stale = true;
+            gather->newer_list = reply.members;
+          } else if (reply.verdict == ArchiveVerdict::kDone &&
+                     reply.member == member.id) {
+            gather->done.emplace(member.id, std::move(reply));
+          } else {
+            gather->lacking = true;
+          }
+        } catch (const TransportError&) {
+          // The quorum counts without it; its loss was logged.
+          gather->lacking = true;
+        }
+        --gather->open;
+        gather->bell.cancel();
+      },
+      asio::detached);
+}
+
 asio::awaitable<std::shared_ptr<ArchiveClient::Gather>> ArchiveClient::AskOnce(
-    const std::shared_ptr<const MemberList>& list, const Body& body) {
+    std::shared_ptr<const MemberList> list, const Body& body, Reach reach) {
   auto gather = std::make_shared<Gather>(io_);
-  auto call = std::make_shared<ArchiveCall>(
-      ArchiveCall{.list_version = list->version, .body = body});
-  for (const ArchiveMember& member : list->All()) {
+  auto call = std::make_shared<ArchiveCall>();
+  call->list_version = list->version;
+  call->body = body;
+  std::vector<ArchiveMember> later;
+  std::set<uint64_t> asked;
+  for (const ArchiveMember& member : NearestFirst()) {
     if (health_.Suspect(member.id)) continue;
-    ++gather->open;
-    asio::co_spawn(
-        io_,
-        [this, gather, call, member]() -> asio::awaitable<void> {
-          try {
-            ArchiveReply reply = co_await CallMember(member, *call);
-            if (reply.verdict == ArchiveVerdict::kStaleList) {
-              gather->stale = true;
-              gather->newer_list = reply.members;
-            } else if (reply.verdict == ArchiveVerdict::kDone &&
-                       reply.member == member.id) {
-              gather->done.emplace(member.id, std::move(reply));
-            }
-          } catch (const TransportError&) {
-            // The quorum counts without it; its loss was logged.
-          }
-          --gather->open;
-          gather->bell.cancel();
-        },
-        asio::detached);
+    if (reach == Reach::kQuorum && list->Quorum(asked)) {
+      later.push_back(member);
+      continue;
+    }
+    asked.insert(member.id);
+    Ask(gather, call, member);
   }
   const auto enough = [&] {
     std::set<uint64_t> answered;
     for (const auto& [id, reply] : gather->done) answered.insert(id);
     return list->Quorum(answered);
   };
-  while (gather->open > 0 && !gather->stale && !enough()) {
+  const auto late = steady_clock::now() + kLateAfter;
+  while (!gather->stale && !enough()) {
+    const bool call_others =
+        gather->lacking || gather->open == 0 || steady_clock::now() >= late;
+    if (call_others) {
+      for (const ArchiveMember& member : later) Ask(gather, call, member);
+      later.clear();
+    }
+    if (gather->open == 0) break;
+    gather->bell.expires_at(later.empty() ? steady_clock::time_point::max()
+                                          : late);
     boost::system::error_code ignored;  // the bell rings by cancelling
     co_await gather->bell.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
@@ -162,13 +193,13 @@
 }
 
 asio::awaitable<std::vector<ArchiveReply>> ArchiveClient::AskQuorum(
-    const Body& body) {
+    const Body& body, Reach reach) {
   for (int round = 0; round < kListChanges; ++round) {
     const auto list = list_;
     if (list->members.empty())
       throw ArchiveError("The archive's members are not known yet.");
     if (!likely()) throw ArchiveError("Too few members of the archive answer.");
-    const auto gather = co_await AskOnce(list, body);
+    const auto gather = co_await AskOnce(list, body, reach);
     if (!gather->stale) {
       std::vector<ArchiveReply> replies;
       for (auto& [id, reply] : gather->done) replies.push_back(reply);
@@ -187,12 +218,12 @@
                                              uint64_t budget) {
   std::vector<std::vector<TokenReservation>> looks;
   const Body reserve = reservation;
-  const auto first = co_await AskQuorum(reserve);
+  const auto first = co_await AskQuorum(reserve, Reach::kQuorum);
   for (const auto& reply : first) looks.push_back(reply.reservations);
   BudgetVerdict verdict = JudgeFirstLook(TokensSeen(looks), budget);
   if (verdict == BudgetVerdict::kLookAgain) {
     const Body collect = CollectCall{reservation.program};
-    const auto again = co_await AskQuorum(collect);
+    const auto again = co_await AskQuorum(collect, Reach::kQuorum);
     for (const auto& reply : again) looks.push_back(reply.reservations);
     verdict = JudgeSecondLook(TokensSeen(looks), budget);
   }
@@ -202,12 +233,12 @@
 asio::awaitable<void> ArchiveClient::Settle(TokenReservation reservation) {
   reservation.settled = true;
   const Body settle = std::move(reservation);
-  co_await AskQuorum(settle);
+  co_await AskQuorum(settle, Reach::kQuorum);
 }
 
 asio::awaitable<void> ArchiveClient::Keep(TurnRecord record) {
   const Body keep = std::move(record);
-  co_await AskQuorum(keep);
+  co_await AskQuorum(keep, Reach::kAll);
 }
 
 asio::awaitable<std::optional<std::vector<TurnRecord>>> ArchiveClient::History(
--- a/src/archive_client.h
+++ b/src/archive_client.h
@@ -72,10 +72,16 @@
  private:
   struct Gather;
   using Body = decltype(ArchiveCall::body);
-  // Sends `body` to all members and waits for a quorum of replies.
-  Async<std::vector<ArchiveReply>> AskQuorum(const Body& body);
-  Async<std::shared_ptr<Gather>> AskOnce(
-      const std::shared_ptr<const MemberList>& list, const Body& body);
+  // Whom a call goes to: the nearest members that make a quorum, and the others
+  // once one of those is late; or all at once.
+  enum class Reach : uint8_t { kQuorum, kAll };
+  // Sends `body` and waits for a quorum of replies.
+  Async<std::vector<ArchiveReply>> AskQuorum(const Body& body, Reach reach);
+  Async<std::shared_ptr<Gather>> AskOnce(std::shared_ptr<const MemberList> list,
+                                         const Body& body, Reach reach);
+  void Ask(const std::shared_ptr<Gather>& gather,
+           const std::shared_ptr<const ArchiveCall>& call,
+           const ArchiveMember& member);
   // Members of the own zone first, suspect ones last.
   std::vector<ArchiveMember> NearestFirst() const;
   // Calls one member and notes whether it answers. Throws TransportError.
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -1,6 +1,7 @@
 #include "src/gateway_call.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <random>
 #include <utility>
@@ -27,6 +28,11 @@
 constexpr int64_t kUsualDeadlineMs = 30'000;
 constexpr int64_t kShortRetryMs = 200;
 constexpr int kStrayAnswers = 4;
+// Longest wait of a running program for its team's rate.
+constexpr int64_t kMostShapingMs = 450;
+constexpr std::array<std::string_view, 3> kStandingNames = {
+    "new programs.", "programs that run.",
+    "programs that had many times more."};
 constexpr int kSettleTries = 4;
 constexpr milliseconds kSettlePause{300};
 constexpr int kOk = 200;
@@ -67,7 +73,9 @@
   // Passes; each throws Refusal.
   void Read();
   void Authenticate();
-  void Admit();
+  asio::awaitable<void> Admit();
+  ProgramStanding Standing() const;
+  asio::awaitable<void> Wait(milliseconds time);
   void LimitTime();
   asio::awaitable<void> Begin();
   asio::awaitable<void> Offer();
@@ -207,19 +215,49 @@
   });
 }
 
-void Call::Admit() {
-  if (team_ == nullptr) return;
-  const int64_t now_ms = SteadyMs();
-  const bool starts =
-      !head_.program.empty() && !state_.programs().Known(head_.program);
-  const int64_t wait_ms = state_.quota().Take(team_->name, starts, now_ms);
+ProgramStanding Call::Standing() const {
+  if (head_.program.empty()) return ProgramStanding::kRuns;
+  const auto here = state_.programs().AdmittedHere(head_.program);
+  if (!here) return ProgramStanding::kStarts;
+  // Callers spread a program's requests evenly over the gateways.
+  const double all = static_cast<double>(*here * state_.heard());
+  return state_.quota().StandingOf(team_->name, std::max(1.0, all));
+}
+
+asio::awaitable<void> Call::Admit() {
+  if (team_ == nullptr) co_return;
+  const ProgramStanding standing = Standing();
+  int64_t wait_ms = state_.quota().Take(team_->name, standing, SteadyMs());
+  // A running program waits for its turn here: refused, it would come back at
+  // once, and lose its whole work when it is refused too often.
+  if (wait_ms > 0 && standing == ProgramStanding::kRuns) {
+    const int64_t place_ms =
+        std::max(wait_ms, state_.quota().TakePlace(team_->name, SteadyMs()));
+    if (place_ms <= kMostShapingMs) {
+      co_await Wait(milliseconds(place_ms));
+      if (token_.stopped()) co_return;
+      wait_ms = state_.quota().Take(team_->name, standing, SteadyMs());
+    }
+  }
   if (wait_ms > 0)
-    throw Refusal(Reason::kRateLimited, RunState::kNotRun,
-                  "Team " + team_->name + " is over its rate" +
-                      (starts ? " for new programs." : "."),
-                  wait_ms);
+    throw Refusal(
+        Reason::kRateLimited, RunState::kNotRun,
+        "Team " + team_->name + " is over its rate for " +
+            std::string(kStandingNames[static_cast<size_t>(standing)]),
+        wait_ms);
   admitted_ = true;
-  if (!head_.program.empty()) state_.programs().Admitted(head_.program, now_ms);
+  if (!head_.program.empty())
+    state_.programs().Admitted(head_.program, SteadyMs());
+}
+
+asio::awaitable<void> Call::Wait(milliseconds time) {
+  asio::steady_timer timer(state_.io(), time);
+  token_.set_on_stop([&timer] { timer.cancel(); });
+  boost::system::error_code ignored;  // time over, or the caller left
+  if (!token_.stopped())
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  token_.clear_on_stop();
 }
 
 asio::awaitable<void> Call::LoadHistory() {
@@ -609,7 +647,7 @@
     Read();
     Authenticate();
     LimitTime();
-    Admit();
+    co_await Admit();
     co_await Begin();
     co_await Offer();
     if (!done_) AfterOffers();
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -257,9 +257,9 @@
 
 void GatewayState::UpdateFleet() {
   const int64_t now_ms = SteadyMs();
-  const auto heard = static_cast<int64_t>(view_.Heard(now_ms).size()) + 1;
-  table_.set_gateways(std::max(gateways_, heard));
-  quota_.set_fleet(std::max(gateways_, heard), heard);
+  heard_ = static_cast<int64_t>(view_.Heard(now_ms).size()) + 1;
+  table_.set_gateways(std::max(gateways_, heard_));
+  quota_.set_fleet(std::max(gateways_, heard_), heard_);
   table_.set_others_load(view_.Loads(now_ms));
 }
 
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -52,6 +52,8 @@
   ProgramMemory& programs() { return programs_; }
   ArchiveClient& archive() { return archive_; }
   ConnectionPool& pool() { return pool_; }
+  // Gateways that are heard, this one included.
+  int64_t heard() const { return heard_; }
   Metrics& metrics() { return metrics_; }
   const platform::BootSettings& settings() const { return settings_; }
   boost::asio::io_context& io() { return io_; }
@@ -93,6 +95,7 @@
   BootClock::time_point relayed_fresh_{};
   // Registered gateways, this one included.
   int64_t gateways_ = 1;
+  int64_t heard_ = 1;
   uint64_t boot_ = 0;
   bool draining_ = false;
   bool was_usable_ = false;
--- a/src/program_memory.cc
+++ b/src/program_memory.cc
@@ -15,20 +15,24 @@
 
 }  // namespace
 
-bool ProgramMemory::Known(const std::string& program) const {
-  return seen_ms_.contains(HashOf(program));
+std::optional<int64_t> ProgramMemory::AdmittedHere(
+    const std::string& program) const {
+  const auto it = seen_.find(HashOf(program));
+  if (it == seen_.end()) return std::nullopt;
+  return it->second.admitted;
 }
 
 void ProgramMemory::Admitted(const std::string& program, int64_t now_ms) {
   const uint64_t hash = HashOf(program);
-  if (seen_ms_.size() >= kMostPrograms) return;
-  const auto [it, added] = seen_ms_.try_emplace(hash, now_ms);
-  it->second = now_ms;
+  if (seen_.size() >= kMostPrograms) return;
+  const auto [it, added] = seen_.try_emplace(hash);
+  it->second.last_ms = now_ms;
+  ++it->second.admitted;
   if (added) telling_.push_back({hash, kTimesTold});
 }
 
 void ProgramMemory::Heard(uint64_t program_hash, int64_t now_ms) {
-  if (seen_ms_.size() < kMostPrograms) seen_ms_[program_hash] = now_ms;
+  if (seen_.size() < kMostPrograms) seen_[program_hash].last_ms = now_ms;
 }
 
 std::vector<uint64_t> ProgramMemory::ToTell() {
@@ -44,8 +48,8 @@
 }
 
 void ProgramMemory::Sweep(int64_t now_ms) {
-  std::erase_if(seen_ms_, [now_ms](const auto& program) {
-    return program.second < now_ms - kLifeMs;
+  std::erase_if(seen_, [now_ms](const auto& program) {
+    return program.second.last_ms < now_ms - kLifeMs;
   });
 }
 
--- a/src/program_memory.h
+++ b/src/program_memory.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -15,8 +16,9 @@
 
 class ProgramMemory {
  public:
-  // True when the program is known. Forgets those not seen for a while.
-  bool Known(const std::string& program) const;
+  // How often this gateway admitted the program; 0 when only others did,
+  // nothing when none did.
+  std::optional<int64_t> AdmittedHere(const std::string& program) const;
   // Notes an admitted request of the program at this gateway.
   void Admitted(const std::string& program, int64_t now_ms);
   // Another gateway told of the program, by hash.
@@ -24,15 +26,19 @@
   // What to tell the others now; each program is told a few times.
   std::vector<uint64_t> ToTell();
   void Sweep(int64_t now_ms);
-  size_t size() const { return seen_ms_.size(); }
+  size_t size() const { return seen_.size(); }
 
  private:
   struct Telling {
     uint64_t program_hash = 0;
     int times_left = 0;
   };
-  // Time of the last request, by program hash.
-  std::unordered_map<uint64_t, int64_t> seen_ms_;
+  struct Seen {
+    int64_t last_ms = 0;
+    int64_t admitted = 0;
+  };
+  // By program hash.
+  std::unordered_map<uint64_t, Seen> seen_;
   std::deque<Telling> telling_;
 };
 
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -10,6 +10,10 @@
 // Until enough programs of a team were seen.
 constexpr double kUsualNeed = 12;
 constexpr double kUsualWeight = 6;
+// A program that had so many times the usual need is excessive; it is admitted
+// while this part of the burst is left for others.
+constexpr double kExcess = 4;
+constexpr double kLeftOver = 0.5;
 // Programs after which what is known of a team's need counts half.
 constexpr double kMostRemembered = 60;
 
@@ -39,6 +43,7 @@
 }
 
 void TeamQuota::set_fleet(int64_t gateways, int64_t heard) {
+  heard_ = std::max<int64_t>(1, heard);
   share_ = std::clamp(static_cast<double>(heard) /
                           static_cast<double>(std::max<int64_t>(1, gateways)),
                       0.0, 1.0);
@@ -66,13 +71,41 @@
   bucket.recent_started /= 2;
 }
 
-int64_t TeamQuota::Take(const std::string& team, bool starts, int64_t now_ms) {
+ProgramStanding TeamQuota::StandingOf(const std::string& team,
+                                      double requests) const {
+  if (requests <= 0) return ProgramStanding::kStarts;
+  const auto it = buckets_.find(team);
+  if (it == buckets_.end()) return ProgramStanding::kRuns;
+  return requests > kExcess * Need(it->second) ? ProgramStanding::kExcessive
+                                               : ProgramStanding::kRuns;
+}
+
+int64_t TeamQuota::TakePlace(const std::string& team, int64_t now_ms) {
+  const auto it = buckets_.find(team);
+  if (it == buckets_.end()) return 0;
+  Bucket& bucket = it->second;
+  // This gateway's part of the rate.
+  const double each_ms = kMsPerSecond * static_cast<double>(heard_) /
+                         std::max(1e-3, bucket.rate * share_);
+  const double now = static_cast<double>(now_ms);
+  const double debt_ms = std::max(0.0, -bucket.tokens) * kMsPerSecond /
+                         std::max(1e-3, bucket.rate * share_);
+  bucket.last_place_ms =
+      std::max(bucket.last_place_ms, now + debt_ms) + each_ms;
+  return static_cast<int64_t>(std::ceil(bucket.last_place_ms - now));
+}
+
+int64_t TeamQuota::Take(const std::string& team, ProgramStanding standing,
+                        int64_t now_ms) {
   const auto it = buckets_.find(team);
   if (it == buckets_.end()) return 0;
   Bucket& bucket = it->second;
   Fill(bucket, now_ms);
-  const double lacking =
-      std::max(1 - bucket.tokens, starts ? 1 - bucket.claims : 0);
+  const bool starts = standing == ProgramStanding::kStarts;
+  double lacking = 1 - bucket.tokens;
+  if (starts) lacking = std::max(lacking, 1 - bucket.claims);
+  if (standing == ProgramStanding::kExcessive)
+    lacking += kLeftOver * bucket.burst * share_;
   if (lacking > 0) {
     const double per_ms = std::max(1e-6, bucket.rate * share_ / kMsPerSecond);
     return std::max<int64_t>(1,
--- a/src/team_quota.h
+++ b/src/team_quota.h
@@ -15,7 +15,9 @@
 // started needs more requests to end well, and one refused midway has wasted
 // what it used. So a start is charged what programs of the team need on
 // average, from a second bucket of the same rate and burst, and requests of
-// programs that run are refused only when the first bucket is empty.
+// programs that run are refused only when the first bucket is empty. A program
+// that has had many times what others need, as one that loops does, gets only
+// what is left over.
 #pragma once
 
 #include <cstdint>
@@ -26,15 +28,24 @@
 
 namespace pimento {
 
+enum class ProgramStanding : uint8_t { kStarts, kRuns, kExcessive };
+
 class TeamQuota {
  public:
   void set_teams(const DesiredState& state, int64_t now_ms);
   // Gateways that may admit, and how many of them are heard, this one included.
   void set_fleet(int64_t gateways, int64_t heard);
 
-  // Takes one request of `team`; `starts` when it is the first of a program.
-  // Returns 0, or the milliseconds after which one may be admitted.
-  int64_t Take(const std::string& team, bool starts, int64_t now_ms);
+  // Takes one request of `team`. Returns 0, or the milliseconds after which one
+  // may be admitted.
+  int64_t Take(const std::string& team, ProgramStanding standing,
+               int64_t now_ms);
+  // How a program of the team stands that was admitted `requests` times at all
+  // gateways together.
+  ProgramStanding StandingOf(const std::string& team, double requests) const;
+  // Time until a request that waits here may be tried again, behind those that
+  // wait already; each gets a place of its own. Milliseconds.
+  int64_t TakePlace(const std::string& team, int64_t now_ms);
   // Gives back what did not run.
   void Return(const std::string& team);
   // Requests that ran and programs that started, since the gateway's start.
@@ -55,6 +66,8 @@
     // What programs that start may still claim; below zero while overdrawn.
     double claims = 0;
     int64_t filled_ms = 0;
+    // When the last of those that wait may be tried again.
+    double last_place_ms = 0;
     // Use by all gateways, with less weight for what is long ago.
     double recent_admitted = 0;
     double recent_started = 0;
@@ -68,6 +81,7 @@
   // Others go by differences.
   std::unordered_map<std::string, Use> used_;
   double share_ = 1;
+  int64_t heard_ = 1;
   // True once the first desired state was taken.
   bool started_ = false;
 };
