--- /dev/null
+++ b/bench/lib/fault_proxy.cc
@@ -0,0 +1,127 @@
+#include "bench/lib/fault_proxy.h"
+
+#include <array>
+#include <atomic>
+#include <boost/asio.hpp>
+#include <chrono>
+#include <set>
+#include <thread>
+
+#include "src/kept_connection.h"
+
+namespace pimento::testbed {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::chrono::milliseconds kDelay{150};
+constexpr size_t kPieceBytes = 16 * 1024;
+
+}  // namespace
+
+struct FaultProxy::State : std::enable_shared_from_this<State> {
+  struct Link {
+    Link(asio::io_context& io, tcp::socket from)
+        : near(std::move(from)), far(io) {}
+    tcp::socket near;
+    tcp::socket far;
+    void Close(bool reset) {
+      boost::system::error_code ignored;  // either end may be gone already
+      if (reset) {
+        near.set_option(asio::socket_base::linger(true, 0), ignored);
+        far.set_option(asio::socket_base::linger(true, 0), ignored);
+      }
+      near.close(ignored);
+      far.close(ignored);
+    }
+  };
+
+  State(const std::string& listen, const std::string& to)
+      : target(ParseEndpoint(to)), acceptor(io) {
+    const auto endpoint = ParseEndpoint(listen);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+  }
+
+  asio::awaitable<void> Accept() {
+    for (;;) {
+      boost::system::error_code error;
+      tcp::socket socket = co_await acceptor.async_accept(
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error) co_return;
+      if (fault.load() == LinkFault::kRefused) continue;
+      auto link = std::make_shared<Link>(io, std::move(socket));
+      links.insert(link);
+      asio::co_spawn(io, Open(link), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Open(std::shared_ptr<Link> link) {
+    boost::system::error_code error;
+    co_await link->far.async_connect(
+        target, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      link->Close(true);
+      links.erase(link);
+      co_return;
+    }
+    asio::co_spawn(io, Pump(link, link->near, link->far, true), asio::detached);
+    co_await Pump(link, link->far, link->near, false);
+    links.erase(link);
+  }
+
+  asio::awaitable<void> Pump(std::shared_ptr<Link> link, tcp::socket& from,
+                             tcp::socket& to, bool towards_target) {
+    std::array<char, kPieceBytes> piece{};
+    for (;;) {
+      boost::system::error_code error;
+      const size_t got = co_await from.async_read_some(
+          asio::buffer(piece),
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error) break;
+      const LinkFault now = fault.load();
+      if (now == LinkFault::kSilent) continue;
+      if (now == LinkFault::kOneWay && !towards_target) continue;
+      if (now == LinkFault::kDelayed) {
+        asio::steady_timer timer(io, kDelay);
+        co_await timer.async_wait(asio::use_awaitable);
+      }
+      co_await asio::async_write(
+          to, asio::buffer(piece.data(), got),
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error) break;
+    }
+    link->Close(false);
+  }
+
+  asio::io_context io{1};
+  tcp::endpoint target;
+  tcp::acceptor acceptor;
+  std::set<std::shared_ptr<Link>> links;
+  std::atomic<LinkFault> fault{LinkFault::kNone};
+  std::thread thread;
+};
+
+FaultProxy::FaultProxy(const std::string& listen, const std::string& target)
+    : state_(std::make_shared<State>(listen, target)) {
+  asio::co_spawn(state_->io, state_->Accept(), asio::detached);
+  state_->thread = std::thread([state = state_.get()] { state->io.run(); });
+}
+
+FaultProxy::~FaultProxy() {
+  state_->io.stop();
+  state_->thread.join();
+}
+
+void FaultProxy::Set(LinkFault fault) { state_->fault = fault; }
+
+void FaultProxy::ResetAll() {
+  asio::post(state_->io, [state = state_.get()] {
+    for (const auto& link : state->links) link->Close(true);
+  });
+}
+
+}  // namespace pimento::testbed
--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -30,6 +30,7 @@
 constexpr int kMetricsPort = 9'464;
 constexpr int kStorePort = 18'362;
 constexpr int kUpstreamPort = 18'080;
+constexpr int kProxyPort = 18'900;
 constexpr int64_t kStartLimitMs = 20'000;
 constexpr int64_t kPollMs = 30;
 constexpr int64_t kStandInLimitMs = 2'000;
@@ -134,8 +135,13 @@
                     "{\"id\":" + std::to_string(id) + "}"},
                    dir_ + "/" + name + ".log");
   const std::string service = name.substr(0, name.find('-'));
+  std::string registered = addresses_[name];
+  if (options_.proxied) {
+    registered = HostAddress(name, kProxyPort);
+    proxies_[name] = std::make_unique<FaultProxy>(registered, addresses_[name]);
+  }
   const json::object spec = {{"service", service},
-                             {"addr", addresses_[name]},
+                             {"addr", registered},
                              {"zone", "zone-" + std::to_string(id % 3)},
                              {"version", "v1"},
                              {"slots", 8},
@@ -147,6 +153,12 @@
 }
 
 void PlatformFleet::WriteSettings(const std::string& name, bool first_start) {
+  std::string store = addresses_["store"];
+  if (options_.proxied) {
+    store = HostAddress(name, kProxyPort);
+    if (!proxies_.contains(name))
+      proxies_[name] = std::make_unique<FaultProxy>(store, addresses_["store"]);
+  }
   std::ofstream out(dir_ + "/" + name + ".conf");
   const std::string ip = HostAddress(name, 0);
   out << "node=" << name << "\n"
@@ -158,7 +170,7 @@
       << "port_range=" << kFirstPort << "," << kFirstPort + 15 << "\n"
       << "bootstrap=" << (first_start ? "true" : "false") << "\n"
       << "data_dir=" << dir_ << "/" << name << ".data\n"
-      << "platform.addr=" << addresses_["store"] << "\n"
+      << "platform.addr=" << store << "\n"
       << "bounds.grace_s=4\n"
       << "bounds.revoke_ms=" << options_.revoke_ms << "\n";
 }
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -5,11 +5,14 @@
 // ports, as on the real machines.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "bench/lib/fault_proxy.h"
 #include "bench/lib/process_set.h"
 
 namespace pimento::testbed {
@@ -41,6 +44,8 @@
     int talkers = 2;
     int desks = 2;
     int64_t revoke_ms = 5'000;
+    // True when faults can be set on the links to the store and to upstreams.
+    bool proxied = false;
   };
   // Starts everything and waits until each gateway is ready. Logs and data go
   // to `dir`. Throws std::runtime_error when that takes too long.
@@ -78,6 +83,8 @@
   std::string Metrics(int gateway);
   std::string Log(const std::string& name) const;
 
+  // The link of a host to the store, or of all hosts to an upstream.
+  FaultProxy& LinkOf(const std::string& name) { return *proxies_.at(name); }
   ProcessSet& processes() { return processes_; }
   const std::string& key() const { return key_; }
   const Options& options() const { return options_; }
@@ -96,7 +103,8 @@
   std::map<std::string, std::string> addresses_;
   // Second number of the hosts' addresses: fleets side by side do not meet.
   int net_ = 0;
-  uint64_t next_request_ = 1;
+  std::atomic<uint64_t> next_request_{1};
+  std::map<std::string, std::unique_ptr<FaultProxy>> proxies_;
   // Last: what it runs ends before the rest goes.
   ProcessSet processes_;
 };
--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -33,6 +33,7 @@
 constexpr size_t kCopyPageBytes = 256 * 1024;
 // Longer than any record lives.
 constexpr int64_t kSegmentLifeMs = 600'000;
+constexpr int64_t kSlowSyncMs = 100;
 constexpr size_t kMostConnections = 1'000;
 constexpr uint64_t kMostCallBytes = 8 * 1024 * 1024;
 constexpr int64_t kIdleMs = 60'000;
@@ -49,6 +50,12 @@
           .idle_timeout_ms = kIdleMs};
 }
 
+int64_t UnixMs() {
+  return duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 asio::awaitable<void> Pause(asio::io_context& io, milliseconds time) {
   asio::steady_timer timer(io, time);
   co_await timer.async_wait(asio::use_awaitable);
@@ -263,15 +270,26 @@
     entries->push_back(std::move(pending.bytes));
   const bool offered = disk_.Offer([this, entries] {
     bool synced = true;
+    const int64_t began_ms = SteadyMs();
     try {
       journal_.Append(*entries);
+      journal_.DropOld(UnixMs(), kSegmentLifeMs);
     } catch (const StateError& e) {
       synced = false;
       EventLine(Event::kJournal)
           .Text("outcome", "failed")
           .Text("error", e.what());
     }
-    asio::post(io_, [this, synced] { FinishBatch(synced); });
+    const int64_t took_ms = SteadyMs() - began_ms;
+    if (took_ms >= kSlowSyncMs)
+      EventLine(Event::kJournal)
+          .Text("outcome", "slow_sync")
+          .Number("entries", static_cast<int64_t>(entries->size()))
+          .Number("took_ms", took_ms);
+    asio::post(io_, [this, synced, took_ms] {
+      slowest_sync_ms_ = std::max(slowest_sync_ms_, took_ms);
+      FinishBatch(synced);
+    });
   });
   if (!offered) asio::post(io_, [this] { FinishBatch(false); });
 }
@@ -563,6 +581,8 @@
       << "pimento_archive_bytes " << archive_.bytes() << "\n"
       << "pimento_archive_calls_total " << calls_ << "\n"
       << "pimento_archive_syncs_total " << syncs_ << "\n"
+      << "pimento_archive_slowest_sync_ms " << slowest_sync_ms_ << "\n"
+      << "pimento_archive_store_silent_ms " << store_.SilentMs() << "\n"
       << "pimento_archive_list_version " << list_.version << "\n";
   return out.str();
 }
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -107,6 +107,7 @@
   uint64_t calls_ = 0;
   uint64_t syncs_ = 0;
   uint64_t failed_syncs_ = 0;
+  int64_t slowest_sync_ms_ = 0;
 };
 
 // Kinds of the system's own objects in the store.
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -24,9 +24,10 @@
 constexpr milliseconds kRegisterPause{300};
 // Longest waits of watches. The desired state's is short: each answer says that
 // no key was taken away.
-constexpr milliseconds kConfigWait{1'000};
-constexpr milliseconds kUpstreamWait{2'500};
-constexpr milliseconds kRareWait{4'000};
+constexpr milliseconds kConfigWait{1'300};
+constexpr milliseconds kUpstreamWait{4'000};
+constexpr milliseconds kZoneWait{3'500};
+constexpr milliseconds kRareWait{7'000};
 // Part of the time allowed for withdrawing a key that the desired state may be
 // old: the rest is for requests on their way to an upstream.
 constexpr double kUsableShare = 0.85;
