A history that lies scattered over members is found in any order

Cause: members were asked one after the other, once; a member that had an older turn of the chain but not the newest was not asked again, so that a chain kept while members were down by turns could be refused with 503 until they were copied anew.

Change: chain_collector.h, each member is asked for each missing turn; only a majority of intact members denies a turn.

--- a/src/archive_client.cc
+++ b/src/archive_client.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "src/chain_collector.h"
 #include "src/errors.h"
 #include "src/event_log.h"
 
@@ -244,18 +245,15 @@
 asio::awaitable<std::optional<std::vector<TurnRecord>>> ArchiveClient::History(
     std::string turn, std::string team) {
   if (!likely()) throw ArchiveError("Too few members of the archive answer.");
-  const auto list = list_;
-  std::vector<TurnRecord> turns;
-  std::string wanted = turn;
-  // Members that hold all that counted and lack `wanted`.
-  std::set<uint64_t> denied;
-  for (const ArchiveMember& member : NearestFirst()) {
+  ChainCollector collector(*list_, NearestFirst(), turn);
+  const uint64_t version = list_->version;
+  while (const auto member = collector.Next()) {
+    ArchiveCall call;
+    call.list_version = version;
+    call.body = HistoryCall{collector.wanted(), team};
     ArchiveReply reply;
     try {
-      ArchiveCall call;
-      call.list_version = list->version;
-      call.body = HistoryCall{wanted, team};
-      reply = co_await CallMember(member, call);
+      reply = co_await CallMember(*member, call);
     } catch (const TransportError&) {
       continue;  // the next member is asked; the loss was logged
     }
@@ -263,21 +261,16 @@
       if (!reply.members.empty()) Adopt(DecodeMemberList(reply.members));
       continue;
     }
-    if (reply.verdict != ArchiveVerdict::kDone || reply.member != member.id)
+    if (reply.verdict != ArchiveVerdict::kDone || reply.member != member->id)
       continue;
-    for (auto& record : reply.turns) turns.push_back(std::move(record));
-    if (reply.missing.empty()) {
-      std::reverse(turns.begin(), turns.end());
-      co_return turns;
-    }
-    if (reply.missing != wanted) denied.clear();
-    wanted = reply.missing;
-    if (reply.intact) denied.insert(member.id);
+    collector.Take(member->id, std::move(reply.turns), reply.missing,
+                   reply.intact);
   }
-  if (wanted == turn && list->OldQuorum(denied)) co_return std::nullopt;
-  throw ArchiveError("Turn " + wanted +
-                     " was not found, and too few members "
-                     "of the archive could deny it.");
+  if (collector.whole()) co_return std::move(collector).Turns();
+  if (collector.denied()) co_return std::nullopt;
+  throw ArchiveError("Turn " + collector.wanted() +
+                     " was not found, and too few members of the archive could "
+                     "deny it.");
 }
 
 }  // namespace pimento
--- /dev/null
+++ b/src/chain_collector.cc
@@ -0,0 +1,45 @@
+#include "src/chain_collector.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace pimento {
+
+ChainCollector::ChainCollector(MemberList list,
+                               std::vector<ArchiveMember> members,
+                               std::string turn)
+    : list_(std::move(list)),
+      members_(std::move(members)),
+      turn_(std::move(turn)),
+      wanted_(turn_) {}
+
+std::optional<ArchiveMember> ChainCollector::Next() {
+  if (whole()) return std::nullopt;
+  for (const ArchiveMember& member : members_) {
+    if (asked_.insert(member.id).second) return member;
+  }
+  return std::nullopt;
+}
+
+void ChainCollector::Take(uint64_t member, std::vector<TurnRecord> turns,
+                          const std::string& missing, bool intact) {
+  std::move(turns.begin(), turns.end(), std::back_inserter(turns_));
+  if (missing != wanted_) {
+    wanted_ = missing;
+    asked_ = {member};
+    deny_.clear();
+  }
+  if (intact && !whole()) deny_.insert(member);
+}
+
+bool ChainCollector::denied() const {
+  return wanted_ == turn_ && !whole() && list_.OldQuorum(deny_);
+}
+
+std::vector<TurnRecord> ChainCollector::Turns() && {
+  std::reverse(turns_.begin(), turns_.end());
+  return std::move(turns_);
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/test/correctness/chain_collector_test.cc
@@ -0,0 +1,84 @@
+// Histories that lie scattered over members of the archive.
+#include "src/chain_collector.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace {
+
+using namespace pimento;
+
+struct Fixture {
+  MemberList list;
+  std::map<uint64_t, TurnArchive> held;
+  std::set<uint64_t> silent;
+  std::set<uint64_t> not_intact;
+
+  Fixture() {
+    for (const uint64_t id : {1, 2, 3}) list.members.push_back({.id = id});
+  }
+  void Keep(const std::string& turn, const std::string& previous,
+            const std::vector<uint64_t>& members) {
+    for (const uint64_t id : members)
+      held[id].Apply(TurnRecord{.turn = turn,
+                                .previous = previous,
+                                .team = "q",
+                                .retain_ms = 60'000},
+                     0);
+  }
+  ChainCollector Collect(std::vector<uint64_t> order) {
+    std::vector<ArchiveMember> members;
+    for (const uint64_t id : order) members.push_back({.id = id});
+    ChainCollector collector(list, members, "3");
+    while (const auto member = collector.Next()) {
+      if (silent.count(member->id) > 0) continue;
+      auto history = held[member->id].HistoryOf(collector.wanted(), "q");
+      collector.Take(member->id, std::move(history.turns), history.missing,
+                     not_intact.count(member->id) == 0);
+    }
+    return collector;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a scattered chain is found in whatever order members are asked") {
+  std::vector<uint64_t> order = {1, 2, 3};
+  do {
+    for (const uint64_t silent : {0, 1, 2, 3}) {
+      Fixture fixture;
+      fixture.Keep("1", "", {1, 3});
+      fixture.Keep("2", "1", {2, 3});
+      fixture.Keep("3", "2", {1, 2});
+      fixture.silent = {silent};
+      auto collector = fixture.Collect(order);
+      CAPTURE(order[0]);
+      CAPTURE(order[1]);
+      CAPTURE(silent);
+      REQUIRE(collector.whole());
+      const auto turns = std::move(collector).Turns();
+      REQUIRE(turns.size() == 3);
+      CHECK(turns[0].turn == "1");
+      CHECK(turns[2].turn == "3");
+    }
+  } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST_CASE("only a majority of intact members can deny a turn") {
+  Fixture fixture;
+  CHECK(fixture.Collect({1, 2, 3}).denied());
+  fixture.silent = {2};
+  CHECK(fixture.Collect({1, 2, 3}).denied());
+  fixture.not_intact = {3};
+  CHECK_FALSE(fixture.Collect({1, 2, 3}).denied());
+}
+
+TEST_CASE("a chain with a hole is neither whole nor denied") {
+  Fixture fixture;
+  fixture.Keep("3", "2", {1, 2});
+  const auto collector = fixture.Collect({1, 2, 3});
+  CHECK_FALSE(collector.whole());
+  CHECK_FALSE(collector.denied());
+}
