After an outage the first watch does not wait; only a turn can be a start

Change: after a failure a watch asks without waiting; pauses end at 0.4 s. A call of a tool, and a turn that names one before it, are no starts. Members wanted follow from the losses to be borne; news keep to 120 datagrams a second.

--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -28,7 +28,6 @@
 constexpr milliseconds kSweepEvery{5'000};
 // The first list waits this long for hosts beyond the first.
 constexpr milliseconds kFirstListWait{2'500};
-constexpr size_t kMembersWanted = 3;
 constexpr int64_t kReplaceAfterMs = 1'500;
 constexpr size_t kCopyPageBytes = 256 * 1024;
 // Longer than any record lives.
@@ -136,6 +135,11 @@
   asio::co_spawn(io_, RunMembership(), asio::detached);
 }
 
+size_t ArchiveNode::MembersWanted() const {
+  const int64_t losses = std::max<int64_t>(1, options_.tolerated_losses);
+  return static_cast<size_t>(2 * losses + 1);
+}
+
 bool ArchiveNode::Intact() const {
   return std::any_of(list_.members.begin(), list_.members.end(),
                      [this](const ArchiveMember& m) { return m.id == id_; });
@@ -332,7 +336,7 @@
   MembershipInput input{.list = list_,
                         .self = id_,
                         .replace_after_ms = kReplaceAfterMs,
-                        .wanted = kMembersWanted};
+                        .wanted = MembersWanted()};
   const auto now = steady_clock::now();
   for (const auto& [host, object] : registrations_.objects()) {
     ArchivePeer peer;
@@ -400,7 +404,7 @@
       }
       const bool quiet = Intact() && list_.next.empty() &&
                          retirements_.objects().empty() &&
-                         list_.members.size() >= kMembersWanted;
+                         list_.members.size() >= MembersWanted();
       if (quiet) {
         answered_.clear();
         started_ = steady_clock::now();
@@ -424,7 +428,7 @@
   if (!options_.first_start) co_return;
   std::vector<ArchiveMember> found;
   for (const auto& peer : PlanInput().peers) found.push_back(peer.member);
-  const bool all = found.size() >= kMembersWanted;
+  const bool all = found.size() >= MembersWanted();
   if (!all && steady_clock::now() - started_ < kFirstListWait) co_return;
   if (found.empty()) co_return;
   if (found.front().id != id_ &&
@@ -435,7 +439,7 @@
   std::set<std::string> zones;
   for (int round = 0; round < 2; ++round) {
     for (const ArchiveMember& member : found) {
-      if (list.members.size() >= kMembersWanted || list.Contains(member.id))
+      if (list.members.size() >= MembersWanted() || list.Contains(member.id))
         continue;
       if (round == 0 && zones.count(member.zone) > 0) continue;
       zones.insert(member.zone);
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -32,6 +32,8 @@
   // True only when the whole system starts for the first time: this host may
   // make the first member list.
   bool first_start = false;
+  // Hosts whose disks may be lost at one time: a record is kept on one more.
+  int64_t tolerated_losses = 1;
 };
 
 class ArchiveNode {
@@ -66,6 +68,7 @@
   void AdoptList();
   MembershipInput PlanInput() const;
   bool Intact() const;
+  size_t MembersWanted() const;
 
   boost::asio::io_context& io_;
   Duty& disk_;
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -217,11 +217,13 @@
 
 ProgramStanding Call::Standing() const {
   if (head_.program.empty()) return ProgramStanding::kRuns;
-  const auto here = state_.programs().AdmittedHere(head_.program);
-  if (!here) return ProgramStanding::kStarts;
-  // Callers spread a program's requests evenly over the gateways.
-  const double all = static_cast<double>(*here * state_.heard());
-  return state_.quota().StandingOf(team_->name, std::max(1.0, all));
+  const ProgramFacts facts{
+      .admitted_here = state_.programs().AdmittedHere(head_.program),
+      .may_be_start =
+          route_->kind == RouteKind::kStreaming && head_.previous_turn.empty(),
+      .gateway_age_ms = state_.AgeMs(),
+      .gateways = state_.heard()};
+  return state_.quota().StandingOf(team_->name, facts);
 }
 
 asio::awaitable<void> Call::Admit() {
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -21,6 +21,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kSendEvery{100};
+// Datagrams a second that a gateway sends, at most.
+constexpr int64_t kMostSendsPerSecond = 120;
 constexpr size_t kMostDatagramBytes = 16 * 1024;
 constexpr size_t kMostEntries = 400;
 
@@ -195,6 +197,12 @@
   }
 }
 
+milliseconds GatewayPeers::interval() const {
+  const auto peers = static_cast<int64_t>(peers_.size());
+  return std::max(kSendEvery,
+                  milliseconds(1'000 * peers / kMostSendsPerSecond));
+}
+
 std::optional<BootClock::time_point> GatewayPeers::SentAt(
     uint64_t sequence) const {
   if (sequence > sequence_ || sequence + sent_.size() <= sequence_)
@@ -205,7 +213,7 @@
 asio::awaitable<void> GatewayPeers::Send() {
   for (;;) {
     Announce();
-    asio::steady_timer timer(io_, kSendEvery);
+    asio::steady_timer timer(io_, interval());
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <boost/asio.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -60,6 +61,7 @@
   // Milliseconds without news after which a gateway counts as silent.
   explicit GatewayView(int64_t silent_after_ms)
       : silent_after_ms_(silent_after_ms) {}
+  void set_silent_after_ms(int64_t time) { silent_after_ms_ = time; }
 
   // Returns what the gateway admitted since its last news, by team; nothing for
   // news that is older than what is known.
@@ -92,6 +94,9 @@
              std::function<void(const GatewayNews&)> on_news);
   // Addresses ("10.0.0.1:7780") of the other gateways.
   void set_peers(const std::vector<std::string>& addresses);
+  // Time between news: longer where there are many peers, so that a gateway
+  // sends and receives a bounded number of datagrams a second.
+  std::chrono::milliseconds interval() const;
   // Sends at once, not only at the next interval.
   void Announce();
   // When the news of this number were sent; nothing when that is long ago.
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -19,6 +19,8 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
+// Intervals without news after which a gateway counts as silent.
+constexpr double kSilentIntervals = 4.5;
 constexpr int64_t kPeerSilentMs = 450;
 constexpr milliseconds kHousekeepingEvery{50};
 constexpr milliseconds kRegisterPause{300};
@@ -70,7 +72,12 @@
           {.kind = std::string(platform::kDrainedZoneKind), .wait = kRareWait}),
       member_watch_(io, store_, {.kind = kMemberListKind, .wait = kRareWait}),
       gateway_watch_(io, store_, {.kind = kGatewayKind, .wait = kRareWait}),
-      boot_(UnixUs()) {}
+      boot_(UnixUs()),
+      started_(steady_clock::now()) {}
+
+int64_t GatewayState::AgeMs() const {
+  return duration_cast<milliseconds>(steady_clock::now() - started_).count();
+}
 
 void GatewayState::Start() {
   config_watch_.Start([this] { OnConfig(); });
@@ -173,6 +180,8 @@
   gateways_ = std::max<int64_t>(1, count);
   try {
     peers_.set_peers(addresses);
+    view_.set_silent_after_ms(static_cast<int64_t>(
+        kSilentIntervals * static_cast<double>(peers_.interval().count())));
   } catch (const TransportError& e) {
     EventLine(Event::kHandlerFailed).Text("error", e.what());
   }
--- a/src/main/archive_main.cc
+++ b/src/main/archive_main.cc
@@ -20,7 +20,8 @@
        .zone = settings.zone,
        .address = settings.ip + ":" + std::to_string(settings.first_port),
        .data_dir = settings.data_dir,
-       .first_start = settings.first_start});
+       .first_start = settings.first_start,
+       .tolerated_losses = settings.tolerated_losses});
   supervisor.Start();
   node.Start();
   boost::asio::co_spawn(io, ServeSignals(io, [&io] { io.stop(); }),
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -16,7 +16,7 @@
 // Entries of owners that live are back within this time of the store's return.
 constexpr milliseconds kReturnHold{2'000};
 constexpr milliseconds kFirstPause{100};
-constexpr milliseconds kMostPause{800};
+constexpr milliseconds kMostPause{400};
 
 }  // namespace
 
@@ -74,7 +74,9 @@
 asio::awaitable<void> StoreWatch::WatchOnce() {
   const auto asked = BootClock::now();
   // A hold that is due to end must not wait for the next change.
-  const milliseconds wait = vanished_.empty() ? options_.wait : kFirstPause * 2;
+  // After an outage the first answer must not wait for a change either.
+  milliseconds wait = vanished_.empty() ? options_.wait : kFirstPause * 2;
+  if (!reachable_) wait = milliseconds(0);
   platform::StoreChanges changes =
       co_await store_.Watch(options_.kind, revision_, wait);
   if (changes.history_gone) {
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -10,6 +10,9 @@
 // Until enough programs of a team were seen.
 constexpr double kUsualNeed = 12;
 constexpr double kUsualWeight = 6;
+// A gateway that just started takes unknown programs for running ones this
+// long.
+constexpr int64_t kLearningMs = 6'000;
 // A program that had so many times the usual need is excessive; it is admitted
 // while this part of the burst is left for others.
 constexpr double kExcess = 4;
@@ -72,12 +75,17 @@
 }
 
 ProgramStanding TeamQuota::StandingOf(const std::string& team,
-                                      double requests) const {
-  if (requests <= 0) return ProgramStanding::kStarts;
+                                      const ProgramFacts& facts) const {
+  if (!facts.admitted_here) {
+    const bool start =
+        facts.may_be_start && facts.gateway_age_ms >= kLearningMs;
+    return start ? ProgramStanding::kStarts : ProgramStanding::kRuns;
+  }
   const auto it = buckets_.find(team);
   if (it == buckets_.end()) return ProgramStanding::kRuns;
-  return requests > kExcess * Need(it->second) ? ProgramStanding::kExcessive
-                                               : ProgramStanding::kRuns;
+  const auto all = static_cast<double>(*facts.admitted_here * facts.gateways);
+  return all > kExcess * Need(it->second) ? ProgramStanding::kExcessive
+                                          : ProgramStanding::kRuns;
 }
 
 int64_t TeamQuota::TakePlace(const std::string& team, int64_t now_ms) {
--- a/src/team_quota.h
+++ b/src/team_quota.h
@@ -21,6 +21,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -30,6 +31,17 @@
 
 enum class ProgramStanding : uint8_t { kStarts, kRuns, kExcessive };
 
+// What a gateway knows of a request's program.
+struct ProgramFacts {
+  // Requests of it that this gateway admitted; nothing when no gateway is known
+  // to have admitted any.
+  std::optional<int64_t> admitted_here = {};
+  // True for a turn that names none before it; others cannot be a start.
+  bool may_be_start = false;
+  // Gateways over which callers spread a program's requests.
+  int64_t gateways = 1;
+};
+
 class TeamQuota {
  public:
   void set_teams(const DesiredState& state, int64_t now_ms);
@@ -40,9 +52,9 @@
   // may be admitted.
   int64_t Take(const std::string& team, ProgramStanding standing,
                int64_t now_ms);
-  // How a program of the team stands that was admitted `requests` times at all
-  // gateways together.
-  ProgramStanding StandingOf(const std::string& team, double requests) const;
+  // How the program of a request stands.
+  ProgramStanding StandingOf(const std::string& team,
+                             const ProgramFacts& facts) const;
   // Time until a request that waits here may be tried again, behind those that
   // wait already; each gets a place of its own. Milliseconds.
   int64_t TakePlace(const std::string& team, int64_t now_ms);
--- a/test/correctness/team_quota_test.cc
+++ b/test/correctness/team_quota_test.cc
@@ -249,9 +249,12 @@
   TeamQuota quota;
   quota.set_teams(StateWith(100, 100), 0);
   quota.set_fleet(1, 1);
-  CHECK(quota.StandingOf("large", 0) == ProgramStanding::kStarts);
-  CHECK(quota.StandingOf("large", 20) == ProgramStanding::kRuns);
-  CHECK(quota.StandingOf("large", 200) == ProgramStanding::kExcessive);
+  ProgramFacts facts{.may_be_start = true, .gateway_age_ms = 60'000};
+  CHECK(quota.StandingOf("large", facts) == ProgramStanding::kStarts);
+  facts.admitted_here = 20;
+  CHECK(quota.StandingOf("large", facts) == ProgramStanding::kRuns);
+  facts.gateways = 6;
+  CHECK(quota.StandingOf("large", facts) == ProgramStanding::kExcessive);
   // One that loops asks as often as it can, the others 80 times a second.
   int looped = 0;
   int others_refused = 0;
@@ -276,3 +279,15 @@
   CHECK(quota.TakePlace("large", 0) == 200);
   CHECK(quota.TakePlace("large", 1'000) == 100);
 }
+
+TEST_CASE("programs that ran before a gateway started are no starts") {
+  TeamQuota quota;
+  quota.set_teams(StateWith(100, 100), 0);
+  // A call of a tool, or a turn that names one before it.
+  CHECK(quota.StandingOf("large", {.gateway_age_ms = 60'000}) ==
+        ProgramStanding::kRuns);
+  // All gateways were killed at once: none knows any program.
+  CHECK(quota.StandingOf("large",
+                         {.may_be_start = true, .gateway_age_ms = 500}) ==
+        ProgramStanding::kRuns);
+}
