--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -221,7 +221,6 @@
       .admitted_here = state_.programs().AdmittedHere(head_.program),
       .may_be_start =
           route_->kind == RouteKind::kStreaming && head_.previous_turn.empty(),
-      .gateway_age_ms = state_.AgeMs(),
       .gateways = state_.heard()};
   return state_.quota().StandingOf(team_->name, facts);
 }
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -72,12 +72,7 @@
           {.kind = std::string(platform::kDrainedZoneKind), .wait = kRareWait}),
       member_watch_(io, store_, {.kind = kMemberListKind, .wait = kRareWait}),
       gateway_watch_(io, store_, {.kind = kGatewayKind, .wait = kRareWait}),
-      boot_(UnixUs()),
-      started_(steady_clock::now()) {}
-
-int64_t GatewayState::AgeMs() const {
-  return duration_cast<milliseconds>(steady_clock::now() - started_).count();
-}
+      boot_(UnixUs()) {}
 
 void GatewayState::Start() {
   config_watch_.Start([this] { OnConfig(); });
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -54,8 +54,6 @@
   ConnectionPool& pool() { return pool_; }
   // Gateways that are heard, this one included.
   int64_t heard() const { return heard_; }
-  // Milliseconds since this gateway started.
-  int64_t AgeMs() const;
   Metrics& metrics() { return metrics_; }
   const platform::BootSettings& settings() const { return settings_; }
   boost::asio::io_context& io() { return io_; }
@@ -99,7 +97,6 @@
   int64_t gateways_ = 1;
   int64_t heard_ = 1;
   uint64_t boot_ = 0;
-  std::chrono::steady_clock::time_point started_;
   bool draining_ = false;
   bool was_usable_ = false;
   int64_t last_housekeeping_ms_ = 0;
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -10,9 +10,6 @@
 // Until enough programs of a team were seen.
 constexpr double kUsualNeed = 12;
 constexpr double kUsualWeight = 6;
-// A gateway that just started takes unknown programs for running ones this
-// long.
-constexpr int64_t kLearningMs = 6'000;
 // A program that had so many times the usual need is excessive; it is admitted
 // while this part of the burst is left for others.
 constexpr double kExcess = 4;
@@ -77,9 +74,8 @@
 ProgramStanding TeamQuota::StandingOf(const std::string& team,
                                       const ProgramFacts& facts) const {
   if (!facts.admitted_here) {
-    const bool start =
-        facts.may_be_start && facts.gateway_age_ms >= kLearningMs;
-    return start ? ProgramStanding::kStarts : ProgramStanding::kRuns;
+    return facts.may_be_start ? ProgramStanding::kStarts
+                              : ProgramStanding::kRuns;
   }
   const auto it = buckets_.find(team);
   if (it == buckets_.end()) return ProgramStanding::kRuns;
