--- a/bench/lib/process_set.cc
+++ b/bench/lib/process_set.cc
@@ -35,10 +35,10 @@
   if (log == nullptr) throw std::runtime_error("Cannot write " + log_file);
   process::environment environment = boost::this_process::environment();
   for (const auto& [key, value] : variables) environment[key] = value;
-  started->child = process::child(
-      process::exe = program, process::args = arguments,
-      process::env = environment, process::std_out > log,
-      process::std_err > log, process::std_in < process::null);
+  started->child =
+      process::child(process::exe = program, process::args = arguments,
+                     process::env = environment, process::std_out > log,
+                     process::std_err > log, process::std_in < process::null);
   std::fclose(log);
   processes_[name] = std::move(started);
 }
--- a/src/archive_journal.cc
+++ b/src/archive_journal.cc
@@ -21,7 +21,7 @@
 namespace pimento {
 namespace {
 
-constexpr uint64_t kSegmentBytes = 16 * 1024 * 1024;
+constexpr uint64_t kSegmentBytes = 16ULL * 1024 * 1024;
 constexpr uint32_t kMostEntryBytes = 64 * 1024 * 1024;
 
 struct EntryHead {
@@ -79,8 +79,9 @@
 ArchiveJournal::ArchiveJournal(std::string dir) : dir_(std::move(dir)) {
   std::error_code error;
   std::filesystem::create_directories(dir_, error);
-  if (error)
+  if (error) {
     throw StateError("Creating " + dir_ + " failed: " + error.message());
+  }
 }
 
 ArchiveJournal::~ArchiveJournal() {
@@ -126,8 +127,9 @@
     const size_t start = at + sizeof head;
     if (head.length == 0 || head.length > kMostEntryBytes ||
         bytes.size() - start < head.length ||
-        XXH3_64bits(bytes.data() + start, head.length) != head.checksum)
+        XXH3_64bits(bytes.data() + start, head.length) != head.checksum) {
       break;
+    }
     visit(bytes.substr(start, head.length));
     at = start + head.length;
   }
--- a/src/event_splitter.cc
+++ b/src/event_splitter.cc
@@ -9,8 +9,9 @@
 size_t EndOfEvent(const std::string& text) {
   const size_t plain = text.find("\n\n");
   const size_t carriage = text.find("\r\n\r\n");
-  if (plain == std::string::npos && carriage == std::string::npos)
+  if (plain == std::string::npos && carriage == std::string::npos) {
     return std::string::npos;
+  }
   if (carriage < plain) return carriage + 4;
   return plain + 2;
 }
--- a/src/strain_gauge.cc
+++ b/src/strain_gauge.cc
@@ -21,8 +21,9 @@
     return;
   }
   const bool held = now_ms - since_ms_ < options_.hold_ms;
-  if (strained_ && !held && average_ms_ < options_.relieved_below_ms)
+  if (strained_ && !held && average_ms_ < options_.relieved_below_ms) {
     strained_ = false;
+  }
 }
 
 bool MayLeaveOut(size_t strained, size_t ready) {
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -108,8 +108,9 @@
   const bool starts = standing == ProgramStanding::kStarts;
   double lacking = 1 - bucket.tokens;
   if (starts) lacking = std::max(lacking, 1 - bucket.claims);
-  if (standing == ProgramStanding::kExcessive)
+  if (standing == ProgramStanding::kExcessive) {
     lacking += kLeftOver * bucket.burst * share_;
+  }
   if (lacking > 0) {
     const double per_ms = std::max(1e-6, bucket.rate * share_ / kMsPerSecond);
     return std::max<int64_t>(1,
--- a/src/turn_archive.cc
+++ b/src/turn_archive.cc
@@ -67,8 +67,9 @@
   std::vector<TokenReservation> reservations;
   const auto it = programs_.find(program);
   if (it == programs_.end()) return reservations;
-  for (const auto& [turn, reservation] : it->second.reservations)
+  for (const auto& [turn, reservation] : it->second.reservations) {
     reservations.push_back(reservation);
+  }
   return reservations;
 }
 
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -73,8 +73,9 @@
 
 void UpstreamTable::set_services(const DesiredState& state) {
   services_.clear();
-  for (const ServiceSpec& service : state.services())
+  for (const ServiceSpec& service : state.services()) {
     services_[service.name] = service;
+  }
 }
 
 void UpstreamTable::set_others_load(
@@ -168,8 +169,9 @@
           upstream.avoid_until_ms > now_ms &&
           Usable(upstream, input, upstream.avoid_until_ms);
       if (only_avoided && (soonest == nullptr ||
-                           upstream.avoid_until_ms < soonest->avoid_until_ms))
+                           upstream.avoid_until_ms < soonest->avoid_until_ms)) {
         soonest = &upstream;
+      }
       continue;
     }
     if (!HasPlace(upstream, now_ms)) {
@@ -184,10 +186,11 @@
   }
   if (chosen == nullptr && choice.verdict == Verdict::kNone &&
       soonest != nullptr) {
-    if (HasPlace(*soonest, now_ms))
+    if (HasPlace(*soonest, now_ms)) {
       chosen = soonest;
-    else
+    } else {
       choice.verdict = Verdict::kFull;
+    }
   }
   if (chosen == nullptr) return choice;
   choice.verdict = Verdict::kChosen;
@@ -234,8 +237,9 @@
     upstream.avoid_until_ms = 0;
     return;
   }
-  if (result.outcome == CallOutcome::kFailed)
+  if (result.outcome == CallOutcome::kFailed) {
     upstream.failure_rate += kAverageWeight * (1 - upstream.failure_rate);
+  }
   ++upstream.failures_in_a_row;
   const int beyond = upstream.failures_in_a_row - kFailuresToAvoid;
   if (beyond < 0) return;
@@ -282,8 +286,9 @@
 std::vector<std::pair<uint64_t, int64_t>> UpstreamTable::OwnLoad() const {
   std::vector<std::pair<uint64_t, int64_t>> load;
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.in_flight > 0)
+    if (upstream.in_flight > 0) {
       load.emplace_back(upstream.hash, upstream.in_flight);
+    }
   }
   return load;
 }
