Archives serve their metrics; outage and a lone cut-off gateway have tests

Cause: the archive composed its metrics and nothing served them; the rule for an outage of the store had tests of its decision only.

Change: both programs serve /metrics; tests on real processes: an outage of the store stops nobody and its end brings withdrawals, a gateway that alone cannot reach the store serves no withdrawn key.

--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -344,8 +344,8 @@
       .body;
 }
 
-std::string PlatformFleet::Metrics(int gateway) {
-  return Ask(HostAddress("gateway-" + std::to_string(gateway), kMetricsPort),
+std::string PlatformFleet::Metrics(const std::string& host) {
+  return Ask(HostAddress(host, kMetricsPort),
              {.method = "GET", .target = "/metrics"})
       .body;
 }
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -80,7 +80,8 @@
   void WipeDisk(const std::string& name);
   bool Ready(int gateway);
   void WaitUntilReady(int64_t limit_ms);
-  std::string Metrics(int gateway);
+  // Metrics of a host ("gateway-0", "archive-1").
+  std::string Metrics(const std::string& host);
   std::string Log(const std::string& name) const;
 
   // The link of a host to the store, or of all hosts to an upstream.
--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -127,6 +127,8 @@
       .Number("turns", static_cast<int64_t>(archive_.turns()))
       .Text("member", std::to_string(id_));
   server_.Listen(options_.address);
+  if (!options_.metrics_address.empty())
+    server_.Listen(options_.metrics_address);
   const auto adopt = [this] { AdoptList(); };
   lists_.Start(adopt);
   registrations_.Start([] {});
@@ -163,8 +165,14 @@
 
 asio::awaitable<void> ArchiveNode::Serve(const CallerRequest& request,
                                          AnswerSink& answer) {
-  ++calls_;
   AnswerSink::Header header;
+  if (request.header.target() == "/metrics") {
+    header.result(http::status::ok);
+    header.set(http::field::content_type, "text/plain; version=0.0.4");
+    co_await answer.Send(std::move(header), MetricsText());
+    co_return;
+  }
+  ++calls_;
   std::optional<ArchiveCall> call;
   try {
     call = DecodeCall(request.body);
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -28,6 +28,8 @@
   std::string zone = {};
   // Where other hosts reach it.
   std::string address = {};
+  // Where metrics are served, path /metrics; empty for nowhere.
+  std::string metrics_address = {};
   std::string data_dir = {};
   // True only when the whole system starts for the first time: this host may
   // make the first member list.
@@ -44,13 +46,13 @@
 
   // Reads the disk, listens, registers. Throws StateError, TransportError.
   void Start();
-  std::string MetricsText() const;
 
  private:
   template <class T>
   using Async = boost::asio::awaitable<T>;
 
   Async<void> Serve(const CallerRequest& request, AnswerSink& answer);
+  std::string MetricsText() const;
   Async<ArchiveReply> Handle(ArchiveCall call);
   // Returns once `entry` is on disk, with all that was pending before it.
   Async<bool> Commit(const JournalEntry& entry);
--- a/src/gateway_server.cc
+++ b/src/gateway_server.cc
@@ -54,9 +54,9 @@
 void GatewayServer::Listen() {
   const auto& settings = state_.settings();
   callers_.Listen(settings.callers_address);
-  const std::set<std::string> addresses = {settings.ready_address,
-                                           settings.directory_address,
-                                           settings.ip + ":" + kMetricsPort};
+  const std::set<std::string> addresses = {
+      settings.ready_address, settings.directory_address,
+      settings.ip + ":" + platform::kMetricsPort};
   for (const std::string& address : addresses) {
     if (!address.empty()) services_.Listen(address);
   }
--- a/src/gateway_server.h
+++ b/src/gateway_server.h
@@ -30,7 +30,4 @@
   CallerServer services_;
 };
 
-// A host's metrics are served on this port, path /metrics.
-inline constexpr const char* kMetricsPort = "9464";
-
 }  // namespace pimento
--- a/src/main/archive_main.cc
+++ b/src/main/archive_main.cc
@@ -1,4 +1,5 @@
 // pimento-archive: keeps turns and budgets on one host with a disk.
+#include "platform/wire_names.h"
 #include "src/archive_node.h"
 #include "src/main/platform_main.h"
 
@@ -19,6 +20,8 @@
       {.host = settings.host,
        .zone = settings.zone,
        .address = settings.ip + ":" + std::to_string(settings.first_port),
+       .metrics_address =
+           settings.ip + ":" + std::string(platform::kMetricsPort),
        .data_dir = settings.data_dir,
        .first_start = settings.first_start,
        .tolerated_losses = settings.tolerated_losses});
--- a/test/platform/path_test.cc
+++ b/test/platform/path_test.cc
@@ -417,6 +417,60 @@
       200);
 }
 
+TEST_CASE("an outage of the store stops nobody, its end brings withdrawals") {
+  auto fleet = MakeFleet("outage", {.revoke_ms = 3'000});
+  fleet.Faults("store", R"({"down":true})");
+  int served = 0;
+  int asked = 0;
+  // Turns too: archives tell with each answer what they hear of the store.
+  for (const auto end =
+           std::chrono::steady_clock::now() + std::chrono::milliseconds(6'000);
+       std::chrono::steady_clock::now() < end; Pause(50)) {
+    const std::string id = "o" + std::to_string(++asked);
+    served += fleet.Call(asked % 2, fleet.Turn(id, id, "", "x")).status == 200
+                  ? 1
+                  : 0;
+  }
+  CHECK(served > asked * 9 / 10);
+  fleet.Faults("store", R"({"down":false})");
+  fleet.PutState(2, {"another-key"});
+  Pause(3'000);
+  for (int gateway = 0; gateway < 2; ++gateway) {
+    const auto id = "w" + std::to_string(gateway);
+    CHECK(fleet.Call(gateway, fleet.Plain(id, true)).status == 401);
+  }
+}
+
+TEST_CASE("a gateway that alone cannot reach the store stops for keys") {
+  auto fleet = MakeFleet("alone", {.revoke_ms = 3'000, .proxied = true});
+  fleet.LinkOf("gateway-0").Set(LinkFault::kSilent);
+  fleet.PutState(2, {"another-key"});
+  Pause(3'100);
+  for (int i = 0; i < 20; ++i, Pause(50)) {
+    const auto id = "a" + std::to_string(i);
+    const int status = fleet.Call(0, fleet.Plain(id, true)).status;
+    CAPTURE(status);
+    CHECK(status != 200);
+  }
+}
+
+TEST_CASE("each program serves its metrics") {
+  auto fleet = MakeFleet("metrics");
+  REQUIRE(fleet.Call(0, fleet.Turn("t1", "p", "", "x")).status == 200);
+  CHECK(fleet.Call(0, fleet.Turn("t2", "p", "none", "x")).status == 404);
+  const std::string gateway = fleet.Metrics("gateway-0");
+  CHECK(gateway.find("pimento_refused_total{reason=\"not_found\"} 1") !=
+        std::string::npos);
+  CHECK(gateway.find("pimento_call_milliseconds_count 1") != std::string::npos);
+  int turns = 0;
+  for (int i = 0; i < 3; ++i) {
+    const auto text = fleet.Metrics("archive-" + std::to_string(i));
+    turns +=
+        text.find("pimento_archive_turns 1\n") != std::string::npos ? 1 : 0;
+  }
+  CHECK(turns >= 2);
+}
+
 TEST_CASE("dropped history and outages of the store lose no change") {
   auto fleet = MakeFleet("compaction");
   fleet.Faults("store", R"({"down":true})");
