Of two members that are left, one may lose its disk

Cause: a host of the archive was emptied with no other host to take its place, so that two members were left, and then one of these lost its disk.

Change: copying and denying need a quorum that meets every majority of writing (one of two, two of three, three of five), not a majority. Test on real processes failed before (503 for 8 s) and passes after; the quorums of one to five members are searched whole.

--- a/src/chain_collector.h
+++ b/src/chain_collector.h
@@ -36,7 +36,8 @@
             const std::string& missing, bool intact);
 
   bool whole() const { return wanted_.empty(); }
-  // True when a majority of intact members lack the turn itself.
+  // True when so many intact members lack the turn itself that it never
+  // counted.
   bool denied() const;
   // Oldest first.
   std::vector<TurnRecord> Turns() &&;
--- a/src/member_list.cc
+++ b/src/member_list.cc
@@ -10,13 +10,22 @@
 
 namespace json = boost::json;
 
-bool Majority(const std::vector<ArchiveMember>& members,
-              const std::set<uint64_t>& answered) {
+size_t CountOf(const std::vector<ArchiveMember>& members,
+               const std::set<uint64_t>& answered) {
   const auto count = std::count_if(members.begin(), members.end(),
                                    [&](const ArchiveMember& member) {
                                      return answered.count(member.id) > 0;
                                    });
-  return static_cast<size_t>(count) * 2 > members.size();
+  return static_cast<size_t>(count);
+}
+
+size_t MajorityOf(const std::vector<ArchiveMember>& members) {
+  return members.size() / 2 + 1;
+}
+
+bool Majority(const std::vector<ArchiveMember>& members,
+              const std::set<uint64_t>& answered) {
+  return CountOf(members, answered) >= MajorityOf(members);
 }
 
 json::array Encode(const std::vector<ArchiveMember>& members) {
@@ -156,8 +165,10 @@
   return next.empty() || Majority(next, answered);
 }
 
-bool MemberList::OldQuorum(const std::set<uint64_t>& answered) const {
-  return !members.empty() && Majority(members, answered);
+bool MemberList::ReadQuorum(const std::set<uint64_t>& answered) const {
+  if (members.empty()) return false;
+  const size_t needed = members.size() - MajorityOf(members) + 1;
+  return CountOf(members, answered) >= needed;
 }
 
 std::string EncodeMemberList(const MemberList& list) {
--- a/test/correctness/member_list_test.cc
+++ b/test/correctness/member_list_test.cc
@@ -140,3 +140,27 @@
   CHECK(Ids(plan->next) == std::vector<uint64_t>{1, 2, 3});
   CHECK_FALSE(PlanMembership(Input(ListOf({}), 3, {1, 2, 3})));
 }
+
+TEST_CASE("what counted is met by every quorum of reading") {
+  // Any majority and any reading quorum of the same list share a member.
+  for (const std::vector<uint64_t>& ids : std::vector<std::vector<uint64_t>>{
+           {1}, {1, 2}, {1, 2, 3}, {1, 2, 3, 4}, {1, 2, 3, 4, 5}}) {
+    const auto list = ListOf(ids);
+    for (unsigned a = 0; a < 32; ++a) {
+      for (unsigned b = 0; b < 32; ++b) {
+        std::set<uint64_t> written;
+        std::set<uint64_t> read;
+        for (unsigned bit = 0; bit < ids.size(); ++bit) {
+          if ((a & 1U << bit) != 0) written.insert(bit + 1);
+          if ((b & 1U << bit) != 0) read.insert(bit + 1);
+        }
+        if (!list.Quorum(written) || !list.ReadQuorum(read)) continue;
+        CHECK((a & b) != 0);
+      }
+    }
+  }
+  // With two members each holds everything: one may be lost.
+  CHECK(ListOf({1, 2}).ReadQuorum({2}));
+  CHECK_FALSE(ListOf({1, 2, 3}).ReadQuorum({2}));
+  CHECK_FALSE(ListOf({}).ReadQuorum({}));
+}
--- a/test/platform/path_test.cc
+++ b/test/platform/path_test.cc
@@ -204,6 +204,26 @@
   }
 }
 
+TEST_CASE("of two members that are left one may lose its disk") {
+  auto fleet = MakeFleet("retire_wipe");
+  REQUIRE(fleet.Call(0, fleet.Turn("t1", "p", "", "a")).status == 200);
+  fleet.PutObject("retirements", "archive-2", R"({"over_s":10})");
+  bool completed = false;
+  for (int i = 0; i < 100 && !completed; ++i, Pause(100)) {
+    completed = fleet.Object("retirements", "archive-2").find("completed") !=
+                std::string::npos;
+  }
+  REQUIRE(completed);
+  fleet.processes().Kill("archive-2");
+  fleet.processes().Kill("archive-1");
+  fleet.WipeDisk("archive-1");
+  fleet.StartHost("archive-1", false);
+  const auto next =
+      CallUntilServed(fleet, 0, fleet.Turn("t2", "p", "t1", "b"), 8'000);
+  CHECK(next.status == 200);
+  CHECK(fleet.Call(1, fleet.Turn("t3", "p", "never", "b")).status == 404);
+}
+
 TEST_CASE("what must not repeat runs once, and \"not run\" is true") {
   auto fleet = MakeFleet("once");
   fleet.Faults("desk-0", R"({"lose_answers":2})");
