--- a/bench/lib/fault_proxy.cc
+++ b/bench/lib/fault_proxy.cc
@@ -76,6 +76,8 @@
   asio::awaitable<void> Pump(std::shared_ptr<Link> link, tcp::socket& from,
                              tcp::socket& to, bool towards_target) {
     std::array<char, kPieceBytes> piece{};
+    // TCP leaves no holes: what follows lost bytes never arrives either.
+    bool lost = false;
     for (;;) {
       boost::system::error_code error;
       const size_t got = co_await from.async_read_some(
@@ -83,8 +85,9 @@
           asio::redirect_error(asio::use_awaitable, error));
       if (error) break;
       const LinkFault now = fault.load();
-      if (now == LinkFault::kSilent) continue;
-      if (now == LinkFault::kOneWay && !towards_target) continue;
+      lost = lost || now == LinkFault::kSilent ||
+             (now == LinkFault::kOneWay && !towards_target);
+      if (lost) continue;
       if (now == LinkFault::kDelayed) {
         asio::steady_timer timer(io, kDelay);
         co_await timer.async_wait(asio::use_awaitable);
--- a/bench/lib/fault_proxy.h
+++ b/bench/lib/fault_proxy.h
@@ -11,7 +11,7 @@
 enum class LinkFault : uint8_t {
   kNone,
   kDelayed,  // bytes pass 150 ms late
-  kSilent,   // bytes are taken and passed on neither way
+  kSilent,   // bytes are taken and passed on neither way, now or later
   kOneWay,   // bytes pass towards the target only
   kRefused,  // new connections are closed at once
   kCount,
--- a/test/platform/soak_test.cc
+++ b/test/platform/soak_test.cc
@@ -402,6 +402,10 @@
 
 }  // namespace
 
+// Seeds that failed once: 1, all members took no record for 12 s (open); 2003,
+// the proxy left a hole in a stream that it had silenced (mended there).
+TEST_CASE("the seeds that failed once pass") { RunSeed(2003); }
+
 TEST_CASE("the promises hold while faults come in series and overlap") {
   const uint64_t first = FromEnvironment("PIMENTO_SOAK_FIRST", 1);
   const uint64_t seeds = FromEnvironment("PIMENTO_SOAK_SEEDS", 3);
