Slots are asked for over a third host when one link is cut

Ruled out: lost ownership, a stuck claim (no line of either in the logs).

Change: after a failed call to a gate's owner, requests go to it through other live hosts in turn for 10 s (detour.h), which pass them on once.

--- a/bench/lib/scenario.cc
+++ b/bench/lib/scenario.cc
@@ -208,8 +208,8 @@
 }
 
 // "owner-of:PROGRAM" names the owner of a program, "owner-of-team:TEAM" that of
-// a team's bucket, "owner-of-load" that of the load's first program, anything
-// else is a host.
+// a team's bucket, "gate-of:UPSTREAM" that of an upstream's gate,
+// "owner-of-load" that of the load's first program, anything else is a host.
 std::string Scenario::HostFrom(const std::string& word) const {
   if (word == "owner-of-load") {
     std::string owner;
@@ -226,6 +226,10 @@
     const uint32_t shard = ShardOf("team/" + word.substr(14), shards_);
     return fleet_->OwnerOf(ProgramId(shard, "any"));
   }
+  if (word.starts_with("gate-of:")) {
+    const uint32_t shard = ShardOf("upstream/" + word.substr(8), shards_);
+    return fleet_->OwnerOf(ProgramId(shard, "any"));
+  }
   if (word.starts_with("owner-of:")) return fleet_->OwnerOf(word.substr(9));
   return word;
 }
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -119,6 +119,8 @@
   attained @8 :Float64;
   patienceMs @9 :Int64;
   maxQueue @10 :UInt32;
+  # True when the host that gets this is to pass it on to the gate's owner.
+  relay @11 :Bool;
 }
 struct SlotReply {
   outcome @0 :Outcome;
@@ -135,6 +137,8 @@
   paceMs @5 :Float64;
   # The call never began: give the place in the queue up.
   abandoned @6 :Bool;
+  # True when the host that gets this is to pass it on to the gate's owner.
+  relay @7 :Bool;
 }
 
 struct Document { generation @0 :UInt64; environment @1 :Text; text @2 :Text; }
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -2872,6 +2872,8 @@
 
   inline  ::uint32_t getMaxQueue() const;
 
+  inline bool getRelay() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2949,6 +2951,9 @@
   inline  ::uint32_t getMaxQueue();
   inline void setMaxQueue( ::uint32_t value);
 
+  inline bool getRelay();
+  inline void setRelay(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3104,6 +3109,8 @@
 
   inline bool getAbandoned() const;
 
+  inline bool getRelay() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3157,6 +3164,9 @@
   inline bool getAbandoned();
   inline void setAbandoned(bool value);
 
+  inline bool getRelay();
+  inline void setRelay(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8641,6 +8651,20 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SlotRequest::Reader::getRelay() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<416>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotRequest::Builder::getRelay() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<416>() * ::capnp::ELEMENTS);
+}
+inline void SlotRequest::Builder::setRelay(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<416>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotReply::Reader::hasOutcome() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8840,6 +8864,20 @@
       ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SlotDone::Reader::getRelay() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotDone::Builder::getRelay() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
+}
+inline void SlotDone::Builder::setRelay(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Document::Reader::getGeneration() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/peer_codec.cc
+++ b/src/peer_codec.cc
@@ -317,6 +317,7 @@
   to.setAttained(from.attained);
   to.setPatienceMs(from.patience_ms);
   to.setMaxQueue(from.max_queue);
+  to.setRelay(from.relay);
 }
 
 SlotRequest FromWire(wire::SlotRequest::Reader from) {
@@ -330,7 +331,8 @@
           .cost = from.getCost(),
           .attained = from.getAttained(),
           .patience_ms = from.getPatienceMs(),
-          .max_queue = from.getMaxQueue()};
+          .max_queue = from.getMaxQueue(),
+          .relay = from.getRelay()};
 }
 
 void ToWire(const SlotReply& from, wire::SlotReply::Builder to) {
@@ -355,6 +357,7 @@
   to.setTokens(from.tokens);
   to.setPaceMs(from.pace_ms);
   to.setAbandoned(from.abandoned);
+  to.setRelay(from.relay);
 }
 
 SlotDone FromWire(wire::SlotDone::Reader from) {
@@ -364,7 +367,8 @@
           .cold_sign = from.getColdSign(),
           .tokens = from.getTokens(),
           .pace_ms = from.getPaceMs(),
-          .abandoned = from.getAbandoned()};
+          .abandoned = from.getAbandoned(),
+          .relay = from.getRelay()};
 }
 
 void ToWire(const DocumentReply& from, wire::Document::Builder to) {
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -95,6 +95,8 @@
   double attained = 0;
   int64_t patience_ms = 0;
   uint32_t max_queue = 0;
+  // True when the host that gets this is to pass it on to the gate's owner.
+  bool relay = false;
 };
 
 struct SlotReply {
@@ -113,6 +115,8 @@
   double pace_ms = 0;
   // The call never began: give the place in the queue up.
   bool abandoned = false;
+  // As in SlotRequest.
+  bool relay = false;
 };
 
 struct DocumentReply {
--- a/src/slot_broker.cc
+++ b/src/slot_broker.cc
@@ -7,12 +7,15 @@
 
 #include "src/duty.h"
 #include "src/errors.h"
+#include "src/log.h"
 #include "src/owner_view.h"
 #include "src/peer_client.h"
 
 namespace pimento {
 namespace {
 
+const Log kLog("slots");
+
 constexpr int64_t kAskMs = 1'000;
 constexpr int64_t kTickMs = 100;
 constexpr int64_t kHintAgeMs = 2'000;
@@ -146,7 +149,27 @@
   }
 }
 
+std::string SlotBroker::Way(const std::string& owner, bool& relay) {
+  std::vector<std::string> live;
+  const auto view = context_.view.load();
+  for (const HostNews& news : view->hosts()) {
+    if (news.state == HostState::kAlive) live.push_back(news.info.rpc_address);
+  }
+  std::string way =
+      detours_.Via(owner, view->RpcAddress(context_.self.host), live, NowMs());
+  relay = way != owner;
+  return way;
+}
+
 SlotBroker::Async<SlotReply> SlotBroker::OnSlot(SlotRequest request) {
+  if (request.relay) {
+    const uint32_t shard = ShardFor(context_, "upstream", request.upstream);
+    const std::string address = OwnerAddress(context_, shards_, shard);
+    request.relay = false;
+    const int64_t limit_ms = request.patience_ms + kAskMs;
+    if (!address.empty())
+      co_return co_await context_.peers->Slot(address, request, limit_ms);
+  }
   const std::shared_ptr<Gate> gate = co_await GateOf(request.upstream);
   const int64_t now_ms = NowMs();
   const auto answer =
@@ -184,6 +207,13 @@
 }
 
 SlotBroker::Async<bool> SlotBroker::OnDone(SlotDone done) {
+  if (done.relay) {
+    const uint32_t shard = ShardFor(context_, "upstream", done.upstream);
+    const std::string address = OwnerAddress(context_, shards_, shard);
+    done.relay = false;
+    if (!address.empty())
+      co_return co_await context_.peers->Done(address, done, kAskMs);
+  }
   const std::shared_ptr<Gate> gate = co_await GateOf(done.upstream);
   if (done.abandoned) {
     gate->admitted.erase(done.ticket);
@@ -242,6 +272,7 @@
                         .max_queue = want.max_queue};
     Reason failure = Reason::kOwnerUnreachable;
     bool asked_elsewhere = false;
+    std::string way;
     try {
       const uint32_t shard = ShardFor(context_, "upstream", upstream);
       const std::string address = OwnerAddress(context_, shards_, shard);
@@ -250,7 +281,8 @@
         reply = co_await OnSlot(request);
       } else {
         asked_elsewhere = true;
-        reply = co_await context_.peers->Slot(address, request,
+        way = Way(address, request.relay);
+        reply = co_await context_.peers->Slot(way, request,
                                               request.patience_ms + kAskMs);
       }
       if (reply.outcome.ok()) {
@@ -262,7 +294,10 @@
       asked_elsewhere = false;
     } catch (const Refusal& refusal) {
       failure = refusal.reason();
-    } catch (const TransportError&) {
+    } catch (const TransportError& e) {
+      kLog.Debug() << "The gate of " << upstream << " was not reached over "
+                   << way << ": " << e.what();
+      detours_.Lost(way, NowMs());
       failure = Reason::kOwnerUnreachable;
     }
     if (asked_elsewhere) {
@@ -291,19 +326,22 @@
   const auto held = held_.find(done.upstream);
   if (held != held_.end()) held->second.erase(done.ticket);
   for (int i = 0; i < kDoneTries; ++i) {
+    std::string way;
     try {
       const uint32_t shard = ShardFor(context_, "upstream", done.upstream);
       const std::string address = OwnerAddress(context_, shards_, shard);
       if (address.empty()) {
         co_await OnDone(done);
       } else {
-        co_await context_.peers->Done(address, done, kAskMs);
+        way = Way(address, done.relay);
+        co_await context_.peers->Done(way, done, kAskMs);
       }
       co_return;
     } catch (const Refusal&) {
       // The gate is moving; its new owner asks what is in flight.
     } catch (const TransportError&) {
       // Told again: a gate that never hears keeps the slot until it lapses.
+      detours_.Lost(way, NowMs());
     }
     co_await Sleep(100);
   }
--- a/test/correctness/policy_test.cc
+++ b/test/correctness/policy_test.cc
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "src/admission_window.h"
+#include "src/detour.h"
 #include "src/fair_queue.h"
 #include "src/rate_bucket.h"
 #include "src/upstream_choice.h"
@@ -262,6 +263,23 @@
   CHECK(gate.Release(1'100).size() == 1);
 }
 
+TEST_CASE("a peer behind a cut link is reached over the others, in turn") {
+  Detours detours;
+  const std::vector<std::string> live = {"h1", "h2", "h3", "h4"};
+  CHECK(detours.Via("h1", "h4", live, 0) == "h1");
+  detours.Lost("h1", 0);
+  const std::string first = detours.Via("h1", "h4", live, 10);
+  const std::string second = detours.Via("h1", "h4", live, 10);
+  CHECK(std::set<std::string>{first, second} ==
+        std::set<std::string>{"h2", "h3"});
+  detours.Lost("h2", 20);
+  for (int i = 0; i < 4; ++i) CHECK(detours.Via("h1", "h4", live, 30) == "h3");
+  // With no helper left the direct way is as good as any.
+  detours.Lost("h3", 40);
+  CHECK(detours.Via("h1", "h4", live, 50) == "h1");
+  CHECK(detours.Via("h1", "h4", live, 20'000) == "h1");
+}
+
 TEST_CASE("calls that a former owner admitted count against the window") {
   UpstreamGate gate(SmallGate(), 0);
   gate.Adopt(Waiting(91, "t"), 0);
--- a/test/scenario/scenario_test.cc
+++ b/test/scenario/scenario_test.cc
@@ -44,6 +44,9 @@
 }
 TEST_CASE("frozen owner: fenced when it wakes") { RunScenario("frozen_owner"); }
 TEST_CASE("cut off owner: the others go on") { RunScenario("cut_owner"); }
+TEST_CASE("cut off gate: calls get their slots all the same") {
+  RunScenario("cut_gate");
+}
 TEST_CASE("platform down: heirs take over without it") {
   RunScenario("platform_down");
 }
