--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -104,7 +104,12 @@
   json @1 :Text;
 }
 
-struct CreditRequest { team @0 :Text; wanted @1 :UInt32; }
+struct CreditRequest {
+  team @0 :Text;
+  wanted @1 :UInt32;
+  # True when the host that gets this is to pass it on to the bucket's owner.
+  relay @2 :Bool;
+}
 struct CreditReply { outcome @0 :Outcome; granted @1 :UInt32; nextUs @2 :Int64; }
 
 struct SlotRequest {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -2673,6 +2673,8 @@
 
   inline  ::uint32_t getWanted() const;
 
+  inline bool getRelay() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2711,6 +2713,9 @@
   inline  ::uint32_t getWanted();
   inline void setWanted( ::uint32_t value);
 
+  inline bool getRelay();
+  inline void setRelay(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8350,6 +8355,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CreditRequest::Reader::getRelay() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool CreditRequest::Builder::getRelay() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void CreditRequest::Builder::setRelay(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CreditReply::Reader::hasOutcome() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/credit_broker.cc
+++ b/src/credit_broker.cc
@@ -5,12 +5,15 @@
 
 #include "src/duty.h"
 #include "src/errors.h"
+#include "src/log.h"
 #include "src/owner_view.h"
 #include "src/peer_client.h"
 
 namespace pimento {
 namespace {
 
+const Log kLog("credits");
+
 constexpr int64_t kAskMs = 600;
 constexpr int64_t kAskPauseMs = 50;
 constexpr int64_t kAskPatienceMs = 4'000;
@@ -79,6 +82,12 @@
 CreditBroker::Async<CreditReply> CreditBroker::Grant(CreditRequest request) {
   const uint32_t shard = ShardFor(context_, "team", request.team);
   CreditReply reply;
+  if (request.relay) {
+    const std::string address = OwnerAddress(context_, shards_, shard);
+    request.relay = false;
+    if (!address.empty())
+      co_return co_await context_.peers->Credits(address, request, kAskMs);
+  }
   uint32_t left = std::max(1U, request.wanted);
   for (int round = 0; round < 3; ++round) {
     if (!shards_.Admits(shard)) {
@@ -130,6 +139,7 @@
   while (asking.waiting > 0 && failures < kMostAsks) {
     const uint32_t wanted = asking.waiting;
     bool answered = false;
+    std::string way;
     try {
       const uint32_t shard = ShardFor(context_, "team", team);
       const std::string address = OwnerAddress(context_, shards_, shard);
@@ -138,7 +148,8 @@
       if (address.empty()) {
         reply = co_await Grant(request);
       } else {
-        reply = co_await context_.peers->Credits(address, request, kAskMs);
+        way = WayTo(context_, address, request.relay);
+        reply = co_await context_.peers->Credits(way, request, kAskMs);
       }
       if (reply.outcome.ok()) {
         answered = true;
@@ -154,7 +165,10 @@
       }
     } catch (const Refusal& refusal) {
       context_.metrics->Retried(refusal.reason());
-    } catch (const TransportError&) {
+    } catch (const TransportError& e) {
+      kLog.Debug() << "The bucket of " << team << " was not reached over "
+                   << way << ": " << e.what();
+      context_.detours.Lost(way, NowMs());
       context_.metrics->Retried(Reason::kOwnerUnreachable);
     }
     if (answered) {
--- a/src/owner_view.cc
+++ b/src/owner_view.cc
@@ -1,5 +1,6 @@
 #include "src/owner_view.h"
 
+#include "src/duty.h"
 #include "src/placement.h"
 
 namespace pimento {
@@ -16,6 +17,19 @@
   return owner->info.rpc_address;
 }
 
+std::string WayTo(SchedulerContext& context, const std::string& owner,
+                  bool& relay) {
+  const auto view = context.view.load();
+  std::vector<std::string> live;
+  for (const HostNews& news : view->hosts()) {
+    if (news.state == HostState::kAlive) live.push_back(news.info.rpc_address);
+  }
+  const std::string self = view->RpcAddress(context.self.host);
+  std::string way = context.detours.Via(owner, self, live, NowMs());
+  relay = way != owner;
+  return way;
+}
+
 uint32_t ShardFor(const SchedulerContext& context, const std::string& kind,
                   const std::string& name) {
   const uint32_t shards = context.environment.load()->document.shards;
--- a/src/owner_view.h
+++ b/src/owner_view.h
@@ -14,6 +14,11 @@
 std::string OwnerAddress(const SchedulerContext& context,
                          const ShardHost& shards, uint32_t shard);
 
+// Where a request for the owner at `owner` goes: to it, or, with `relay` set,
+// to a host that passes it on because this one lately could not reach it.
+std::string WayTo(SchedulerContext& context, const std::string& owner,
+                  bool& relay);
+
 // The shard that keeps the state named `kind`/`name` under the present
 // document.
 uint32_t ShardFor(const SchedulerContext& context, const std::string& kind,
--- a/src/peer_codec.cc
+++ b/src/peer_codec.cc
@@ -287,10 +287,13 @@
 void ToWire(const CreditRequest& from, wire::CreditRequest::Builder to) {
   to.setTeam(View(from.team));
   to.setWanted(from.wanted);
+  to.setRelay(from.relay);
 }
 
 CreditRequest FromWire(wire::CreditRequest::Reader from) {
-  return {.team = Text(from.getTeam()), .wanted = from.getWanted()};
+  return {.team = Text(from.getTeam()),
+          .wanted = from.getWanted(),
+          .relay = from.getRelay()};
 }
 
 void ToWire(const CreditReply& from, wire::CreditReply::Builder to) {
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -74,6 +74,8 @@
 struct CreditRequest {
   std::string team;
   uint32_t wanted = 1;
+  // As in SlotRequest.
+  bool relay = false;
 };
 
 struct CreditReply {
--- a/src/scheduler_context.h
+++ b/src/scheduler_context.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "src/detour.h"
 #include "src/document.h"
 #include "src/host_view.h"
 #include "src/metrics.h"
@@ -49,6 +50,8 @@
 };
 
 struct SchedulerContext {
+  // Used on `shards_io` only.
+  Detours detours = {};
   Member self;
   std::string zone;
   SchedulerTiming timing;
--- a/src/slot_broker.cc
+++ b/src/slot_broker.cc
@@ -149,18 +149,6 @@
   }
 }
 
-std::string SlotBroker::Way(const std::string& owner, bool& relay) {
-  std::vector<std::string> live;
-  const auto view = context_.view.load();
-  for (const HostNews& news : view->hosts()) {
-    if (news.state == HostState::kAlive) live.push_back(news.info.rpc_address);
-  }
-  std::string way =
-      detours_.Via(owner, view->RpcAddress(context_.self.host), live, NowMs());
-  relay = way != owner;
-  return way;
-}
-
 SlotBroker::Async<SlotReply> SlotBroker::OnSlot(SlotRequest request) {
   if (request.relay) {
     const uint32_t shard = ShardFor(context_, "upstream", request.upstream);
@@ -281,7 +269,7 @@
         reply = co_await OnSlot(request);
       } else {
         asked_elsewhere = true;
-        way = Way(address, request.relay);
+        way = WayTo(context_, address, request.relay);
         reply = co_await context_.peers->Slot(way, request,
                                               request.patience_ms + kAskMs);
       }
@@ -297,7 +285,7 @@
     } catch (const TransportError& e) {
       kLog.Debug() << "The gate of " << upstream << " was not reached over "
                    << way << ": " << e.what();
-      detours_.Lost(way, NowMs());
+      context_.detours.Lost(way, NowMs());
       failure = Reason::kOwnerUnreachable;
     }
     if (asked_elsewhere) {
@@ -333,7 +321,7 @@
       if (address.empty()) {
         co_await OnDone(done);
       } else {
-        way = Way(address, done.relay);
+        way = WayTo(context_, address, done.relay);
         co_await context_.peers->Done(way, done, kAskMs);
       }
       co_return;
@@ -341,7 +329,7 @@
       // The gate is moving; its new owner asks what is in flight.
     } catch (const TransportError&) {
       // Told again: a gate that never hears keeps the slot until it lapses.
-      detours_.Lost(way, NowMs());
+      context_.detours.Lost(way, NowMs());
     }
     co_await Sleep(100);
   }
--- a/src/slot_broker.h
+++ b/src/slot_broker.h
@@ -12,7 +12,6 @@
 #include <string>
 #include <vector>
 
-#include "src/detour.h"
 #include "src/peer_messages.h"
 #include "src/scheduler_context.h"
 #include "src/shard_host.h"
@@ -70,8 +69,6 @@
   Async<std::shared_ptr<Gate>> GateOf(std::string upstream);
   Async<void> LearnInFlight(std::shared_ptr<Gate> gate, std::string upstream);
   void Pump(Gate& gate, const std::string& upstream);
-  // RPC address to use for `owner`, and whether that host passes it on.
-  std::string Way(const std::string& owner, bool& relay);
   Async<void> TickLoop();
   GateOptions OptionsFor(const std::string& upstream) const;
   void NoteLoad(const std::string& upstream, const SlotReply& reply);
@@ -83,7 +80,6 @@
   // Slots that this host holds or waits for, by upstream and ticket.
   std::map<std::string, std::map<uint64_t, SlotRequest>> held_;
   std::map<std::string, LoadHint> hints_;
-  Detours detours_;
   uint64_t next_ticket_ = 1;
 };
 
