Two gateways a zone watch the store, the others watch those

Ruled out: one watch for all kinds at the store (it has none); longer waits (the age of the desired state must stay under revoke_ms).

Change: gateways serve their copies in the store's own words, with the copy's age and whether the store is away (platform/store_mirror, StoreWatch). Who watches is a decision of its own (watch_duty.h). A copy whose host is not heard, or whose state grows old, is left at once, for the next watcher, then for the store. The wait for the desired state follows from revoke_ms.

--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -163,7 +163,7 @@
   const std::string ip = HostAddress(name, 0);
   out << "node=" << name << "\n"
       << "ip=" << ip.substr(0, ip.find(':')) << "\n"
-      << "zone=zone-" << Number(name) % 3 << "\n"
+      << "zone=zone-" << Number(name) % options_.zones << "\n"
       << "listen.front=" << HostAddress(name, kCallersPort) << "\n"
       << "listen.ready=" << HostAddress(name, kReadyPort) << "\n"
       << "listen.directory=" << HostAddress(name, kDirectoryPort) << "\n"
@@ -344,6 +344,11 @@
       .body;
 }
 
+int64_t PlatformFleet::StoreCalls() {
+  return std::stoll(
+      Ask(addresses_["store"], {.method = "GET", .target = "/calls"}).body);
+}
+
 std::string PlatformFleet::Metrics(const std::string& host) {
   return Ask(HostAddress(host, kMetricsPort),
              {.method = "GET", .target = "/metrics"})
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -44,6 +44,8 @@
     int talkers = 2;
     int desks = 2;
     int64_t revoke_ms = 5'000;
+    // Availability zones of the system's hosts; an upstream is in one of three.
+    int zones = 3;
     // True when faults can be set on the links to the store and to upstreams.
     bool proxied = false;
   };
@@ -74,6 +76,8 @@
   void PutObject(const std::string& kind, const std::string& name,
                  const std::string& spec);
   std::string Object(const std::string& kind, const std::string& name);
+  // Calls that the store has had.
+  int64_t StoreCalls();
 
   // Hosts: "gateway-0", "archive-1".
   void StartHost(const std::string& name, bool first_start);
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -61,6 +61,7 @@
   // Milliseconds without news after which a gateway counts as silent.
   explicit GatewayView(int64_t silent_after_ms)
       : silent_after_ms_(silent_after_ms) {}
+  int64_t silent_after_ms() const { return silent_after_ms_; }
   void set_silent_after_ms(int64_t time) { silent_after_ms_ = time; }
 
   // Returns what the gateway admitted since its last news, by team; nothing for
--- a/src/gateway_server.cc
+++ b/src/gateway_server.cc
@@ -55,6 +55,7 @@
   const auto& settings = state_.settings();
   callers_.Listen(settings.callers_address);
   const std::set<std::string> addresses = {
+      settings.ip + ":" + std::to_string(settings.first_port),
       settings.ready_address, settings.directory_address,
       settings.ip + ":" + platform::kMetricsPort};
   for (const std::string& address : addresses) {
@@ -65,6 +66,10 @@
 asio::awaitable<void> GatewayServer::ServeService(const CallerRequest& request,
                                                   AnswerSink& answer) {
   const std::string target(request.header.target());
+  if (auto copy_call = platform::DecodeMirrorCall(target)) {
+    co_await ServeCopy(std::move(*copy_call), answer);
+    co_return;
+  }
   const std::string path = target.substr(0, target.find('?'));
   AnswerSink::Header header;
   std::string body;
@@ -85,6 +90,28 @@
   co_await answer.Send(std::move(header), std::move(body));
 }
 
+asio::awaitable<void> GatewayServer::ServeCopy(platform::MirrorCall call,
+                                               AnswerSink& answer) {
+  AnswerSink::Header header;
+  header.result(http::status::service_unavailable);
+  std::string body;
+  StoreWatch* copy = state_.CopyOf(call.kind);
+  if (copy == nullptr || !copy->Serves()) {
+    co_await answer.Send(std::move(header), std::move(body));
+    co_return;
+  }
+  header.set(http::field::content_type, "application/json");
+  if (call.watch_from) {
+    const auto changes = co_await copy->ServeWatch(*call.watch_from, call.wait);
+    header.result(changes.history_gone ? http::status::gone : http::status::ok);
+    body = platform::EncodeMirrorChanges(changes);
+  } else {
+    header.result(http::status::ok);
+    body = platform::EncodeMirrorList(copy->ServeList());
+  }
+  co_await answer.Send(std::move(header), std::move(body));
+}
+
 void GatewayServer::Drain(std::function<void()> on_done) {
   EventLine(Event::kStopping)
       .Number("busy", static_cast<int64_t>(callers_.busy()))
--- a/src/gateway_server.h
+++ b/src/gateway_server.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <vector>
 
+#include "platform/store_mirror.h"
 #include "src/caller_connection.h"
 #include "src/gateway_state.h"
 
@@ -22,6 +23,9 @@
  private:
   boost::asio::awaitable<void> ServeService(const CallerRequest& request,
                                             AnswerSink& answer);
+  // Answers another gateway from this one's copy of the store's objects.
+  boost::asio::awaitable<void> ServeCopy(platform::MirrorCall call,
+                                         AnswerSink& answer);
   boost::asio::awaitable<void> WaitForEnd(std::function<void()> on_done);
 
   GatewayState& state_;
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -24,18 +24,26 @@
 constexpr int64_t kPeerSilentMs = 450;
 constexpr milliseconds kHousekeepingEvery{50};
 constexpr milliseconds kRegisterPause{300};
-// Longest waits of watches. The desired state's is short: each answer says that
-// no key was taken away.
-constexpr milliseconds kConfigWait{1'300};
+// Part of the time allowed for withdrawing a key that a watch of the desired
+// state waits: each answer says that no key was taken away.
+constexpr double kConfigWaitShare = 0.26;
+// Longest waits of the other watches.
 constexpr milliseconds kUpstreamWait{4'000};
 constexpr milliseconds kZoneWait{3'500};
 constexpr milliseconds kRareWait{7'000};
 // Part of the time allowed for withdrawing a key that the desired state may be
 // old: the rest is for requests on their way to an upstream.
 constexpr double kUsableShare = 0.85;
+// Part of that after which a copy of the state is not waited for any more.
+constexpr double kPatienceShare = 0.8;
 // In an outage of the store the last desired state is used this long.
 constexpr int64_t kLongestOutageMs = 60'000;
 
+milliseconds ConfigWait(int64_t revoke_ms) {
+  return milliseconds(
+      static_cast<int64_t>(static_cast<double>(revoke_ms) * kConfigWaitShare));
+}
+
 uint64_t UnixUs() {
   return static_cast<uint64_t>(
       duration_cast<std::chrono::microseconds>(
@@ -60,20 +68,86 @@
       archive_(io, pool_, {.zone = settings.zone}),
       view_(kPeerSilentMs),
       peers_(io, settings.ip, settings.first_port),
-      config_watch_(
+      watch_duty_(settings.host, {}),
+      config_watch_(io, store_,
+                    WatchOptions(std::string(platform::kConfigKind),
+                                 ConfigWait(settings.revoke_ms))),
+      upstream_watch_(
           io, store_,
-          {.kind = std::string(platform::kConfigKind), .wait = kConfigWait}),
-      upstream_watch_(io, store_,
-                      {.kind = std::string(platform::kUpstreamKind),
-                       .wait = kUpstreamWait,
-                       .holds_vanished = true}),
+          WatchOptions(std::string(platform::kUpstreamKind), kUpstreamWait)),
       zone_watch_(
           io, store_,
-          {.kind = std::string(platform::kDrainedZoneKind), .wait = kRareWait}),
-      member_watch_(io, store_, {.kind = kMemberListKind, .wait = kRareWait}),
-      gateway_watch_(io, store_, {.kind = kGatewayKind, .wait = kRareWait}),
+          WatchOptions(std::string(platform::kDrainedZoneKind), kRareWait)),
+      member_watch_(io, store_, WatchOptions(kMemberListKind, kRareWait)),
+      gateway_watch_(io, store_, WatchOptions(kGatewayKind, kRareWait)),
       boot_(UnixUs()) {}
 
+StoreWatchOptions GatewayState::WatchOptions(std::string kind,
+                                             milliseconds wait) {
+  StoreWatchOptions options{.kind = std::move(kind), .wait = wait};
+  options.holds_vanished = options.kind == platform::kUpstreamKind;
+  options.source = [this] { return WatchSource(); };
+  options.on_source_failed = [this](const std::string& host,
+                                    const std::string& error) {
+    watch_duty_.Failed(host, SteadyMs());
+    EventLine(Event::kDependencyLost)
+        .Text("dependency", "store")
+        .Text("over", host)
+        .Text("error", error);
+  };
+  return options;
+}
+
+StoreSource GatewayState::WatchSource() {
+  std::vector<std::string> sound;
+  if (Ready()) sound.push_back(settings_.host);
+  for (const GatewayNews* news : view_.Heard(SteadyMs())) {
+    const bool known = gateway_addresses_.count(news->host) > 0;
+    if (news->ready && known && news->zone == settings_.zone)
+      sound.push_back(news->host);
+  }
+  const std::string host = watch_duty_.Ask(std::move(sound), SteadyMs());
+  if (host.empty()) return {.client = &store_};
+  const std::string& address = gateway_addresses_.at(host);
+  auto& copy = copies_[address];
+  if (!copy) copy = std::make_unique<platform::StoreClient>(pool_, address);
+  return {.client = copy.get(), .host = host};
+}
+
+// A gateway whose copy is asked may freeze, or lose the store itself, while a
+// call to it waits.
+void GatewayState::LeaveLostCopies() {
+  const int64_t now_ms = SteadyMs();
+  const auto patience =
+      static_cast<double>(settings_.revoke_ms) * kUsableShare * kPatienceShare;
+  const bool old = StateAgeMs() > static_cast<int64_t>(patience);
+  for (StoreWatch* watch : watches_) {
+    const StoreSource source = watch->source();
+    if (source.host.empty()) continue;
+    const bool heard =
+        view_.AgeMs(source.host, now_ms) < view_.silent_after_ms();
+    if (heard && !old) continue;
+    watch_duty_.Failed(source.host, now_ms);
+    source.client->Abort();
+  }
+}
+
+int64_t GatewayState::StoreSilentMs() {
+  const bool relayed = !config_watch_.source().host.empty();
+  const auto& facts = config_watch_.source_facts();
+  if (relayed) relayed_word_ = BootClock::now() - milliseconds(facts.silent_ms);
+  const auto since_word = BootClock::now() - relayed_word_;
+  return std::min(store_.SilentMs(),
+                  duration_cast<milliseconds>(since_word).count());
+}
+
+StoreWatch* GatewayState::CopyOf(const std::string& kind) {
+  for (StoreWatch* watch : watches_) {
+    if (watch->kind() == kind) return watch;
+  }
+  return nullptr;
+}
+
 void GatewayState::Start() {
   config_watch_.Start([this] { OnConfig(); });
   upstream_watch_.Start([this] { OnUpstreams(); });
@@ -164,13 +238,15 @@
 
 void GatewayState::OnGateways() {
   std::vector<std::string> addresses;
+  gateway_addresses_.clear();
   int64_t count = 0;
   for (const auto& [host, object] : gateway_watch_.objects()) {
     ++count;
     if (host == settings_.host || !object.spec.is_object()) continue;
     const auto* address = object.spec.get_object().if_contains("news_address");
-    if (address != nullptr && address->is_string())
-      addresses.emplace_back(address->get_string());
+    if (address == nullptr || !address->is_string()) continue;
+    addresses.emplace_back(address->get_string());
+    gateway_addresses_[host] = addresses.back();
   }
   gateways_ = std::max<int64_t>(1, count);
   try {
@@ -212,7 +288,7 @@
                    .strained = strain_.strained(),
                    .state_version = desired_ ? desired_->version() : 0,
                    .state_age_ms = StateAgeMs(),
-                   .store_silent_ms = store_.SilentMs()};
+                   .store_silent_ms = StoreSilentMs()};
   news.loads = table_.OwnLoad();
   news.echoes = view_.Echoes(SteadyMs());
   for (const auto& [team, use] : quota_.used())
@@ -311,7 +387,8 @@
     UpdateFleet();
     dispatcher_.Poke();
     archive_.Probe();
-    outage_.Note(settings_.host, store_.SilentMs(), BootMs());
+    LeaveLostCopies();
+    outage_.Note(settings_.host, StoreSilentMs(), BootMs());
     const int64_t now_ms = SteadyMs();
     constexpr int64_t kSweepEveryMs = 1'000;
     if (now_ms - last_housekeeping_ms_ >= kSweepEveryMs) {
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -3,6 +3,7 @@
 // needs is here in memory.
 #pragma once
 
+#include <array>
 #include <boost/asio.hpp>
 #include <chrono>
 #include <memory>
@@ -22,6 +23,7 @@
 #include "src/strain_gauge.h"
 #include "src/team_quota.h"
 #include "src/upstream_table.h"
+#include "src/watch_duty.h"
 
 namespace pimento {
 
@@ -54,6 +56,8 @@
   ConnectionPool& pool() { return pool_; }
   // Gateways that are heard, this one included.
   int64_t heard() const { return heard_; }
+  // The copy of the store's objects of `kind`; null for another kind.
+  StoreWatch* CopyOf(const std::string& kind);
   Metrics& metrics() { return metrics_; }
   const platform::BootSettings& settings() const { return settings_; }
   boost::asio::io_context& io() { return io_; }
@@ -69,6 +73,13 @@
   boost::asio::awaitable<void> Register();
   boost::asio::awaitable<void> Housekeeping();
   void UpdateFleet();
+  // Options of a watch of `kind`, over another gateway or at the store itself.
+  StoreWatchOptions WatchOptions(std::string kind,
+                                 std::chrono::milliseconds wait);
+  StoreSource WatchSource();
+  void LeaveLostCopies();
+  // How long ago the store last answered this host, or the one that it asks.
+  int64_t StoreSilentMs();
   // True while it is proved that no host reaches the store.
   bool StoreIsDown() const;
   void ObserveStrain(std::chrono::steady_clock::time_point due);
@@ -85,14 +96,24 @@
   ArchiveClient archive_;
   GatewayView view_;
   GatewayPeers peers_;
+  WatchDuty watch_duty_;
+  // Addresses of the other gateways by host, and clients of their copies by
+  // address; a client stays, since calls of it may be under way.
+  std::map<std::string, std::string> gateway_addresses_;
+  std::map<std::string, std::unique_ptr<platform::StoreClient>> copies_;
   StoreWatch config_watch_;
   StoreWatch upstream_watch_;
   StoreWatch zone_watch_;
   StoreWatch member_watch_;
   StoreWatch gateway_watch_;
+  const std::array<StoreWatch*, 5> watches_{&config_watch_, &upstream_watch_,
+                                            &zone_watch_, &member_watch_,
+                                            &gateway_watch_};
   DesiredStatePtr desired_;
   // When `desired_` was last known to be the newest, by a peer's word.
   BootClock::time_point relayed_fresh_{};
+  // When the store last answered the gateway that this one asks.
+  BootClock::time_point relayed_word_{};
   // Registered gateways, this one included.
   int64_t gateways_ = 1;
   int64_t heard_ = 1;
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -1,15 +1,21 @@
-// Keeps a copy of one kind of the store's objects: a list, then watches.
+// Keeps a copy of one kind of the store's objects: a list, then watches, of the
+// store itself or of another host's copy.
 //
 // The copy has an age: at `fresh_as_of` the store's own word was no newer.
 // Objects that vanish while the store is away, or within `kReturnHold` of its
 // return, are kept until that hold is over: their owners may only have been
 // unable to reach it.
+//
+// The copy can be served on: ServeList() and ServeWatch() answer other hosts as
+// the store would answer them, with the copy's age.
 #pragma once
 
 #include <boost/asio.hpp>
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "platform/store_client.h"
@@ -17,17 +23,31 @@
 
 namespace pimento {
 
+// Where a watch reads.
+struct StoreSource {
+  platform::StoreClient* client = nullptr;
+  // The host whose copy it is; empty for the store itself.
+  std::string host = {};
+};
+
 struct StoreWatchOptions {
   std::string kind = {};
   // Longest a watch waits at the store.
   std::chrono::milliseconds wait{4'000};
   // True when vanished objects are held back after an outage.
   bool holds_vanished = false;
+  // Chooses the source before each call; the store itself when not set.
+  std::function<StoreSource()> source = {};
+  // The copy of `host` cannot be used.
+  std::function<void(const std::string& host, const std::string& error)>
+      on_source_failed = {};
 };
 
 class StoreWatch {
  public:
   using Objects = std::map<std::string, platform::StoreObject>;
+  template <class T>
+  using Async = boost::asio::awaitable<T>;
 
   StoreWatch(boost::asio::io_context& io, platform::StoreClient& store,
              StoreWatchOptions options);
@@ -35,31 +55,68 @@
   // Calls `on_change` after each change, and once after the first list.
   void Start(std::function<void()> on_change);
 
+  const std::string& kind() const { return options_.kind; }
   const Objects& objects() const { return objects_; }
   // True once a list has been read.
   bool known() const { return known_; }
   // Latest time at which the copy is known to have been the newest.
   BootClock::time_point fresh_as_of() const { return fresh_as_of_; }
   bool reachable() const { return reachable_; }
+  // Where the last call went.
+  const StoreSource& source() const { return source_; }
+  // Facts about that copy; zero when it was the store itself.
+  const platform::CopyFacts& source_facts() const { return source_facts_; }
+
+  // True when other hosts may be served: the copy comes from the store itself.
+  bool Serves() const { return known_ && source_.host.empty(); }
+  platform::StoreList ServeList() const;
+  // Changes after `revision`; waits for one, or for the store's loss or return,
+  // for `wait` at most.
+  Async<platform::StoreChanges> ServeWatch(uint64_t revision,
+                                           std::chrono::milliseconds wait);
 
  private:
-  boost::asio::awaitable<void> Run();
-  boost::asio::awaitable<void> Relist();
-  boost::asio::awaitable<void> WatchOnce();
+  // Changes that came together, and the revision after them.
+  struct Batch {
+    uint64_t revision = 0;
+    std::vector<platform::StoreEvent> events;
+  };
+
+  Async<void> Run();
+  Async<void> Relist();
+  Async<void> WatchOnce();
   bool Holding() const;
   void Lost(const std::string& error);
   void Regained();
   void Vanish(const std::string& name);
   void ReleaseHeld();
+  // Takes over what the source said of its copy. Throws StoreError when that
+  // copy is of no use.
+  void NoteFacts(const platform::CopyFacts& facts);
+  void Log(Batch batch);
+  void Ring();
+  platform::CopyFacts OwnFacts() const;
 
   boost::asio::io_context& io_;
   platform::StoreClient& store_;
   StoreWatchOptions options_;
   std::function<void()> on_change_;
+  StoreSource source_;
+  platform::CopyFacts source_facts_;
   Objects objects_;
   // Objects that vanished while held, by name.
   std::map<std::string, bool> vanished_;
+  // The newest changes. All after `log_from_` are there.
+  std::deque<Batch> log_;
+  uint64_t log_from_ = 0;
+  // Of those who wait in ServeWatch().
+  std::set<boost::asio::steady_timer*> bells_;
+  // True until the present source has answered once: it is not to wait then.
+  bool source_is_new_ = false;
+  // Greatest revision that is known; 0 asks for a list.
   uint64_t revision_ = 0;
+  // Greatest revision of any list or watch: no copy that is behind replaces it.
+  uint64_t newest_ = 0;
   bool known_ = false;
   bool reachable_ = true;
   BootClock::time_point fresh_as_of_{};
--- /dev/null
+++ b/test/correctness/watch_duty_test.cc
@@ -0,0 +1,43 @@
+// Which gateways watch the store, and whom the others ask.
+#include "src/watch_duty.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+namespace pimento {
+
+TEST_CASE("the watchers of a zone are the same for all, and few") {
+  const std::vector<std::string> sound = {"a4", "a1", "a3", "a2", "a5"};
+  std::set<std::string> watchers;
+  for (const std::string& host : sound) {
+    const WatchDuty duty(host, {.watchers = 2});
+    const std::string ask = duty.Ask(sound, 0);
+    if (ask.empty()) watchers.insert(host);
+    if (!ask.empty()) CHECK((ask == "a1" || ask == "a2"));
+  }
+  CHECK(watchers == std::set<std::string>{"a1", "a2"});
+}
+
+TEST_CASE("a watcher that failed is left out, and then the store is asked") {
+  WatchDuty duty("a3", {.watchers = 2, .avoid_ms = 1'000});
+  const std::vector<std::string> sound = {"a1", "a2", "a3"};
+  const std::string first = duty.Ask(sound, 0);
+  duty.Failed(first, 0);
+  const std::string second = duty.Ask(sound, 10);
+  CHECK(second != first);
+  CHECK(!second.empty());
+  duty.Failed(second, 10);
+  CHECK(duty.Ask(sound, 20).empty());
+  CHECK(duty.Ask(sound, 1'005) == first);
+}
+
+TEST_CASE("a gateway that hears nobody, or is not ready itself, has a way") {
+  const WatchDuty duty("a3", {.watchers = 2});
+  CHECK(duty.Ask({}, 0).empty());
+  CHECK(duty.Ask({"a3"}, 0).empty());
+  // Not ready: it follows those that are.
+  CHECK(duty.Ask({"a4"}, 0) == "a4");
+}
+
+}  // namespace pimento
