--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -18,10 +18,12 @@
   stateVersion @6 :Int64;
   stateAgeMs @7 :Int64;
   loads @8 :List(UpstreamUse);
+  # Teams whose use changed lately, and a few others in turn.
   teams @9 :List(TeamUse);
   # The newest news that this gateway has of each other one: whoever finds its
-  # own number here knows that this was written after it was sent.
-  echoes @10 :List(Echo);
+  # own number here knows that this was written after it was sent. In the upper
+  # 48 bits a hash of host and start, in the lower 16 the news' number.
+  echoes @10 :List(UInt64);
   # True while the gateway is behind with its work.
   strained @11 :Bool;
   # How long ago the store last answered it.
@@ -30,12 +32,6 @@
   programs @13 :List(UInt64);
 }
 
-struct Echo {
-  host @0 :Text;
-  boot @1 :UInt64;
-  sequence @2 :UInt64;
-}
-
 struct UpstreamUse {
   # Hash of the upstream's id.
   upstream @0 :UInt64;
@@ -43,11 +39,12 @@
 }
 
 struct TeamUse {
-  team @0 :Text;
+  # Hash of the team's name.
+  team @0 :UInt64;
   # Requests admitted since the gateway started, less those that did not run.
-  admitted @1 :Int64;
+  admitted @1 :Int32;
   # Programs whose first request was admitted here.
-  started @2 :Int64;
+  started @2 :Int32;
 }
 
 struct ArchiveCall {
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -17,7 +17,6 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(e64487dd69e51339);
-CAPNP_DECLARE_SCHEMA(b7f15608ce68df25);
 CAPNP_DECLARE_SCHEMA(c0d5bb8739d052f5);
 CAPNP_DECLARE_SCHEMA(b1772c2b428967cb);
 CAPNP_DECLARE_SCHEMA(8a2746bd67320ae3);
@@ -55,21 +54,6 @@
   };
 };
 
-struct Echo {
-  Echo() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b7f15608ce68df25, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct UpstreamUse {
   UpstreamUse() = delete;
 
@@ -93,7 +77,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b1772c2b428967cb, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b1772c2b428967cb, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -232,7 +216,7 @@
   inline  ::capnp::List< ::pimento::wire::TeamUse,  ::capnp::Kind::STRUCT>::Reader getTeams() const;
 
   inline bool hasEchoes() const;
-  inline  ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>::Reader getEchoes() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getEchoes() const;
 
   inline bool getStrained() const;
 
@@ -320,11 +304,12 @@
   inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::TeamUse,  ::capnp::Kind::STRUCT>> disownTeams();
 
   inline bool hasEchoes();
-  inline  ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>::Builder getEchoes();
-  inline void setEchoes( ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>::Builder initEchoes(unsigned int size);
-  inline void adoptEchoes(::capnp::Orphan< ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>> disownEchoes();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getEchoes();
+  inline void setEchoes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setEchoes(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initEchoes(unsigned int size);
+  inline void adoptEchoes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownEchoes();
 
   inline bool getStrained();
   inline void setStrained(bool value);
@@ -366,97 +351,6 @@
 };
 #endif  // !CAPNP_LITE
 
-class Echo::Reader {
-public:
-  typedef Echo Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
-
-  inline  ::uint64_t getBoot() const;
-
-  inline  ::uint64_t getSequence() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Echo::Builder {
-public:
-  typedef Echo Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
-
-  inline  ::uint64_t getBoot();
-  inline void setBoot( ::uint64_t value);
-
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Echo::Pipeline {
-public:
-  typedef Echo Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
 class UpstreamUse::Reader {
 public:
   typedef UpstreamUse Reads;
@@ -555,12 +449,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTeam() const;
-  inline  ::capnp::Text::Reader getTeam() const;
+  inline  ::uint64_t getTeam() const;
 
-  inline  ::int64_t getAdmitted() const;
+  inline  ::int32_t getAdmitted() const;
 
-  inline  ::int64_t getStarted() const;
+  inline  ::int32_t getStarted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -590,18 +483,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTeam();
-  inline  ::capnp::Text::Builder getTeam();
-  inline void setTeam( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTeam(unsigned int size);
-  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+  inline  ::uint64_t getTeam();
+  inline void setTeam( ::uint64_t value);
 
-  inline  ::int64_t getAdmitted();
-  inline void setAdmitted( ::int64_t value);
+  inline  ::int32_t getAdmitted();
+  inline void setAdmitted( ::int32_t value);
 
-  inline  ::int64_t getStarted();
-  inline void setStarted( ::int64_t value);
+  inline  ::int32_t getStarted();
+  inline void setStarted( ::int32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1527,29 +1416,33 @@
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>::Reader GatewayNews::Reader::getEchoes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GatewayNews::Reader::getEchoes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::getEchoes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GatewayNews::Builder::getEchoes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void GatewayNews::Builder::setEchoes( ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void GatewayNews::Builder::setEchoes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::initEchoes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void GatewayNews::Builder::setEchoes(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GatewayNews::Builder::initEchoes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void GatewayNews::Builder::adoptEchoes(
-    ::capnp::Orphan< ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>> GatewayNews::Builder::disownEchoes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::Echo,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GatewayNews::Builder::disownEchoes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
@@ -1619,68 +1512,6 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool Echo::Reader::hasHost() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Echo::Builder::hasHost() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Echo::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Echo::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Echo::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Echo::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Echo::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Echo::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t Echo::Reader::getBoot() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Echo::Builder::getBoot() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Echo::Builder::setBoot( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Echo::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Echo::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Echo::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint64_t UpstreamUse::Reader::getUpstream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1709,66 +1540,46 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool TeamUse::Reader::hasTeam() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool TeamUse::Builder::hasTeam() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader TeamUse::Reader::getTeam() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder TeamUse::Builder::getTeam() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void TeamUse::Builder::setTeam( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder TeamUse::Builder::initTeam(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::uint64_t TeamUse::Reader::getTeam() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TeamUse::Builder::adoptTeam(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t TeamUse::Builder::getTeam() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> TeamUse::Builder::disownTeam() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void TeamUse::Builder::setTeam( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t TeamUse::Reader::getAdmitted() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int32_t TeamUse::Reader::getAdmitted() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t TeamUse::Builder::getAdmitted() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int32_t TeamUse::Builder::getAdmitted() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void TeamUse::Builder::setAdmitted( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void TeamUse::Builder::setAdmitted( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t TeamUse::Reader::getStarted() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int32_t TeamUse::Reader::getStarted() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t TeamUse::Builder::getStarted() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int32_t TeamUse::Builder::getStarted() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void TeamUse::Builder::setStarted( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void TeamUse::Builder::setStarted( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::pimento::wire::ArchiveCall::Which ArchiveCall::Reader::which() const {
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -2,6 +2,7 @@
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <array>
@@ -25,9 +26,16 @@
 constexpr int64_t kMostSendsPerSecond = 120;
 constexpr size_t kMostDatagramBytes = 16 * 1024;
 constexpr size_t kMostEntries = 400;
+constexpr int kSequenceBits = 16;
+// Whoever heard one of the first news of a gateway has heard it from its start.
+constexpr uint64_t kFirstNews = 3;
 
 }  // namespace
 
+uint64_t SenderHash(const std::string& host, uint64_t boot) {
+  return XXH3_64bits_withSeed(host.data(), host.size(), boot) >> kSequenceBits;
+}
+
 std::string EncodeNews(const GatewayNews& news) {
   capnp::MallocMessageBuilder message;
   auto out = message.initRoot<wire::GatewayNews>();
@@ -50,9 +58,9 @@
   auto teams = out.initTeams(
       static_cast<unsigned>(std::min(news.teams.size(), kMostEntries)));
   for (unsigned i = 0; i < teams.size(); ++i) {
-    teams[i].setTeam(news.teams[i].first);
-    teams[i].setAdmitted(news.teams[i].second.admitted);
-    teams[i].setStarted(news.teams[i].second.started);
+    teams[i].setTeam(news.teams[i].team);
+    teams[i].setAdmitted(static_cast<int32_t>(news.teams[i].use.admitted));
+    teams[i].setStarted(static_cast<int32_t>(news.teams[i].use.started));
   }
   auto programs = out.initPrograms(
       static_cast<unsigned>(std::min(news.programs.size(), kMostEntries)));
@@ -61,9 +69,8 @@
   auto echoes = out.initEchoes(
       static_cast<unsigned>(std::min(news.echoes.size(), kMostEntries)));
   for (unsigned i = 0; i < echoes.size(); ++i) {
-    echoes[i].setHost(news.echoes[i].host);
-    echoes[i].setBoot(news.echoes[i].boot);
-    echoes[i].setSequence(news.echoes[i].sequence);
+    const NewsEcho& echo = news.echoes[i];
+    echoes.set(i, (echo.sender << kSequenceBits) | echo.sequence);
   }
   const auto words = capnp::messageToFlatArray(message);
   const auto bytes = words.asBytes();
@@ -89,14 +96,13 @@
     for (const auto load : in.getLoads())
       news.loads.emplace_back(load.getUpstream(), load.getInFlight());
     for (const auto team : in.getTeams())
-      news.teams.emplace_back(
-          team.getTeam(),
-          TeamQuota::Use{team.getAdmitted(), team.getStarted()});
+      news.teams.push_back(
+          {team.getTeam(), {team.getAdmitted(), team.getStarted()}});
     for (const uint64_t program : in.getPrograms())
       news.programs.push_back(program);
-    for (const auto echo : in.getEchoes())
+    for (const uint64_t echo : in.getEchoes())
       news.echoes.push_back(
-          {echo.getHost(), echo.getBoot(), echo.getSequence()});
+          {echo >> kSequenceBits, static_cast<uint16_t>(echo)});
     return news;
   } catch (const kj::Exception& e) {
     throw StateError(std::string("A gateway's news are unreadable: ") +
@@ -104,29 +110,16 @@
   }
 }
 
-std::vector<std::pair<std::string, TeamQuota::Use>> GatewayView::Take(
-    const GatewayNews& news, int64_t now_ms) {
+std::vector<UseDigest::Entry> GatewayView::Take(const GatewayNews& news,
+                                                int64_t now_ms) {
   Peer& peer = peers_[news.host];
   const bool restarted = peer.news.boot != news.boot;
   if (restarted && news.boot < peer.news.boot) return {};
   if (!restarted && news.sequence <= peer.news.sequence) return {};
-  // At first sight its past is in the buckets of those that heard it already.
-  const bool first_sight = peer.news.host.empty();
-  std::unordered_map<std::string, TeamQuota::Use> before;
-  if (!restarted) {
-    for (const auto& [team, use] : peer.news.teams) before[team] = use;
-  }
-  std::vector<std::pair<std::string, TeamQuota::Use>> spent;
-  for (const auto& [team, use] : news.teams) {
-    const TeamQuota::Use& known = before[team];
-    const TeamQuota::Use more{use.admitted - known.admitted,
-                              use.started - known.started};
-    const bool changed = more.admitted != 0 || more.started != 0;
-    if (changed && !first_sight) spent.emplace_back(team, more);
-  }
+  if (restarted) peer.use = UseLedger(news.sequence <= kFirstNews);
   peer.news = news;
   peer.heard_ms = now_ms;
-  return spent;
+  return peer.use.Take(news.teams);
 }
 
 std::vector<const GatewayNews*> GatewayView::Heard(int64_t now_ms) const {
@@ -153,7 +146,8 @@
 std::vector<NewsEcho> GatewayView::Echoes(int64_t now_ms) const {
   std::vector<NewsEcho> echoes;
   for (const GatewayNews* news : Heard(now_ms))
-    echoes.push_back({news->host, news->boot, news->sequence});
+    echoes.push_back({SenderHash(news->host, news->boot),
+                      static_cast<uint16_t>(news->sequence)});
   return echoes;
 }
 
@@ -204,10 +198,10 @@
 }
 
 std::optional<BootClock::time_point> GatewayPeers::SentAt(
-    uint64_t sequence) const {
-  if (sequence > sequence_ || sequence + sent_.size() <= sequence_)
-    return std::nullopt;
-  return sent_[sequence % sent_.size()];
+    uint16_t sequence) const {
+  const auto ago = static_cast<uint16_t>(sequence_ - sequence);
+  if (ago >= sent_.size() || ago >= sequence_) return std::nullopt;
+  return sent_[(sequence_ - ago) % sent_.size()];
 }
 
 asio::awaitable<void> GatewayPeers::Send() {
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -14,17 +14,21 @@
 #include <vector>
 
 #include "src/boot_clock.h"
-#include "src/team_quota.h"
+#include "src/use_digest.h"
 
 namespace pimento {
 
 // Newest news that a gateway has of another.
 struct NewsEcho {
-  std::string host = {};
-  uint64_t boot = 0;
-  uint64_t sequence = 0;
+  // Of its host and start; 48 bits.
+  uint64_t sender = 0;
+  // The lowest bits of the news' number.
+  uint16_t sequence = 0;
 };
 
+// Under which the news of `host`, started at `boot`, are echoed.
+uint64_t SenderHash(const std::string& host, uint64_t boot);
+
 // What one gateway says.
 struct GatewayNews {
   std::string host = {};
@@ -44,8 +48,8 @@
   int64_t store_silent_ms = 0;
   // Calls in flight, by upstream hash.
   std::vector<std::pair<uint64_t, int64_t>> loads = {};
-  // Use since the start, by team.
-  std::vector<std::pair<std::string, TeamQuota::Use>> teams = {};
+  // Use since the start.
+  std::vector<UseDigest::Entry> teams = {};
   // Hashes of programs that it saw first, lately.
   std::vector<uint64_t> programs = {};
   std::vector<NewsEcho> echoes = {};
@@ -66,8 +70,7 @@
 
   // Returns what the gateway admitted since its last news, by team; nothing for
   // news that is older than what is known.
-  std::vector<std::pair<std::string, TeamQuota::Use>> Take(
-      const GatewayNews& news, int64_t now_ms);
+  std::vector<UseDigest::Entry> Take(const GatewayNews& news, int64_t now_ms);
   // Gateways that are heard.
   std::vector<const GatewayNews*> Heard(int64_t now_ms) const;
   // Calls in flight at those, by upstream hash.
@@ -79,6 +82,7 @@
   struct Peer {
     GatewayNews news;
     int64_t heard_ms = 0;
+    UseLedger use;
   };
   int64_t silent_after_ms_;
   std::map<std::string, Peer> peers_;
@@ -100,8 +104,9 @@
   std::chrono::milliseconds interval() const;
   // Sends at once, not only at the next interval.
   void Announce();
-  // When the news of this number were sent; nothing when that is long ago.
-  std::optional<BootClock::time_point> SentAt(uint64_t sequence) const;
+  // When the news were sent whose number ends in these bits; nothing when that
+  // is long ago.
+  std::optional<BootClock::time_point> SentAt(uint16_t sequence) const;
 
  private:
   boost::asio::awaitable<void> Send();
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -80,7 +80,8 @@
           WatchOptions(std::string(platform::kDrainedZoneKind), kRareWait)),
       member_watch_(io, store_, WatchOptions(kMemberListKind, kRareWait)),
       gateway_watch_(io, store_, WatchOptions(kGatewayKind, kRareWait)),
-      boot_(UnixUs()) {}
+      boot_(UnixUs()),
+      sender_(SenderHash(settings.host, boot_)) {}
 
 StoreWatchOptions GatewayState::WatchOptions(std::string kind,
                                              milliseconds wait) {
@@ -269,7 +270,7 @@
   // A peer's word was written after what it echoes was sent, however long it
   // lay in a buffer.
   for (const NewsEcho& echo : news.echoes) {
-    if (echo.host != settings_.host || echo.boot != boot_) continue;
+    if (echo.sender != sender_) continue;
     const auto sent = peers_.SentAt(echo.sequence);
     if (!sent) continue;
     outage_.Note(news.host, news.store_silent_ms, BootMs(*sent));
@@ -291,8 +292,7 @@
                    .store_silent_ms = StoreSilentMs()};
   news.loads = table_.OwnLoad();
   news.echoes = view_.Echoes(SteadyMs());
-  for (const auto& [team, use] : quota_.used())
-    news.teams.emplace_back(team, use);
+  news.teams = use_digest_.Next(quota_.used());
   news.programs = programs_.ToTell();
   return news;
 }
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -118,6 +118,9 @@
   int64_t gateways_ = 1;
   int64_t heard_ = 1;
   uint64_t boot_ = 0;
+  // Under which others echo this gateway's news.
+  uint64_t sender_ = 0;
+  UseDigest use_digest_;
   bool draining_ = false;
   bool was_usable_ = false;
   int64_t last_housekeeping_ms_ = 0;
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -1,5 +1,7 @@
 #include "src/team_quota.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -19,6 +21,10 @@
 
 }  // namespace
 
+uint64_t TeamHash(const std::string& team) {
+  return XXH3_64bits(team.data(), team.size());
+}
+
 void TeamQuota::set_teams(const DesiredState& state, int64_t now_ms) {
   std::unordered_map<std::string, Bucket> buckets;
   for (const TeamSpec& team : state.teams()) {
@@ -39,6 +45,8 @@
     buckets[team.name] = bucket;
   }
   buckets_ = std::move(buckets);
+  names_.clear();
+  for (const auto& [team, bucket] : buckets_) names_[TeamHash(team)] = team;
   started_ = true;
 }
 
@@ -134,8 +142,10 @@
   --used_[team].admitted;
 }
 
-void TeamQuota::Spent(const std::string& team, const Use& more) {
-  const auto it = buckets_.find(team);
+void TeamQuota::Spent(uint64_t team_hash, const Use& more) {
+  const auto name = names_.find(team_hash);
+  if (name == names_.end()) return;
+  const auto it = buckets_.find(name->second);
   if (it == buckets_.end()) return;
   Bucket& bucket = it->second;
   bucket.tokens -= static_cast<double>(more.admitted);
--- a/src/team_quota.h
+++ b/src/team_quota.h
@@ -29,6 +29,9 @@
 
 namespace pimento {
 
+// Under which gateways tell each other of a team.
+uint64_t TeamHash(const std::string& team);
+
 enum class ProgramStanding : uint8_t { kStarts, kRuns, kExcessive };
 
 // What a gateway knows of a request's program.
@@ -65,8 +68,9 @@
     int64_t admitted = 0;
     int64_t started = 0;
   };
-  // Another gateway admitted so much more, or gave some back.
-  void Spent(const std::string& team, const Use& more);
+  // Another gateway admitted so much more, or gave some back. `team_hash` is
+  // the team's TeamHash().
+  void Spent(uint64_t team_hash, const Use& more);
   // Own use by team.
   const std::unordered_map<std::string, Use>& used() const { return used_; }
 
@@ -90,6 +94,8 @@
   static double Need(const Bucket& bucket);
 
   std::unordered_map<std::string, Bucket> buckets_;
+  // Names of the teams that have a bucket.
+  std::unordered_map<uint64_t, std::string> names_;
   // Others go by differences.
   std::unordered_map<std::string, Use> used_;
   double share_ = 1;
--- a/test/correctness/team_quota_test.cc
+++ b/test/correctness/team_quota_test.cc
@@ -90,7 +90,7 @@
       const int64_t total = it == uses.end() ? 0 : it->second.admitted;
       for (size_t j = 0; j < quotas_.size(); ++j) {
         if (j != i && !cut_[j])
-          quotas_[j].Spent("large", {.admitted = total - told_[i]});
+          quotas_[j].Spent(TeamHash("large"), {.admitted = total - told_[i]});
       }
       told_[i] = total;
     }
