--- a/src/archive_client.cc
+++ b/src/archive_client.cc
@@ -19,12 +19,6 @@
 // GCC 12 destroys some temporaries of a co_await expression twice: calls are
 // built in variables of their own before they are awaited.
 
-int64_t NowMs() {
-  return std::chrono::duration_cast<milliseconds>(
-             steady_clock::now().time_since_epoch())
-      .count();
-}
-
 constexpr int kListChanges = 4;
 constexpr milliseconds kListPause{60};
 // A member that takes longer is late: the others are asked too.
@@ -97,13 +91,13 @@
         .Text("dependency", "archive")
         .Text("member", member.host)
         .Text("error", failure);
-  health_.Failed(member.id, NowMs());
+  health_.Failed(member.id, SteadyMs());
   throw TransportError(failure);
 }
 
 void ArchiveClient::Probe() {
   for (const ArchiveMember& member : list_->All()) {
-    if (!health_.Suspect(member.id) || !health_.TakeTurn(member.id, NowMs()))
+    if (!health_.Suspect(member.id) || !health_.TakeTurn(member.id, SteadyMs()))
       continue;
     asio::co_spawn(
         io_,
--- a/src/boot_clock.h
+++ b/src/boot_clock.h
@@ -31,4 +31,11 @@
       .count();
 }
 
+// Milliseconds of the steady clock.
+inline int64_t SteadyMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
 }  // namespace pimento
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -21,12 +21,6 @@
 
 }  // namespace
 
-int64_t SteadyMs() {
-  return std::chrono::duration_cast<milliseconds>(
-             steady_clock::now().time_since_epoch())
-      .count();
-}
-
 Dispatcher::Dispatcher(asio::io_context& io, UpstreamTable& table,
                        Metrics& metrics)
     : io_(io), table_(table), metrics_(metrics) {}
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 
+#include "src/boot_clock.h"
 #include "src/fair_queue.h"
 #include "src/metrics.h"
 #include "src/reason.h"
@@ -72,7 +73,4 @@
   bool ticking_ = false;
 };
 
-// Steady clock, milliseconds.
-int64_t SteadyMs();
-
 }  // namespace pimento
