A gateway that the store turns away follows another one of its zone

Change: a watcher that failed at the store leaves itself out of the zone's watchers for 3 s and asks another's copy, then the store again. Where no other one serves, all is as before: it stops for keys.

Tests: watch_duty_test; watch_test on real processes: a gateway whose link to the store is silent refuses the old key and serves the new one 3 s after a change. Without the change it answers 503 (the older case asserts only that it does not serve the old key, and stays).

--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -93,6 +93,7 @@
   options.on_source_failed = [this](const std::string& host,
                                     const std::string& error) {
     watch_duty_.Failed(host, SteadyMs());
+    if (host.empty()) return;  // the watch has logged it
     EventLine(Event::kDependencyLost)
         .Text("dependency", "store")
         .Text("over", host)
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -59,6 +59,7 @@
         continue;
       }
       Lost(e.what());
+      if (options_.on_source_failed) options_.on_source_failed({}, e.what());
     }
     asio::steady_timer timer(io_, pause);
     co_await timer.async_wait(asio::use_awaitable);
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -38,7 +38,7 @@
   bool holds_vanished = false;
   // Chooses the source before each call; the store itself when not set.
   std::function<StoreSource()> source = {};
-  // The copy of `host` cannot be used.
+  // The copy of `host`, or with no host the store itself, cannot be used.
   std::function<void(const std::string& host, const std::string& error)>
       on_source_failed = {};
 };
--- a/src/watch_duty.h
+++ b/src/watch_duty.h
@@ -10,6 +10,7 @@
 //
 //   zone a, 2 watchers: a1 and a2 watch the store; a3 asks a1, a4 asks a2
 //   a1 falls silent:    a2 and a3 watch the store; a4 asks a2 or a3
+//   the store turns a1 away: a1 asks a2 or a3, and now and then the store
 #pragma once
 
 #include <cstdint>
@@ -37,11 +38,15 @@
   std::string Ask(std::vector<std::string> sound, int64_t now_ms) const;
   // `host` did not answer, or has no fresh word of the store.
   void Failed(const std::string& host, int64_t now_ms);
+  // The store did not answer this gateway.
+  void StoreFailed(int64_t now_ms) { Failed({}, now_ms); }
 
  private:
+  bool Avoided(const std::string& host, int64_t now_ms) const;
+
   std::string self_;
   WatchDutyOptions options_;
-  // When a watcher last failed.
+  // When a watcher last failed; under the empty name, the store.
   std::map<std::string, int64_t> failed_;
 };
 
--- a/test/correctness/watch_duty_test.cc
+++ b/test/correctness/watch_duty_test.cc
@@ -32,6 +32,17 @@
   CHECK(duty.Ask(sound, 1'005) == first);
 }
 
+TEST_CASE("a watcher that the store turns away asks another, for a while") {
+  WatchDuty duty("a1", {.watchers = 2, .avoid_ms = 1'000});
+  const std::vector<std::string> sound = {"a1", "a2", "a3"};
+  CHECK(duty.Ask(sound, 0).empty());
+  duty.StoreFailed(0);
+  const std::string ask = duty.Ask(sound, 10);
+  CHECK((ask == "a2" || ask == "a3"));
+  CHECK(duty.Ask({"a1"}, 10).empty());
+  CHECK(duty.Ask(sound, 1'010).empty());
+}
+
 TEST_CASE("a gateway that hears nobody, or is not ready itself, has a way") {
   const WatchDuty duty("a3", {.watchers = 2});
   CHECK(duty.Ask({}, 0).empty());
--- a/test/platform/watch_test.cc
+++ b/test/platform/watch_test.cc
@@ -88,4 +88,14 @@
     CheckSecondState(fleet, gateway);
 }
 
+TEST_CASE("a gateway that the store turns away serves on by another's word") {
+  auto fleet = PlatformFleet(
+      "build/bin", "build/platform/watch-alone",
+      {.gateways = 2, .revoke_ms = 3'000, .zones = 1, .proxied = true});
+  fleet.LinkOf("gateway-0").Set(LinkFault::kSilent);
+  fleet.PutState(2, {"another-key"});
+  Pause(3'000);
+  for (int i = 0; i < 10; ++i, Pause(200)) CheckSecondState(fleet, 0);
+}
+
 }  // namespace pimento::testbed
