With more gateways than calls each cold upstream takes those of some

Each gateway's part was one call a second at least, so 79 gateways sent up to 79 where 41 are borne.

Ruled out: a part below one as a longer pause (all may send in the same second).

Change: cold_share.h. Gateways know their place among all registered ones; an upstream takes one call a second from as many of them as it bears, those that follow its hash. A service whose few upstreams are all left to others is served all the same.

Test: 79 tables together send no more than 41 a second to any of 20 upstreams (79 before); a service with one upstream serves every gateway.

--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -253,6 +253,9 @@
     gateway_addresses_[host] = addresses.back();
   }
   gateways_ = std::max<int64_t>(1, count);
+  const auto& all = gateway_watch_.objects();
+  table_.set_position(
+      std::distance(all.begin(), all.lower_bound(settings_.host)));
   try {
     peers_.set_peers(addresses);
     view_.set_silent_after_ms(static_cast<int64_t>(
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <utility>
 
+#include "src/cold_share.h"
+
 namespace pimento {
 namespace {
 
@@ -82,12 +84,24 @@
   }
 }
 
-double UpstreamTable::SendsPerSecond(const std::string& service) const {
-  const auto it = services_.find(service);
-  if (it == services_.end() || it->second.cold_per_second <= 0) return 0;
-  const double all =
-      it->second.cold_per_second * options_.cold_factor + options_.cold_slack;
-  return std::max(1.0, std::floor(all / static_cast<double>(gateways_)));
+std::optional<int64_t> UpstreamTable::SendsPerSecond(
+    const Upstream& upstream) const {
+  const auto it = services_.find(upstream.entry.service);
+  if (it == services_.end() || it->second.cold_per_second <= 0)
+    return std::nullopt;
+  return ColdShare({.bears = it->second.cold_per_second * options_.cold_factor +
+                             options_.cold_slack,
+                    .gateways = gateways_,
+                    .position = std::min(position_, gateways_ - 1),
+                    .upstream_hash = upstream.hash});
+}
+
+bool UpstreamTable::HasShare(const std::string& service) const {
+  return std::any_of(
+      upstreams_.begin(), upstreams_.end(), [&](const auto& item) {
+        return item.second.entry.service == service && !item.second.gone &&
+               !item.second.entry.leaving && SendsPerSecond(item.second) != 0;
+      });
 }
 
 bool UpstreamTable::Usable(const Upstream& upstream,
@@ -101,12 +115,15 @@
 bool UpstreamTable::HasPlace(const Upstream& upstream, int64_t now_ms) const {
   const int64_t load = upstream.in_flight + upstream.others_in_flight;
   if (load >= upstream.entry.slots) return false;
-  const double most = SendsPerSecond(upstream.entry.service);
-  if (most == 0) return true;
+  auto most = SendsPerSecond(upstream);
+  if (!most) return true;
+  // A service whose few upstreams are all left to others is served all the
+  // same.
+  if (*most == 0 && !HasShare(upstream.entry.service)) most = 1;
   const auto recent =
       std::count_if(upstream.sends.begin(), upstream.sends.end(),
                     [now_ms](int64_t at) { return at > now_ms - kSecondMs; });
-  return static_cast<double>(recent) < most;
+  return recent < *most;
 }
 
 int64_t UpstreamTable::KeptTokens(const Upstream& upstream,
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -71,6 +71,8 @@
   void set_services(const DesiredState& state);
   // Gateways that may send to the same upstreams, this one included.
   void set_gateways(int64_t count) { gateways_ = count; }
+  // This gateway's place among them, in the order of names.
+  void set_position(int64_t position) { position_ = position; }
   // Calls that other gateways have in flight, by upstream hash.
   void set_others_load(std::unordered_map<uint64_t, int64_t> load);
 
@@ -127,13 +129,18 @@
   double Expected(const Upstream& upstream, const PlacementInput& input) const;
   int64_t KeptTokens(const Upstream& upstream,
                      const PlacementInput& input) const;
-  double SendsPerSecond(const std::string& service) const;
+  // This gateway's part of what the upstream bears when cold; nothing where it
+  // never is.
+  std::optional<int64_t> SendsPerSecond(const Upstream& upstream) const;
+  // True when some upstream of the service takes calls of this gateway.
+  bool HasShare(const std::string& service) const;
 
   UpstreamTableOptions options_;
   std::map<std::string, Upstream> upstreams_;
   std::set<std::string> drained_zones_;
   std::unordered_map<std::string, ServiceSpec> services_;
   int64_t gateways_ = 1;
+  int64_t position_ = 0;
 };
 
 }  // namespace pimento
--- a/test/correctness/upstream_table_test.cc
+++ b/test/correctness/upstream_table_test.cc
@@ -73,6 +73,49 @@
         UpstreamTable::Verdict::kChosen);
 }
 
+TEST_CASE("79 gateways together send no more than a cold upstream bears") {
+  // 24 a second, half as much again and 5: 41, fewer than there are gateways.
+  constexpr int64_t kGateways = 79;
+  std::map<std::string, int> sent;
+  int least_upstreams = 1'000;
+  for (int64_t gateway = 0; gateway < kGateways; ++gateway) {
+    std::vector<UpstreamEntry> entries;
+    for (int i = 0; i < 20; ++i)
+      entries.push_back(Entry("u" + std::to_string(i)));
+    auto table = TableOf(entries);
+    table.set_services(StateWith(24));
+    table.set_gateways(kGateways);
+    table.set_position(gateway);
+    std::set<std::string> used;
+    for (int64_t now = 0; now < 1'000; ++now) {
+      const auto choice = table.Choose(Input(), now);
+      if (choice.verdict != UpstreamTable::Verdict::kChosen) continue;
+      const std::string id = choice.upstream.id;
+      table.Started(id, Input(), now);
+      table.Finished(id, {.duration_ms = 1, .events = 1}, now);
+      ++sent[id];
+      used.insert(id);
+    }
+    least_upstreams = std::min(least_upstreams, static_cast<int>(used.size()));
+  }
+  for (const auto& [id, count] : sent) {
+    CAPTURE(id);
+    CHECK(count <= 41);
+  }
+  CHECK(sent.size() == 20);
+  CHECK(least_upstreams >= 3);
+}
+
+TEST_CASE("the only upstream of a service serves every gateway") {
+  auto table = TableOf({Entry("one")});
+  table.set_services(StateWith(24));
+  table.set_gateways(79);
+  for (int64_t gateway = 0; gateway < 79; ++gateway) {
+    table.set_position(gateway);
+    CHECK(table.Choose(Input(), 0).verdict == UpstreamTable::Verdict::kChosen);
+  }
+}
+
 TEST_CASE("a turn goes where its prompt is kept, until the load costs more") {
   auto table = TableOf({Entry("one"), Entry("two")});
   const std::vector<PromptPart> prompt = {{1, 512}, {2, 3'000}, {3, 20}};
