--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -87,8 +87,9 @@
 std::optional<int64_t> UpstreamTable::SendsPerSecond(
     const Upstream& upstream) const {
   const auto it = services_.find(upstream.entry.service);
-  if (it == services_.end() || it->second.cold_per_second <= 0)
+  if (it == services_.end() || it->second.cold_per_second <= 0) {
     return std::nullopt;
+  }
   return ColdShare({.bears = it->second.cold_per_second * options_.cold_factor +
                              options_.cold_slack,
                     .gateways = gateways_,
--- a/src/use_digest.cc
+++ b/src/use_digest.cc
@@ -49,8 +49,9 @@
     if (first && !from_start_) continue;
     const TeamQuota::Use more{entry.use.admitted - before.admitted,
                               entry.use.started - before.started};
-    if (more.admitted != 0 || more.started != 0)
+    if (more.admitted != 0 || more.started != 0) {
       spent.push_back({entry.team, more});
+    }
   }
   return spent;
 }
