--- a/src/credit_broker.cc
+++ b/src/credit_broker.cc
@@ -140,6 +140,7 @@
     const uint32_t wanted = asking.waiting;
     bool answered = false;
     std::string way;
+    bool relayed = false;
     try {
       const uint32_t shard = ShardFor(context_, "team", team);
       const std::string address = OwnerAddress(context_, shards_, shard);
@@ -149,6 +150,7 @@
         reply = co_await Grant(request);
       } else {
         way = WayTo(context_, address, request.relay);
+        relayed = request.relay;
         reply = co_await context_.peers->Credits(way, request, kAskMs);
       }
       if (reply.outcome.ok()) {
@@ -168,7 +170,7 @@
     } catch (const TransportError& e) {
       kLog.Debug() << "The bucket of " << team << " was not reached over "
                    << way << ": " << e.what();
-      context_.detours.Lost(way, NowMs());
+      if (!relayed) context_.detours.Lost(way, NowMs());
       context_.metrics->Retried(Reason::kOwnerUnreachable);
     }
     if (answered) {
--- a/src/detour.h
+++ b/src/detour.h
@@ -19,7 +19,8 @@
 
 class Detours {
  public:
-  // A call to `address` failed.
+  // A call to `address` itself failed. One that a helper was to pass on says
+  // nothing of the helper: its way may be cut, or the owner dead.
   void Lost(const std::string& address, int64_t now_ms);
   // The peer to send to for `address`: itself, or a helper out of `live` that
   // is to pass the request on. Helpers take turns; one that failed lately is
