A slot whose intent was not counted is given back

Since the gate grants only two calls unproved, two such slots stopped it until they lapsed (60 s). Ruled out: releases that never arrive (a third host passes them on), hand-overs (none while the host is not reached), reordered requests.

Change: the slot is released when the intent fails.

--- a/src/call_passes.cc
+++ b/src/call_passes.cc
@@ -151,7 +151,7 @@
     } else {
       upstream = co_await ChooseUpstream(call);
       ticket = co_await AcquireSlot(call, upstream);
-      co_await RecordIntent(call, upstream);
+      co_await RecordIntentOrRelease(call, upstream, ticket);
     }
     const UpstreamAnswer answer = co_await Dispatch(call, upstream, resume);
     if (!resume) {
@@ -259,6 +259,25 @@
   Note(*call, "intent recorded for " + upstream + ".");
 }
 
+// An intent that was not counted sends nothing, so its slot is given back: kept
+// until it lapses, it would be one of the few that a gate grants unproved.
+CallPipeline::Async<void> CallPipeline::RecordIntentOrRelease(
+    RunningPtr call, std::string upstream, uint64_t ticket) {
+  std::exception_ptr failure;
+  try {
+    co_await RecordIntent(call, upstream);
+  } catch (const Refusal&) {
+    failure = std::current_exception();
+  }
+  if (!failure) co_return;
+  SlotDone unused;
+  unused.upstream = upstream;
+  unused.ticket = ticket;
+  unused.abandoned = true;
+  Spawn(*parts_.context->shards_io, "call", parts_.slots->Release(unused));
+  std::rethrow_exception(failure);
+}
+
 CallPipeline::Async<UpstreamAnswer> CallPipeline::Dispatch(RunningPtr call,
                                                            std::string upstream,
                                                            bool resume) {
--- a/src/call_pipeline.h
+++ b/src/call_pipeline.h
@@ -105,6 +105,8 @@
   Async<std::string> ChooseUpstream(RunningPtr call);
   Async<uint64_t> AcquireSlot(RunningPtr call, std::string upstream);
   Async<void> RecordIntent(RunningPtr call, std::string upstream);
+  Async<void> RecordIntentOrRelease(RunningPtr call, std::string upstream,
+                                    uint64_t ticket);
   Async<UpstreamAnswer> Dispatch(RunningPtr call, std::string upstream,
                                  bool resume);
   Async<UpstreamAnswer> DispatchToEngine(RunningPtr call,
