Requests beyond a team's rate wait for their own time, in one order

Ruled out: loops (their requests are 1% of those that ended).

Change: a request takes its time from the bucket at once, counted here and at the other gateways, and waits until then: 0.6 s at most where its program runs, 1 s for a start, half of its time limit in any case. A start waits for its own time only, never beside running programs that wait.

--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -1,5 +1,6 @@
 // What a request must be granted before it is offered: its team's rate, its
 // program's budget, and the chain of turns that it goes on from.
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -12,8 +13,9 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-// Longest wait of a running program for its team's rate.
-constexpr int64_t kMostShapingMs = 450;
+// Longest wait for the team's rate, by standing, milliseconds: a start holds up
+// no calls of its program, and one whose budget is spent has nothing to lose.
+constexpr std::array<int64_t, 3> kMostShapingMs = {1'000, 600, 0};
 constexpr std::array<std::string_view, 3> kStandingNames = {
     "new programs.", "programs that run.", "programs whose budget is spent."};
 constexpr int kSettleTries = 4;
@@ -24,28 +26,22 @@
 asio::awaitable<void> GatewayCall::Admit() {
   if (team_ == nullptr) co_return;
   const ProgramStanding standing = Standing();
-  int64_t wait_ms = state_.quota().Take(team_->name, standing, SteadyMs());
-  // A running program waits for its turn here: refused, it would come back at
-  // once, and lose its whole work when it is refused too often.
-  if (wait_ms > 0 && standing == ProgramStanding::kRuns) {
-    const int64_t place_ms =
-        std::max(wait_ms, state_.quota().TakePlace(team_->name, SteadyMs()));
-    if (place_ms <= kMostShapingMs) {
-      co_await Wait(milliseconds(place_ms));
-      if (token_.stopped()) co_return;
-      wait_ms = state_.quota().Take(team_->name, standing, SteadyMs());
-    }
-  }
-  if (wait_ms > 0)
-    throw Refusal(
-        Reason::kRateLimited, RunState::kNotRun,
-        "Team " + team_->name + " is over its rate for " +
-            std::string(kStandingNames[static_cast<size_t>(standing)]),
-        wait_ms);
+  // A program waits for its time here: refused, it would come back at once, and
+  // lose its whole work when it is refused too often.
+  const auto rank = static_cast<size_t>(standing);
+  const QuotaAnswer answer = state_.quota().Reserve(
+      team_->name, standing, std::min(kMostShapingMs[rank], LeftMs() / 2),
+      SteadyMs());
+  if (!answer.admitted)
+    throw Refusal(Reason::kRateLimited, RunState::kNotRun,
+                  "Team " + team_->name + " is over its rate for " +
+                      std::string(kStandingNames[rank]),
+                  answer.wait_ms);
   admitted_ = true;
   state_.NoteAdmission(team_->name);
   if (!head_.program.empty())
     state_.programs().Admitted(head_.program, SteadyMs());
+  if (answer.wait_ms > 0) co_await Wait(milliseconds(answer.wait_ms));
 }
 
 ProgramStanding GatewayCall::Standing() const {
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -48,7 +48,6 @@
 }
 
 void TeamQuota::set_fleet(int64_t gateways, int64_t heard) {
-  heard_ = std::max<int64_t>(1, heard);
   share_ = std::clamp(static_cast<double>(heard) /
                           static_cast<double>(std::max<int64_t>(1, gateways)),
                       0.0, 1.0);
@@ -82,25 +81,15 @@
   return starts ? ProgramStanding::kStarts : ProgramStanding::kRuns;
 }
 
-int64_t TeamQuota::TakePlace(const std::string& team, int64_t now_ms) {
-  const auto it = buckets_.find(team);
-  if (it == buckets_.end()) return 0;
-  Bucket& bucket = it->second;
-  // This gateway's part of the rate.
-  const double each_ms = kMsPerSecond * static_cast<double>(heard_) /
-                         std::max(1e-3, bucket.rate * share_);
-  const double now = static_cast<double>(now_ms);
-  const double debt_ms = std::max(0.0, -bucket.tokens) * kMsPerSecond /
-                         std::max(1e-3, bucket.rate * share_);
-  bucket.last_place_ms =
-      std::max(bucket.last_place_ms, now + debt_ms) + each_ms;
-  return static_cast<int64_t>(std::ceil(bucket.last_place_ms - now));
+double TeamQuota::RefillPerMs(const Bucket& bucket) const {
+  return std::max(1e-6, bucket.rate * share_ / kMsPerSecond);
 }
 
-int64_t TeamQuota::Take(const std::string& team, ProgramStanding standing,
-                        int64_t now_ms) {
+QuotaAnswer TeamQuota::Reserve(const std::string& team,
+                               ProgramStanding standing, int64_t most_wait_ms,
+                               int64_t now_ms) {
   const auto it = buckets_.find(team);
-  if (it == buckets_.end()) return 0;
+  if (it == buckets_.end()) return {.admitted = true};
   Bucket& bucket = it->second;
   Fill(bucket, now_ms);
   const bool starts = standing == ProgramStanding::kStarts;
@@ -109,11 +98,15 @@
   if (standing == ProgramStanding::kSpent) {
     lacking += kLeftOver * bucket.burst * share_;
   }
+  QuotaAnswer answer;
   if (lacking > 0) {
-    const double per_ms = std::max(1e-6, bucket.rate * share_ / kMsPerSecond);
-    return std::max<int64_t>(1,
-                             static_cast<int64_t>(std::ceil(lacking / per_ms)));
+    answer.wait_ms = std::max<int64_t>(
+        1, static_cast<int64_t>(std::ceil(lacking / RefillPerMs(bucket))));
   }
+  // A start waits for its own time only, never beside programs that run.
+  const bool waits = !starts || bucket.tokens >= 1;
+  answer.admitted = answer.wait_ms <= (waits ? most_wait_ms : 0);
+  if (!answer.admitted) return answer;
   Use& used = used_[team];
   bucket.tokens -= 1;
   ++used.admitted;
@@ -122,7 +115,12 @@
     ++used.started;
   }
   Count(bucket, {.admitted = 1, .started = starts ? 1 : 0});
-  return 0;
+  return answer;
+}
+
+int64_t TeamQuota::Take(const std::string& team, ProgramStanding standing,
+                        int64_t now_ms) {
+  return Reserve(team, standing, 0, now_ms).wait_ms;
 }
 
 bool TeamQuota::Tight(const std::string& team) const {
