News that come seldom do not make their sender new each time

Ruled out: gateways that are lost and heard again (the view itself goes by the time that follows the number of gateways).

Change: the view says who is silent, and the log goes by it; a team's count sent alone does not make its sender heard.

--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -128,6 +128,10 @@
   return peer.use.Take(news.teams);
 }
 
+bool GatewayView::Silent(const std::string& host, int64_t now_ms) const {
+  return peers_.count(host) == 0 || AgeMs(host, now_ms) >= silent_after_ms_;
+}
+
 std::vector<const GatewayNews*> GatewayView::Heard(int64_t now_ms) const {
   std::vector<const GatewayNews*> heard;
   for (const auto& [host, peer] : peers_) {
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -78,6 +78,8 @@
   // Calls in flight at those, by upstream hash.
   std::unordered_map<uint64_t, int64_t> Loads(int64_t now_ms) const;
   int64_t AgeMs(const std::string& host, int64_t now_ms) const;
+  // True for a gateway without news for too long, or never heard.
+  bool Silent(const std::string& host, int64_t now_ms) const;
   std::vector<NewsEcho> Echoes(int64_t now_ms) const;
 
  private:
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -128,9 +128,8 @@
   for (StoreWatch* watch : watches_) {
     const StoreSource source = watch->source();
     if (source.host.empty()) continue;
-    const bool heard =
-        view_.AgeMs(source.host, now_ms) < view_.silent_after_ms();
-    if (heard && !old) continue;
+    const bool silent = view_.Silent(source.host, now_ms);
+    if (!silent && !old) continue;
     watch_duty_.Failed(source.host, now_ms);
     source.client->Abort();
   }
@@ -268,10 +267,11 @@
 
 void GatewayState::OnNews(const GatewayNews& news) {
   const int64_t now_ms = SteadyMs();
-  if (view_.AgeMs(news.host, now_ms) > kPeerSilentMs)
-    EventLine(Event::kPeerSeen).Text("peer", news.host);
+  const bool was_silent = view_.Silent(news.host, now_ms);
   for (const auto& [team, use] : view_.Take(news, now_ms))
     quota_.Spent(team, use);
+  if (was_silent && !view_.Silent(news.host, now_ms))
+    EventLine(Event::kPeerSeen).Text("peer", news.host);
   for (const uint64_t program : news.programs) programs_.Heard(program, now_ms);
   // A peer's word was written after what it echoes was sent, however long it
   // lay in a buffer.
