Starts do not wait for their team's rate; waits are logged

Ruled out: rate left unused (45 requests a second end throughout).

A wait is logged (rate_waited), so that a late request can be explained.

--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -21,17 +21,18 @@
 
 constexpr std::array<std::string_view, static_cast<size_t>(Event::kCount)>
     kEventNames = {
-        "started",          "stopping",         "stopped",
-        "reloaded",         "state_in_force",   "state_stale",
-        "state_fresh",      "dependency_lost",  "dependency_regained",
-        "upstream_added",   "upstream_changed", "upstream_removed",
-        "upstream_avoided", "zones_drained",    "peer_seen",
-        "peer_lost",        "strain",           "call_queued",
-        "call_offered",     "offer_failed",     "call_refused",
-        "call_broken",      "call_ended",       "turn_begun",
-        "turn_kept",        "archive_failed",   "members_changed",
-        "copied",           "retirement",       "journal",
-        "handler_failed",   "accept_failed",    "connection_refused"};
+        "started",           "stopping",         "stopped",
+        "reloaded",          "state_in_force",   "state_stale",
+        "state_fresh",       "dependency_lost",  "dependency_regained",
+        "upstream_added",    "upstream_changed", "upstream_removed",
+        "upstream_avoided",  "zones_drained",    "peer_seen",
+        "peer_lost",         "strain",           "rate_waited",
+        "call_queued",       "call_offered",     "offer_failed",
+        "call_refused",      "call_broken",      "call_ended",
+        "turn_begun",        "turn_kept",        "archive_failed",
+        "members_changed",   "copied",           "retirement",
+        "journal",           "handler_failed",   "accept_failed",
+        "connection_refused"};
 
 // Lines of one event in the present second.
 struct Allowance {
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -34,6 +34,7 @@
   kPeerSeen,
   kPeerLost,
   kStrain,
+  kRateWaited,
   kCallQueued,
   kCallOffered,
   kOfferFailed,
--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -13,9 +13,9 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-// Longest wait for the team's rate, by standing, milliseconds: a start holds up
-// no calls of its program, and one whose budget is spent has nothing to lose.
-constexpr std::array<int64_t, 3> kMostShapingMs = {1'000, 600, 0};
+// Longest wait for the team's rate, by standing, milliseconds. Starts that wait
+// make late programs of those that run, where a team's rate is lastingly spent.
+constexpr std::array<int64_t, 3> kMostShapingMs = {0, 600, 0};
 constexpr std::array<std::string_view, 3> kStandingNames = {
     "new programs.", "programs that run.", "programs whose budget is spent."};
 constexpr int kSettleTries = 4;
@@ -41,7 +41,16 @@
   state_.NoteAdmission(team_->name);
   if (!head_.program.empty())
     state_.programs().Admitted(head_.program, SteadyMs());
-  if (answer.wait_ms > 0) co_await Wait(milliseconds(answer.wait_ms));
+  if (answer.wait_ms == 0) co_return;
+  EventLine(Event::kRateWaited)
+      .Text("request", head_.request_id)
+      .Text("program", head_.program)
+      .Text("team", team_->name)
+      .Text("for", kStandingNames[rank])
+      .Number("wait_ms", answer.wait_ms)
+      .Number("state_version", desired_->version())
+      .Number("state_age_ms", state_.StateAgeMs());
+  co_await Wait(milliseconds(answer.wait_ms));
 }
 
 ProgramStanding GatewayCall::Standing() const {
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -103,9 +103,7 @@
     answer.wait_ms = std::max<int64_t>(
         1, static_cast<int64_t>(std::ceil(lacking / RefillPerMs(bucket))));
   }
-  // A start waits for its own time only, never beside programs that run.
-  const bool waits = !starts || bucket.tokens >= 1;
-  answer.admitted = answer.wait_ms <= (waits ? most_wait_ms : 0);
+  answer.admitted = answer.wait_ms <= most_wait_ms;
   if (!answer.admitted) return answer;
   Use& used = used_[team];
   bucket.tokens -= 1;
