Warmth is proved by the fastest pace, not by the usual one

On a busy machine the usual pace of a warm engine rises (2.2 to 6.5 ms a token), so an answer that a cold one made at 8.5 ms counted. The engine's notes show it: two calls running, both begun while it was cold, and a third sent. Ruled out: streams that are over and still counted by the stand-in (those that ran had 0 to 15 of 16 tokens).

Change: proof needs a pace within 1.6 of the fastest known, which each slower answer raises by 2%. A load can only make answers slower, so it takes no proof for another.

--- a/src/admission_window.cc
+++ b/src/admission_window.cc
@@ -9,6 +9,9 @@
 // Above this many times the usual pace the window shrinks by kShrink.
 constexpr double kSlowRatio = 1.6;
 constexpr double kShrink = 0.9;
+// Each slower answer raises what counts as the fastest pace by this factor, so
+// that a lasting change becomes known.
+constexpr double kFastestRise = 1.02;
 
 }  // namespace
 
@@ -33,7 +36,7 @@
 }
 
 bool AdmissionWindow::ProvesWarm(double pace_ms) const {
-  return usual_pace_ms_ > 0 && pace_ms <= usual_pace_ms_ * kSlowRatio;
+  return fastest_pace_ms_ > 0 && pace_ms <= fastest_pace_ms_ * kSlowRatio;
 }
 
 void AdmissionWindow::Succeeded(int64_t now_ms, double pace_ms) {
@@ -51,6 +54,9 @@
   earned_ = slow ? earned_ * kShrink : earned_ + 1;
   earned_ = std::clamp(earned_, static_cast<double>(options_.cold_window),
                        static_cast<double>(options_.full_window));
+  fastest_pace_ms_ = fastest_pace_ms_ == 0
+                         ? pace_ms
+                         : std::min(pace_ms, fastest_pace_ms_ * kFastestRise);
   usual_pace_ms_ =
       usual_pace_ms_ == 0
           ? pace_ms
--- a/src/admission_window.h
+++ b/src/admission_window.h
@@ -42,9 +42,9 @@
 
   // False for a pace that is a sign of a cold start.
   bool UsualPace(double pace_ms) const;
-  // True for a pace at which only a warm upstream answers. Paces between this
-  // and a sign of a cold start say nothing: a cold upstream with little to do
-  // may be as fast as a warm one that is full.
+  // True for a pace at which only a warm upstream answers: near the fastest one
+  // known. The usual pace is no measure here, as a busy machine or a full batch
+  // makes it slower, up to that of a cold upstream.
   bool ProvesWarm(double pace_ms) const;
   double usual_pace_ms() const { return usual_pace_ms_; }
   void set_options(WindowOptions options) { options_ = options; }
@@ -57,6 +57,8 @@
   double earned_;
   // Moving average of the pace while warm; 0 while none is known.
   double usual_pace_ms_ = 0;
+  // Fastest pace, which slower answers raise by little; 0 while none is known.
+  double fastest_pace_ms_ = 0;
 };
 
 }  // namespace pimento
--- a/test/correctness/policy_test.cc
+++ b/test/correctness/policy_test.cc
@@ -274,6 +274,42 @@
         SmallGate().window.cold_window);
 }
 
+// On a busy machine most answers of a warm upstream are slow, too: 6.5 ms a
+// token, now and then 2.2; a cold one never makes a token in less than 8 ms.
+TEST_CASE("slow answers of a warm upstream do not make slow ones a proof") {
+  UpstreamGate gate(SmallGate(), 0);
+  uint64_t asked = 0;
+  for (int i = 0; i < 40; ++i) gate.Ask(Waiting(++asked, "t"), 256);
+  std::vector<uint64_t> running;
+  const auto release = [&gate, &running](int64_t now_ms) {
+    for (const WaitingCall& call : gate.Release(now_ms))
+      running.push_back(call.ticket);
+  };
+  const auto done = [&gate, &running](double pace_ms, int64_t now_ms) {
+    gate.Done(
+        {.ticket = running.front(), .succeeded = true, .pace_ms = pace_ms},
+        now_ms);
+    running.erase(running.begin());
+  };
+  int64_t now_ms = 1'500;
+  for (int i = 0; i < 20; ++i) {
+    release(now_ms);
+    now_ms += 100;
+    done(i % 4 == 0 ? 2.2 : 6.5, now_ms);
+  }
+  while (running.size() > 1) done(6.5, now_ms);
+  // It turns cold unseen; what was granted before breaks off, two calls begin.
+  gate.Done({.ticket = running.front(), .succeeded = false}, now_ms);
+  running.clear();
+  now_ms += 100;
+  release(now_ms);
+  REQUIRE(running.size() == SmallGate().window.cold_window);
+  now_ms += 150;
+  done(8.5, now_ms);
+  release(now_ms);
+  CHECK(running.size() <= SmallGate().window.cold_window);
+}
+
 TEST_CASE("an answer before any pace is known proves nothing") {
   UpstreamGate gate(SmallGate(), 0);
   for (uint64_t id = 1; id <= 8; ++id) gate.Ask(Waiting(id, "t"), 256);
