Waiting ahead for a team's rate is taken back whole

Ruled out: the count given back, which only changes what a start is charged.

Kept: what did not run is no part of what programs need; a wait is logged.

--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -1,6 +1,5 @@
 // What a request must be granted before it is offered: its team's rate, its
 // program's budget, and the chain of turns that it goes on from.
-#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -13,9 +12,8 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-// Longest wait for the team's rate, by standing, milliseconds. Starts that wait
-// make late programs of those that run, where a team's rate is lastingly spent.
-constexpr std::array<int64_t, 3> kMostShapingMs = {0, 600, 0};
+// Longest wait of a running program for its team's rate.
+constexpr int64_t kMostShapingMs = 450;
 constexpr std::array<std::string_view, 3> kStandingNames = {
     "new programs.", "programs that run.", "programs whose budget is spent."};
 constexpr int kSettleTries = 4;
@@ -26,31 +24,35 @@
 asio::awaitable<void> GatewayCall::Admit() {
   if (team_ == nullptr) co_return;
   const ProgramStanding standing = Standing();
-  // A program waits for its time here: refused, it would come back at once, and
-  // lose its whole work when it is refused too often.
-  const auto rank = static_cast<size_t>(standing);
-  const QuotaAnswer answer = state_.quota().Reserve(
-      team_->name, standing, std::min(kMostShapingMs[rank], LeftMs() / 2),
-      SteadyMs());
-  if (!answer.admitted)
-    throw Refusal(Reason::kRateLimited, RunState::kNotRun,
-                  "Team " + team_->name + " is over its rate for " +
-                      std::string(kStandingNames[rank]),
-                  answer.wait_ms);
+  int64_t wait_ms = state_.quota().Take(team_->name, standing, SteadyMs());
+  // A running program waits for its turn here: refused, it would come back at
+  // once, and lose its whole work when it is refused too often.
+  if (wait_ms > 0 && standing == ProgramStanding::kRuns) {
+    const int64_t place_ms =
+        std::max(wait_ms, state_.quota().TakePlace(team_->name, SteadyMs()));
+    if (place_ms <= kMostShapingMs) {
+      EventLine(Event::kRateWaited)
+          .Text("request", head_.request_id)
+          .Text("program", head_.program)
+          .Text("team", team_->name)
+          .Number("wait_ms", place_ms)
+          .Number("state_version", desired_->version())
+          .Number("state_age_ms", state_.StateAgeMs());
+      co_await Wait(milliseconds(place_ms));
+      if (token_.stopped()) co_return;
+      wait_ms = state_.quota().Take(team_->name, standing, SteadyMs());
+    }
+  }
+  if (wait_ms > 0)
+    throw Refusal(
+        Reason::kRateLimited, RunState::kNotRun,
+        "Team " + team_->name + " is over its rate for " +
+            std::string(kStandingNames[static_cast<size_t>(standing)]),
+        wait_ms);
   admitted_ = true;
   state_.NoteAdmission(team_->name);
   if (!head_.program.empty())
     state_.programs().Admitted(head_.program, SteadyMs());
-  if (answer.wait_ms == 0) co_return;
-  EventLine(Event::kRateWaited)
-      .Text("request", head_.request_id)
-      .Text("program", head_.program)
-      .Text("team", team_->name)
-      .Text("for", kStandingNames[rank])
-      .Number("wait_ms", answer.wait_ms)
-      .Number("state_version", desired_->version())
-      .Number("state_age_ms", state_.StateAgeMs());
-  co_await Wait(milliseconds(answer.wait_ms));
 }
 
 ProgramStanding GatewayCall::Standing() const {
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -48,6 +48,7 @@
 }
 
 void TeamQuota::set_fleet(int64_t gateways, int64_t heard) {
+  heard_ = std::max<int64_t>(1, heard);
   share_ = std::clamp(static_cast<double>(heard) /
                           static_cast<double>(std::max<int64_t>(1, gateways)),
                       0.0, 1.0);
@@ -81,15 +82,25 @@
   return starts ? ProgramStanding::kStarts : ProgramStanding::kRuns;
 }
 
-double TeamQuota::RefillPerMs(const Bucket& bucket) const {
-  return std::max(1e-6, bucket.rate * share_ / kMsPerSecond);
+int64_t TeamQuota::TakePlace(const std::string& team, int64_t now_ms) {
+  const auto it = buckets_.find(team);
+  if (it == buckets_.end()) return 0;
+  Bucket& bucket = it->second;
+  // This gateway's part of the rate.
+  const double each_ms = kMsPerSecond * static_cast<double>(heard_) /
+                         std::max(1e-3, bucket.rate * share_);
+  const double now = static_cast<double>(now_ms);
+  const double debt_ms = std::max(0.0, -bucket.tokens) * kMsPerSecond /
+                         std::max(1e-3, bucket.rate * share_);
+  bucket.last_place_ms =
+      std::max(bucket.last_place_ms, now + debt_ms) + each_ms;
+  return static_cast<int64_t>(std::ceil(bucket.last_place_ms - now));
 }
 
-QuotaAnswer TeamQuota::Reserve(const std::string& team,
-                               ProgramStanding standing, int64_t most_wait_ms,
-                               int64_t now_ms) {
+int64_t TeamQuota::Take(const std::string& team, ProgramStanding standing,
+                        int64_t now_ms) {
   const auto it = buckets_.find(team);
-  if (it == buckets_.end()) return {.admitted = true};
+  if (it == buckets_.end()) return 0;
   Bucket& bucket = it->second;
   Fill(bucket, now_ms);
   const bool starts = standing == ProgramStanding::kStarts;
@@ -98,13 +109,11 @@
   if (standing == ProgramStanding::kSpent) {
     lacking += kLeftOver * bucket.burst * share_;
   }
-  QuotaAnswer answer;
   if (lacking > 0) {
-    answer.wait_ms = std::max<int64_t>(
-        1, static_cast<int64_t>(std::ceil(lacking / RefillPerMs(bucket))));
+    const double per_ms = std::max(1e-6, bucket.rate * share_ / kMsPerSecond);
+    return std::max<int64_t>(1,
+                             static_cast<int64_t>(std::ceil(lacking / per_ms)));
   }
-  answer.admitted = answer.wait_ms <= most_wait_ms;
-  if (!answer.admitted) return answer;
   Use& used = used_[team];
   bucket.tokens -= 1;
   ++used.admitted;
@@ -113,12 +122,7 @@
     ++used.started;
   }
   Count(bucket, {.admitted = 1, .started = starts ? 1 : 0});
-  return answer;
-}
-
-int64_t TeamQuota::Take(const std::string& team, ProgramStanding standing,
-                        int64_t now_ms) {
-  return Reserve(team, standing, 0, now_ms).wait_ms;
+  return 0;
 }
 
 bool TeamQuota::Tight(const std::string& team) const {
--- a/src/team_quota.h
+++ b/src/team_quota.h
@@ -19,14 +19,7 @@
 // started needs more requests to end well, and one refused midway has wasted
 // what it used. So a start is charged what programs of the team need on
 // average, from a second bucket of the same rate and burst, and requests of
-// programs that run are refused only when the first bucket is empty. Those wait
-// for their time first: programs ask in spikes, and one more refused request
-// may end a whole program.
-//
-//   rate 60, bucket empty, three requests of programs that run
-//   -> admitted after 17, 34 and 50 ms
-//
-// A program
+// programs that run are refused only when the first bucket is empty. A program
 // whose budget is spent can end nothing more, as one that loops: it gets only
 // what is left over. How much a program has asked for says nothing: the longest
 // of a hundred sound ones needs ten times what the median needs.
@@ -55,31 +48,21 @@
   bool may_be_start = false;
 };
 
-// What a request of a team gets.
-struct QuotaAnswer {
-  // True when the request may be sent once `wait_ms` have passed.
-  bool admitted = false;
-  // Refused: milliseconds after which one may be admitted.
-  int64_t wait_ms = 0;
-};
-
 class TeamQuota {
  public:
   void set_teams(const DesiredState& state, int64_t now_ms);
   // Gateways that may admit, and how many of them are heard, this one included.
   void set_fleet(int64_t gateways, int64_t heard);
 
-  // Takes one request of `team` now, or ahead of its time: it may wait up to
-  // `most_wait_ms` for the rate, in the order in which requests came. It counts
-  // from now on, here and at the others.
-  QuotaAnswer Reserve(const std::string& team, ProgramStanding standing,
-                      int64_t most_wait_ms, int64_t now_ms);
-  // Takes one request that does not wait. Returns 0, or the milliseconds after
-  // which one may be admitted.
+  // Takes one request of `team`. Returns 0, or the milliseconds after which one
+  // may be admitted.
   int64_t Take(const std::string& team, ProgramStanding standing,
                int64_t now_ms);
   // How the program of a request stands.
   static ProgramStanding StandingOf(const ProgramFacts& facts);
+  // Time until a request that waits here may be tried again, behind those that
+  // wait already; each gets a place of its own. Milliseconds.
+  int64_t TakePlace(const std::string& team, int64_t now_ms);
   // True while so much of the burst is used that the others should hear of each
   // admission at once, and not with the next news.
   bool Tight(const std::string& team) const;
@@ -100,17 +83,16 @@
   struct Bucket {
     double rate = 0;
     double burst = 0;
-    // Below zero: requests that wait for their time, and what was admitted
-    // twice over.
     double tokens = 0;
     // What programs that start may still claim; below zero while overdrawn.
     double claims = 0;
     int64_t filled_ms = 0;
+    // When the last of those that wait may be tried again.
+    double last_place_ms = 0;
     // Use by all gateways, with less weight for what is long ago.
     double recent_admitted = 0;
     double recent_started = 0;
   };
-  double RefillPerMs(const Bucket& bucket) const;
   void Fill(Bucket& bucket, int64_t now_ms) const;
   static void Count(Bucket& bucket, const Use& more);
   // Requests that a program needs on average.
@@ -122,6 +104,7 @@
   // Others go by differences.
   std::unordered_map<std::string, Use> used_;
   double share_ = 1;
+  int64_t heard_ = 1;
   // True once the first desired state was taken.
   bool started_ = false;
 };
--- a/test/correctness/team_quota_test.cc
+++ b/test/correctness/team_quota_test.cc
@@ -329,113 +329,12 @@
 
 TEST_CASE("those that wait for the rate get places one after the other") {
   TeamQuota quota;
-  quota.set_teams(StateWith(10, 5), 0);
+  quota.set_teams(StateWith(60, 60), 0);
   quota.set_fleet(6, 6);
-  constexpr int64_t kMostWaitMs = 450;
-  const auto reserve = [&quota](int64_t now_ms) {
-    return quota.Reserve("large", ProgramStanding::kRuns, kMostWaitMs, now_ms);
-  };
-  for (const int64_t place : {100, 200, 300, 400}) {
-    const QuotaAnswer answer = reserve(0);
-    CHECK(answer.admitted);
-    CHECK(answer.wait_ms == place);
-  }
-  // The fifth would wait too long. It takes no place: the next one is as far.
-  CHECK_FALSE(reserve(0).admitted);
-  CHECK(reserve(0).wait_ms == 500);
-  // A newcomer does not pass those that wait, here or at another gateway.
-  CHECK(quota.Take("large", ProgramStanding::kStarts, 300) == 200);
-  CHECK(quota.used().at("large").admitted == 4);
-  CHECK(reserve(1'000).wait_ms == 0);
-  // What others admitted ahead of time is waited for, too.
-  quota.Spent(HashOf("large"), {.admitted = 8});
-  CHECK(reserve(1'000).wait_ms > 200);
-}
-
-namespace {
-
-// Spikes of programs every four seconds, within the rate on average, through
-// six gateways. Programs make 12 requests, one 100 ms after the answer to the
-// one before; a refused request is sent once more after 100 ms, and then its
-// program ends badly. Returns how many did.
-struct SpikeResult {
-  int failed = 0;
-  size_t most_in_window = 0;
-};
-
-SpikeResult SpikesThrough(int64_t most_wait_ms, double rate) {
-  constexpr int kRequests = 12;
-  constexpr int kProgramsASpike = 18;
-  constexpr int64_t kStepMs = 100;
-  constexpr int64_t kNewsMs = 100;
-  struct Program {
-    int done = 0;
-    int refused = 0;
-    int64_t next_ms = 0;
-  };
-  std::vector<TeamQuota> quotas(6);
-  std::vector<int64_t> told(6, 0);
-  for (TeamQuota& quota : quotas) {
-    quota.set_teams(StateWith(rate, rate / 2), 0);
-    quota.set_fleet(6, 6);
-  }
-  std::vector<Program> running;
-  std::vector<int64_t> sent;
-  std::mt19937 random(4);
-  SpikeResult result;
-  for (int64_t now = 0; now < 40'000; now += 5) {
-    const bool spike = now % 4'000 < 300 && now >= 4'000;
-    if (spike && now % 15 == 0 && running.size() < kProgramsASpike)
-      running.push_back({.next_ms = now});
-    std::shuffle(running.begin(), running.end(), random);
-    for (Program& program : running) {
-      if (program.next_ms > now) continue;
-      TeamQuota& quota = quotas[random() % quotas.size()];
-      const QuotaAnswer answer =
-          quota.Reserve("large", ProgramStanding::kRuns, most_wait_ms, now);
-      program.next_ms = now + kStepMs;
-      if (!answer.admitted) {
-        ++program.refused;
-        continue;
-      }
-      program.next_ms += answer.wait_ms;
-      sent.push_back(now + answer.wait_ms);
-      ++program.done;
-      program.refused = 0;
-    }
-    std::erase_if(running, [&result](const Program& program) {
-      result.failed += program.refused == 2 ? 1 : 0;
-      return program.done == kRequests || program.refused == 2;
-    });
-    if (now % kNewsMs != 0) continue;
-    for (size_t i = 0; i < quotas.size(); ++i) {
-      const auto it = quotas[i].used().find("large");
-      const int64_t total =
-          it == quotas[i].used().end() ? 0 : it->second.admitted;
-      for (size_t j = 0; j < quotas.size(); ++j) {
-        if (i != j)
-          quotas[j].Spent(HashOf("large"), {.admitted = total - told[i]});
-      }
-      told[i] = total;
-    }
-  }
-  std::sort(sent.begin(), sent.end());
-  for (size_t first = 0, last = 0; last < sent.size(); ++last) {
-    while (sent[first] <= sent[last] - kWindowMs) ++first;
-    result.most_in_window = std::max(result.most_in_window, last - first + 1);
-  }
-  return result;
-}
-
-}  // namespace
-
-TEST_CASE("spikes within a team's rate wait instead of ending programs") {
-  const SpikeResult refusing = SpikesThrough(0, 60);
-  const SpikeResult waiting = SpikesThrough(600, 60);
-  MESSAGE("programs that failed, refused at once / waiting: "
-          << refusing.failed << " / " << waiting.failed);
-  CHECK(2 * waiting.failed < refusing.failed);
-  CHECK(waiting.most_in_window <= Allowed(60, 30));
+  const int64_t first = quota.TakePlace("large", 0);
+  CHECK(first == 100);
+  CHECK(quota.TakePlace("large", 0) == 200);
+  CHECK(quota.TakePlace("large", 1'000) == 100);
 }
 
 TEST_CASE("what did not run is no part of what programs need") {
