--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -10,6 +10,7 @@
 #include <array>
 #include <boost/json.hpp>
 #include <chrono>
+#include <cmath>
 #include <mutex>
 
 namespace pimento {
@@ -20,19 +21,44 @@
 constexpr int64_t kMsPerSecond = 1'000;
 
 constexpr std::array<std::string_view, static_cast<size_t>(Event::kCount)>
-    kEventNames = {
-        "started",           "stopping",         "stopped",
-        "reloaded",          "state_in_force",   "state_stale",
-        "state_fresh",       "dependency_lost",  "dependency_regained",
-        "upstream_added",    "upstream_changed", "upstream_removed",
-        "upstream_avoided",  "zones_drained",    "peer_seen",
-        "peer_lost",         "strain",           "rate_waited",
-        "call_queued",       "call_offered",     "offer_failed",
-        "call_refused",      "call_broken",      "call_ended",
-        "turn_begun",        "turn_kept",        "archive_failed",
-        "members_changed",   "copied",           "retirement",
-        "journal",           "handler_failed",   "accept_failed",
-        "connection_refused"};
+    kEventNames = {"started",
+                   "stopping",
+                   "stopped",
+                   "reloaded",
+                   "state_in_force",
+                   "state_stale",
+                   "state_fresh",
+                   "dependency_lost",
+                   "dependency_regained",
+                   "upstream_added",
+                   "upstream_changed",
+                   "upstream_removed",
+                   "upstream_avoided",
+                   "zones_drained",
+                   "peer_seen",
+                   "peer_lost",
+                   "strain",
+                   "rate_waited",
+                   "rate_charged",
+                   "rate_refunded",
+                   "rate_limit_set",
+                   "peer_usage_uncharged",
+                   "call_queued",
+                   "call_offered",
+                   "offer_failed",
+                   "call_refused",
+                   "call_broken",
+                   "call_ended",
+                   "turn_begun",
+                   "turn_kept",
+                   "archive_failed",
+                   "members_changed",
+                   "copied",
+                   "retirement",
+                   "journal",
+                   "handler_failed",
+                   "accept_failed",
+                   "connection_refused"};
 
 // Lines of one event in the current second.
 struct Allowance {
@@ -85,6 +111,11 @@
   return kEventNames[static_cast<size_t>(event)];
 }
 
+int64_t Milli(double value) {
+  constexpr double kMilliPerUnit = 1'000;
+  return std::llround(value * kMilliPerUnit);
+}
+
 void SetUpEventLog(const std::string& host, int lines_per_second) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
   const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout);
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -36,6 +36,10 @@
   kPeerLost,
   kStrain,
   kRateWaited,
+  kRateCharged,
+  kRateRefunded,
+  kRateLimitSet,
+  kPeerUsageUncharged,
   kCallQueued,
   kCallOffered,
   kOfferFailed,
@@ -64,6 +68,9 @@
 // Writes the buffered lines and stops the writer.
 void FlushEventLog();
 
+// A fraction as a whole number of thousandths, for EventLine::Number().
+int64_t Milli(double value);
+
 // Builds one line and passes it to the writer on destruction.
 class EventLine {
  public:
--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -48,18 +48,35 @@
       wait_ms = state_.quota().TryAcquire(team_->name, standing, SteadyMs());
     }
   }
-  if (wait_ms > 0)
+  if (wait_ms > 0) {
+    const auto level = state_.quota().level(team_->name);
     throw Refusal(
         Reason::kRateLimited, RunState::kNotRun,
         "Team " + team_->name + " is over its rate for " +
-            std::string(kStandingNames[static_cast<size_t>(standing)]),
+            std::string(kStandingNames[static_cast<size_t>(standing)]) +
+            " Thousandths of requests left: " +
+            std::to_string(level ? Milli(level->tokens) : 0) + ".",
         wait_ms);
+  }
   admitted_ = true;
+  LogRateDecision(Event::kRateCharged);
+  state_.metrics().Add(Counter::kRateCharged);
   state_.NoteAdmission(team_->name);
   if (!head_.program.empty())
     state_.programs().OnAdmitted(head_.program, SteadyMs());
 }
 
+void GatewayCall::LogRateDecision(Event event) const {
+  const auto level = state_.quota().level(team_->name);
+  if (!level) return;
+  EventLine(event)
+      .Text("request", head_.request_id)
+      .Text("team", team_->name)
+      .Number("tokens_milli", Milli(level->tokens))
+      .Number("gateways", state_.reachable_gateways())
+      .Number("took_ms", ElapsedMs());
+}
+
 ProgramStatus GatewayCall::ClassifyProgram() const {
   if (head_.program.empty()) return ProgramStatus::kRunningProgram;
   const ProgramFacts facts{
@@ -157,7 +174,11 @@
 
 void GatewayCall::ReleaseUnused() {
   const bool ran = done_ || may_have_run_;
-  if (admitted_ && !ran) state_.quota().Refund(team_->name);
+  if (admitted_ && !ran) {
+    state_.quota().Refund(team_->name);
+    state_.metrics().Add(Counter::kRateRefunded);
+    LogRateDecision(Event::kRateRefunded);
+  }
   SettleInBackground();
 }
 
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "platform/call_codec.h"
+#include "src/event_log.h"
 #include "src/event_splitter.h"
 #include "src/gateway_call.h"
 #include "src/reason.h"
@@ -60,6 +61,8 @@
   void Authenticate();
   boost::asio::awaitable<void> Admit();
   ProgramStatus ClassifyProgram() const;
+  // Logs what was charged to or refunded to the team's rate.
+  void LogRateDecision(Event event) const;
   boost::asio::awaitable<void> Sleep(std::chrono::milliseconds time);
   void StartDeadline();
   boost::asio::awaitable<void> BeginTurn();
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -114,13 +114,12 @@
   }
 }
 
-std::vector<UsageGossip::Entry> GatewayView::ApplyGossip(
-    const GatewayGossip& gossip, int64_t now_ms) {
+PeerUsage::Increase GatewayView::ApplyGossip(const GatewayGossip& gossip,
+                                             int64_t now_ms) {
   Peer& peer = peers_[gossip.host];
   if (gossip.teams_only) {
     const bool known = peer.gossip.boot == gossip.boot;
-    return known ? peer.use.ApplyCounters(gossip.teams)
-                 : std::vector<UsageGossip::Entry>{};
+    return known ? peer.use.ApplyCounters(gossip.teams) : PeerUsage::Increase{};
   }
   const bool restarted = peer.gossip.boot != gossip.boot;
   if (restarted && gossip.boot < peer.gossip.boot) return {};
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -79,8 +79,7 @@
 
   // Stores the message. Returns what the sender admitted since its previous
   // one, by team; empty for a message that is older than the stored one.
-  std::vector<UsageGossip::Entry> ApplyGossip(const GatewayGossip& gossip,
-                                              int64_t now_ms);
+  PeerUsage::Increase ApplyGossip(const GatewayGossip& gossip, int64_t now_ms);
   // The last messages of all peers that are not silent.
   std::vector<const GatewayGossip*> ReachablePeers(int64_t now_ms) const;
   // Calls in flight at those peers, by upstream hash.
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -190,6 +190,7 @@
     return;
   }
   quota_.set_teams(*desired_, SteadyMs());
+  LogRateLimits();
   table_.set_services(*desired_);
   EventLine(Event::kStateInForce)
       .Number("version", desired_->version())
@@ -274,8 +275,7 @@
 void GatewayState::OnGossip(const GatewayGossip& gossip) {
   const int64_t now_ms = SteadyMs();
   const bool was_silent = view_.IsSilent(gossip.host, now_ms);
-  for (const auto& [team, use] : view_.ApplyGossip(gossip, now_ms))
-    quota_.AddPeerUsage(team, use);
+  ChargePeerUsage(gossip.host, view_.ApplyGossip(gossip, now_ms));
   if (was_silent && !view_.IsSilent(gossip.host, now_ms))
     EventLine(Event::kPeerSeen).Text("peer", gossip.host);
   for (const uint64_t program : gossip.programs)
@@ -293,6 +293,39 @@
   }
 }
 
+void GatewayState::ChargePeerUsage(const std::string& host,
+                                   const PeerUsage::Increase& increase) {
+  for (const auto& [team, use] : increase.charged) {
+    quota_.AddPeerUsage(team, use);
+    metrics_.Add(Counter::kPeerUsageCharged,
+                 static_cast<uint64_t>(std::max<int64_t>(0, use.admitted)));
+  }
+  for (const auto& [team, use] : increase.uncharged) {
+    metrics_.Add(Counter::kPeerUsageUncharged,
+                 static_cast<uint64_t>(std::max<int64_t>(0, use.admitted)));
+    EventLine(Event::kPeerUsageUncharged)
+        .Text("peer", host)
+        .Text("team", quota_.NameOf(team))
+        .Number("admitted", use.admitted);
+  }
+}
+
+void GatewayState::LogRateLimits() {
+  for (const TeamSpec& team : desired_->teams()) {
+    const auto level = quota_.level(team.name);
+    const double rate = level ? level->rate : 0;
+    const auto [it, added] = logged_rates_.try_emplace(team.name, rate);
+    if (!added && it->second == rate) continue;
+    it->second = rate;
+    EventLine(Event::kRateLimitSet)
+        .Text("team", team.name)
+        .Number("rate_milli", Milli(rate))
+        .Number("burst_milli", Milli(level ? level->burst : 0))
+        .Number("tokens_milli", Milli(level ? level->tokens : 0))
+        .Number("state_version", desired_->version());
+  }
+}
+
 void GatewayState::NoteAdmission(const std::string& team) {
   if (peers_.interval() < kSlowGossipInterval || !quota_.NearLimit(team))
     return;
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -73,6 +73,10 @@
   void OnMembers();
   void OnGateways();
   void OnGossip(const GatewayGossip& gossip);
+  void ChargePeerUsage(const std::string& host,
+                       const PeerUsage::Increase& increase);
+  // Logs each team's rate limit once, and again when it has changed.
+  void LogRateLimits();
   GatewayGossip BuildGossip();
   boost::asio::awaitable<void> Register();
   boost::asio::awaitable<void> Housekeeping();
@@ -126,6 +130,8 @@
   // SenderHash() of this process, by which peers acknowledge its messages.
   uint64_t sender_hash_ = 0;
   UsageGossip usage_gossip_;
+  // Requests a second by team, as last logged.
+  std::unordered_map<std::string, double> logged_rates_;
   bool draining_ = false;
   bool was_usable_ = false;
   int64_t last_sweep_ms_ = 0;
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -49,6 +49,13 @@
   // Estimated tokens, prompts included, of failed attempts that were retried.
   kTokensWasted,
   kCachedRefusals,
+  // Requests charged to and refunded to the rates of teams at this gateway.
+  kRateCharged,
+  kRateRefunded,
+  // Requests admitted by peers: charged here, or reported in the first value
+  // of a counter and taken as charged before.
+  kPeerUsageCharged,
+  kPeerUsageUncharged,
   kCount,
 };
 
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -134,6 +134,15 @@
   return it->second.tokens < kNearLimitFraction * it->second.burst * share_;
 }
 
+std::optional<TeamQuota::Level> TeamQuota::level(
+    const std::string& team) const {
+  const auto it = buckets_.find(team);
+  if (it == buckets_.end()) return std::nullopt;
+  const Bucket& bucket = it->second;
+  return Level{
+      .rate = bucket.rate, .burst = bucket.burst, .tokens = bucket.tokens};
+}
+
 void TeamQuota::Refund(const std::string& team) {
   const auto it = buckets_.find(team);
   if (it == buckets_.end()) return;
@@ -142,6 +151,11 @@
   --local_usage_[team].admitted;
 }
 
+std::string TeamQuota::NameOf(uint64_t team_hash) const {
+  const auto it = names_.find(team_hash);
+  return it == names_.end() ? "" : it->second;
+}
+
 void TeamQuota::AddPeerUsage(uint64_t team_hash, const AdmissionCounts& delta) {
   const auto name = names_.find(team_hash);
   if (name == names_.end()) return;
--- a/src/team_quota.h
+++ b/src/team_quota.h
@@ -28,6 +28,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -79,6 +80,15 @@
   // True while so much of the burst is used that each admission should be sent
   // to the peers at once, rather than with the next periodic message.
   bool NearLimit(const std::string& team) const;
+  // The rate limit of a team and the requests that may be admitted now.
+  struct Level {
+    double rate = 0;
+    double burst = 0;
+    // Below zero while overdrawn.
+    double tokens = 0;
+  };
+  // Empty for a team without a rate limit.
+  std::optional<Level> level(const std::string& team) const;
   // Refunds an admitted request that did not run. What was charged for the
   // start of a program stays charged.
   void Refund(const std::string& team);
@@ -91,6 +101,8 @@
   // it refunded more than it admitted. `team_hash` is HashName() the team's
   // name.
   void AddPeerUsage(uint64_t team_hash, const AdmissionCounts& delta);
+  // The team of a gossip hash; empty for a team without a rate limit.
+  std::string NameOf(uint64_t team_hash) const;
   // This gateway's totals by team, since its start.
   const std::unordered_map<std::string, AdmissionCounts>& local_usage() const {
     return local_usage_;
--- a/src/usage_gossip.cc
+++ b/src/usage_gossip.cc
@@ -42,21 +42,24 @@
   return entries;
 }
 
-std::vector<UsageGossip::Entry> PeerUsage::ApplyCounters(
+PeerUsage::Increase PeerUsage::ApplyCounters(
     const std::vector<UsageGossip::Entry>& entries) {
-  std::vector<UsageGossip::Entry> added;
+  Increase increase;
   for (const UsageGossip::Entry& entry : entries) {
     const auto [it, first] = known_.try_emplace(entry.team);
     const TeamQuota::AdmissionCounts before = it->second;
     it->second = entry.use;
-    if (first && !from_start_) continue;
+    if (first && !from_start_) {
+      increase.uncharged.push_back(entry);
+      continue;
+    }
     const TeamQuota::AdmissionCounts delta{entry.use.admitted - before.admitted,
                                            entry.use.started - before.started};
     if (delta.admitted != 0 || delta.started != 0) {
-      added.push_back({entry.team, delta});
+      increase.charged.push_back({entry.team, delta});
     }
   }
-  return added;
+  return increase;
 }
 
 }  // namespace pimento
--- a/src/usage_gossip.h
+++ b/src/usage_gossip.h
@@ -56,10 +56,16 @@
   // already.
   explicit PeerUsage(bool from_start = false) : from_start_(from_start) {}
 
-  // Stores the received counters and returns the increase since the previous
-  // values, for the teams where it is not zero.
-  std::vector<UsageGossip::Entry> ApplyCounters(
-      const std::vector<UsageGossip::Entry>& entries);
+  // What a message adds to the usage known before.
+  struct Increase {
+    // The increase since the previous values, for the teams where it is not
+    // zero.
+    std::vector<UsageGossip::Entry> charged;
+    // First values that are taken as charged before.
+    std::vector<UsageGossip::Entry> uncharged;
+  };
+  // Stores the received counters.
+  Increase ApplyCounters(const std::vector<UsageGossip::Entry>& entries);
 
  private:
   bool from_start_;
--- a/test/correctness/usage_gossip_test.cc
+++ b/test/correctness/usage_gossip_test.cc
@@ -58,7 +58,7 @@
   const auto step = [&](bool lost) {
     const auto entries = gossip.NextEntries(used);
     if (lost) return;
-    for (const auto& entry : peer.ApplyCounters(entries))
+    for (const auto& entry : peer.ApplyCounters(entries).charged)
       arrived[entry.team] += entry.use.admitted;
   };
   for (int i = 0; i < 400; ++i) {
@@ -72,10 +72,10 @@
 
 TEST_CASE("usage from before the first message of a peer is not charged") {
   PeerUsage peer(/*from_start=*/false);
-  CHECK(peer.ApplyCounters({{1, {.admitted = 500}}}).empty());
+  CHECK(peer.ApplyCounters({{1, {.admitted = 500}}}).charged.empty());
   // The first value of another team is earlier usage too.
-  CHECK(peer.ApplyCounters({{2, {.admitted = 300}}}).empty());
-  const auto added = peer.ApplyCounters({{2, {.admitted = 304}}});
+  CHECK(peer.ApplyCounters({{2, {.admitted = 300}}}).charged.empty());
+  const auto added = peer.ApplyCounters({{2, {.admitted = 304}}}).charged;
   REQUIRE(added.size() == 1);
   CHECK(added[0].use.admitted == 4);
 }
