Team rate: refill a bucket up to the time of a charge before charging it

Cause: a gateway's bucket was refilled only when its own callers asked. Peers' admissions were taken off at once, and the refill of all the time before, also of that in which the bucket was full, came after them; so a gateway that had not served the team for a while forgave its peers up to the rate times that while. Class: an update deferred past a bound, applied out of the order of time.

Late news is a second cause, not mended here.

Change: each change of a bucket, of its limit or of the share comes after a refill up to that time. A refund and a changed limit or share had the same fault.

--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -175,7 +175,7 @@
 void GatewayCall::ReleaseUnused() {
   const bool ran = done_ || may_have_run_;
   if (admitted_ && !ran) {
-    state_.quota().Refund(team_->name);
+    state_.quota().Refund(team_->name, SteadyMs());
     state_.metrics().Add(Counter::kRateRefunded);
     LogRateDecision(Event::kRateRefunded);
   }
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -296,7 +296,7 @@
 void GatewayState::ChargePeerUsage(const std::string& host,
                                    const PeerUsage::Increase& increase) {
   for (const auto& [team, use] : increase.charged) {
-    quota_.AddPeerUsage(team, use);
+    quota_.AddPeerUsage(team, use, SteadyMs());
     metrics_.Add(Counter::kPeerUsageCharged,
                  static_cast<uint64_t>(std::max<int64_t>(0, use.admitted)));
   }
@@ -401,7 +401,7 @@
       static_cast<int64_t>(view_.ReachablePeers(now_ms).size()) + 1;
   table_.set_gateway_count(std::max(registered_gateways_, reachable_gateways_));
   quota_.set_gateway_counts(std::max(registered_gateways_, reachable_gateways_),
-                            reachable_gateways_);
+                            reachable_gateways_, now_ms);
   table_.set_peer_load(view_.InFlightByUpstream(now_ms));
 }
 
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -36,7 +36,11 @@
       bucket.tokens = team.burst;
       bucket.start_tokens = team.burst;
     }
-    if (old == buckets_.end()) bucket.last_refill_ms = now_ms;
+    if (old == buckets_.end()) {
+      bucket.last_refill_ms = now_ms;
+    } else {
+      Refill(bucket, now_ms);
+    }
     bucket.rate = team.rate_per_second;
     bucket.burst = team.burst;
     bucket.tokens = std::min(bucket.tokens, bucket.burst);
@@ -49,11 +53,16 @@
   initialized_ = true;
 }
 
-void TeamQuota::set_gateway_counts(int64_t total, int64_t reachable) {
+void TeamQuota::set_gateway_counts(int64_t total, int64_t reachable,
+                                   int64_t now_ms) {
   reachable_ = std::max<int64_t>(1, reachable);
-  share_ = std::clamp(static_cast<double>(reachable) /
-                          static_cast<double>(std::max<int64_t>(1, total)),
-                      0.0, 1.0);
+  const double share =
+      std::clamp(static_cast<double>(reachable) /
+                     static_cast<double>(std::max<int64_t>(1, total)),
+                 0.0, 1.0);
+  if (share == share_) return;
+  for (auto& [team, bucket] : buckets_) Refill(bucket, now_ms);
+  share_ = share;
 }
 
 void TeamQuota::Refill(Bucket& bucket, int64_t now_ms) const {
@@ -143,9 +152,10 @@
       .rate = bucket.rate, .burst = bucket.burst, .tokens = bucket.tokens};
 }
 
-void TeamQuota::Refund(const std::string& team) {
+void TeamQuota::Refund(const std::string& team, int64_t now_ms) {
   const auto it = buckets_.find(team);
   if (it == buckets_.end()) return;
+  Refill(it->second, now_ms);
   it->second.tokens += 1;
   UpdateRecent(it->second, {.admitted = -1});
   --local_usage_[team].admitted;
@@ -156,12 +166,14 @@
   return it == names_.end() ? "" : it->second;
 }
 
-void TeamQuota::AddPeerUsage(uint64_t team_hash, const AdmissionCounts& delta) {
+void TeamQuota::AddPeerUsage(uint64_t team_hash, const AdmissionCounts& delta,
+                             int64_t now_ms) {
   const auto name = names_.find(team_hash);
   if (name == names_.end()) return;
   const auto it = buckets_.find(name->second);
   if (it == buckets_.end()) return;
   Bucket& bucket = it->second;
+  Refill(bucket, now_ms);
   bucket.tokens -= static_cast<double>(delta.admitted);
   bucket.start_tokens -=
       static_cast<double>(delta.started) * RequestsPerProgram(bucket);
--- a/src/team_quota.h
+++ b/src/team_quota.h
@@ -65,7 +65,7 @@
   void set_teams(const DesiredState& state, int64_t now_ms);
   // Number of gateways that may admit requests, and number of those that this
   // one has contact with; both include this gateway.
-  void set_gateway_counts(int64_t total, int64_t reachable);
+  void set_gateway_counts(int64_t total, int64_t reachable, int64_t now_ms);
 
   // Admits one request of `team` and returns 0, or returns the time after which
   // a retry may be admitted, milliseconds.
@@ -91,7 +91,7 @@
   std::optional<Level> level(const std::string& team) const;
   // Refunds an admitted request that did not run. What was charged for the
   // start of a program stays charged.
-  void Refund(const std::string& team);
+  void Refund(const std::string& team, int64_t now_ms);
   // Requests admitted, less those refunded, and programs started.
   struct AdmissionCounts {
     int64_t admitted = 0;
@@ -100,7 +100,8 @@
   // Charges what a peer has admitted since its previous report; negative when
   // it refunded more than it admitted. `team_hash` is HashName() the team's
   // name.
-  void AddPeerUsage(uint64_t team_hash, const AdmissionCounts& delta);
+  void AddPeerUsage(uint64_t team_hash, const AdmissionCounts& delta,
+                    int64_t now_ms);
   // The team of a gossip hash; empty for a team without a rate limit.
   std::string NameOf(uint64_t team_hash) const;
   // This gateway's totals by team, since its start.
@@ -126,7 +127,10 @@
     double recent_admitted = 0;
     double recent_started = 0;
   };
-  // Adds the tokens that accrued since the last call.
+  // Adds the tokens that accrued since the last call. Every change of a bucket
+  // or of what it accrues comes after a refill up to the time of the change:
+  // tokens of a time in which the bucket was full must not cancel later
+  // charges.
   void Refill(Bucket& bucket, int64_t now_ms) const;
   static void UpdateRecent(Bucket& bucket, const AdmissionCounts& delta);
   // Average number of requests of the team's programs.
--- a/test/correctness/rate_bound_test.cc
+++ b/test/correctness/rate_bound_test.cc
@@ -64,7 +64,7 @@
       : options_(options), gateways_(static_cast<size_t>(options.gateways)) {
     for (Gateway& gateway : gateways_) {
       gateway.quota.set_teams(StateWith(options.rate, options.burst), 0);
-      gateway.quota.set_gateway_counts(options.gateways, options.gateways);
+      gateway.quota.set_gateway_counts(options.gateways, options.gateways, 0);
       gateway.peers.assign(gateways_.size(), PeerUsage(true));
     }
   }
@@ -150,7 +150,7 @@
       Gateway& to = gateways_[report.to];
       const auto increase = to.peers[report.from].ApplyCounters(report.entries);
       for (const auto& [team, use] : increase.charged)
-        to.quota.AddPeerUsage(team, use);
+        to.quota.AddPeerUsage(team, use, now_ms_);
       reports_.erase(reports_.begin());
     }
   }
@@ -168,10 +168,10 @@
 TEST_CASE("a gateway that was idle keeps what its peers admitted meanwhile") {
   TeamQuota quota;
   quota.set_teams(StateWith(10, 10), 0);
-  quota.set_gateway_counts(79, 79);
+  quota.set_gateway_counts(79, 79, 0);
   // The bucket is full after a second. Peers then use the rate up, with a debt
   // of five requests; this gateway has not admitted any.
-  quota.AddPeerUsage(HashName(kTeam), {.admitted = 15});
+  quota.AddPeerUsage(HashName(kTeam), {.admitted = 15}, 20'000);
   const int64_t wait_ms =
       quota.TryAcquire(kTeam, ProgramStatus::kRunningProgram, 20'000);
   CHECK(wait_ms == 600);
--- a/test/correctness/team_quota_test.cc
+++ b/test/correctness/team_quota_test.cc
@@ -41,7 +41,7 @@
         burst_(burst) {
     for (auto& quota : quotas_) {
       quota.set_teams(StateWith(rate, burst), 0);
-      quota.set_gateway_counts(gateways, gateways);
+      quota.set_gateway_counts(gateways, gateways, 0);
     }
   }
 
@@ -49,7 +49,7 @@
   void Restart(size_t gateway) {
     quotas_[gateway] = TeamQuota();
     quotas_[gateway].set_teams(StateWith(rate_, burst_), now_ms_);
-    quotas_[gateway].set_gateway_counts(count(), count());
+    quotas_[gateway].set_gateway_counts(count(), count(), now_ms_);
     reported_[gateway] = 0;
   }
   void SetLimit(double rate, double burst) {
@@ -99,7 +99,8 @@
     for (size_t i = 0; i < quotas_.size(); ++i)
       connected += isolated_[i] ? 0 : 1;
     for (size_t i = 0; i < quotas_.size(); ++i) {
-      quotas_[i].set_gateway_counts(count(), isolated_[i] ? 1 : connected);
+      quotas_[i].set_gateway_counts(count(), isolated_[i] ? 1 : connected,
+                                    now_ms_);
       if (!isolated_[i]) Gossip(i);
     }
   }
@@ -111,7 +112,7 @@
     for (size_t j = 0; j < quotas_.size(); ++j) {
       if (j != i && !isolated_[j])
         quotas_[j].AddPeerUsage(HashName("large"),
-                                {.admitted = total - reported_[i]});
+                                {.admitted = total - reported_[i]}, now_ms_);
     }
     reported_[i] = total;
   }
@@ -203,7 +204,7 @@
 TEST_CASE("a refusal returns the time until the next admission") {
   TeamQuota quota;
   quota.set_teams(StateWith(10, 5), 0);
-  quota.set_gateway_counts(1, 1);
+  quota.set_gateway_counts(1, 1, 0);
   const int64_t wait =
       quota.TryAcquire("large", ProgramStatus::kRunningProgram, 0);
   CHECK(wait == 100);
@@ -214,10 +215,10 @@
 TEST_CASE("a request that did not run is refunded") {
   TeamQuota quota;
   quota.set_teams(StateWith(10, 5), 0);
-  quota.set_gateway_counts(1, 1);
+  quota.set_gateway_counts(1, 1, 0);
   CHECK(quota.TryAcquire("large", ProgramStatus::kRunningProgram, 100) == 0);
   CHECK(quota.TryAcquire("large", ProgramStatus::kRunningProgram, 100) > 0);
-  quota.Refund("large");
+  quota.Refund("large", 100);
   CHECK(quota.TryAcquire("large", ProgramStatus::kRunningProgram, 100) == 0);
   CHECK(quota.local_usage().at("large").admitted == 1);
 }
@@ -237,7 +238,7 @@
   };
   TeamQuota quota;
   quota.set_teams(StateWith(rate, rate), 0);
-  quota.set_gateway_counts(1, 1);
+  quota.set_gateway_counts(1, 1, 0);
   std::vector<Program> running;
   std::mt19937 random(4);
   int served = 0;
@@ -287,7 +288,7 @@
 TEST_CASE("a program that loops gets only the spare capacity") {
   TeamQuota quota;
   quota.set_teams(StateWith(100, 100), 0);
-  quota.set_gateway_counts(1, 1);
+  quota.set_gateway_counts(1, 1, 0);
   ProgramFacts facts{.may_be_first_request = true};
   CHECK(TeamQuota::StatusOf(facts) == ProgramStatus::kNewProgram);
   facts.known = true;
@@ -317,7 +318,7 @@
   // requests, the tenth 120, together half of the rate.
   TeamQuota quota;
   quota.set_teams(StateWith(100, 100), 0);
-  quota.set_gateway_counts(79, 79);
+  quota.set_gateway_counts(79, 79, 0);
   RecentPrograms programs;
   int refused = 0;
   int64_t now = 2'000;
@@ -343,7 +344,7 @@
 TEST_CASE("requests that wait for the rate get successive retry times") {
   TeamQuota quota;
   quota.set_teams(StateWith(60, 60), 0);
-  quota.set_gateway_counts(6, 6);
+  quota.set_gateway_counts(6, 6, 0);
   const int64_t first = quota.ReserveRetryDelay("large", 0);
   CHECK(first == 100);
   CHECK(quota.ReserveRetryDelay("large", 0) == 200);
@@ -353,7 +354,7 @@
 TEST_CASE("a request that did not run does not count as program size") {
   TeamQuota quota;
   quota.set_teams(StateWith(100, 100), 0);
-  quota.set_gateway_counts(1, 1);
+  quota.set_gateway_counts(1, 1, 0);
   int64_t now = 0;
   // Programs of one request, each with eleven more that are admitted here but
   // refused later, so that they do not run.
@@ -363,7 +364,7 @@
     for (int i = 0; i < 11; ++i) {
       REQUIRE(quota.TryAcquire("large", ProgramStatus::kRunningProgram, now) ==
               0);
-      quota.Refund("large");
+      quota.Refund("large", 100);
     }
   }
   now += 10'000;
