--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -35,6 +35,29 @@
   # True for a message that only carries `teams` and is sent between two regular
   # ones; the other fields then keep their last values.
   teamsOnly @14 :Bool;
+  # Requests to the receiver, and replies to its requests, about rate limits
+  # that it decides on. Sent in messages of their own, with teamsOnly.
+  rateAsks @15 :List(RateAsk);
+  rateReplies @16 :List(RateReply);
+}
+
+struct RateAsk {
+  # Hash of the team's name.
+  limit @0 :UInt64;
+  # Identifies the request among those of the sender's process.
+  id @1 :UInt64;
+  # RateAskKind and ProgramStatus of the request.
+  kind @2 :UInt8;
+  program @3 :UInt8;
+}
+
+struct RateReply {
+  id @0 :UInt64;
+  # 0 when granted, otherwise the time after which a retry may be granted; -1
+  # when the receiver of the request does not know the limit.
+  waitMs @1 :Int32;
+  # What is left of a team's tokens, thousandths, for the log.
+  tokensMilli @2 :Int32;
 }
 
 struct UpstreamUse {
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -17,6 +17,8 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(e64487dd69e51339);
+CAPNP_DECLARE_SCHEMA(e8d147c4259e36c4);
+CAPNP_DECLARE_SCHEMA(f3a4240d554c55e9);
 CAPNP_DECLARE_SCHEMA(c0d5bb8739d052f5);
 CAPNP_DECLARE_SCHEMA(b1772c2b428967cb);
 CAPNP_DECLARE_SCHEMA(8a2746bd67320ae3);
@@ -47,7 +49,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 6, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 6, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RateAsk {
+  RateAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8d147c4259e36c4, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RateReply {
+  RateReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f3a4240d554c55e9, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -227,6 +259,12 @@
 
   inline bool getTeamsOnly() const;
 
+  inline bool hasRateAsks() const;
+  inline  ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>::Reader getRateAsks() const;
+
+  inline bool hasRateReplies() const;
+  inline  ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>::Reader getRateReplies() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -330,6 +368,20 @@
   inline bool getTeamsOnly();
   inline void setTeamsOnly(bool value);
 
+  inline bool hasRateAsks();
+  inline  ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>::Builder getRateAsks();
+  inline void setRateAsks( ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>::Builder initRateAsks(unsigned int size);
+  inline void adoptRateAsks(::capnp::Orphan< ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>> disownRateAsks();
+
+  inline bool hasRateReplies();
+  inline  ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>::Builder getRateReplies();
+  inline void setRateReplies( ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>::Builder initRateReplies(unsigned int size);
+  inline void adoptRateReplies(::capnp::Orphan< ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>> disownRateReplies();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -356,6 +408,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class RateAsk::Reader {
+public:
+  typedef RateAsk Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLimit() const;
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint8_t getKind() const;
+
+  inline  ::uint8_t getProgram() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateAsk::Builder {
+public:
+  typedef RateAsk Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLimit();
+  inline void setLimit( ::uint64_t value);
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline  ::uint8_t getProgram();
+  inline void setProgram( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateAsk::Pipeline {
+public:
+  typedef RateAsk Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RateReply::Reader {
+public:
+  typedef RateReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::int32_t getWaitMs() const;
+
+  inline  ::int32_t getTokensMilli() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateReply::Builder {
+public:
+  typedef RateReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::int32_t getWaitMs();
+  inline void setWaitMs( ::int32_t value);
+
+  inline  ::int32_t getTokensMilli();
+  inline void setTokensMilli( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateReply::Pipeline {
+public:
+  typedef RateReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class UpstreamUse::Reader {
 public:
   typedef UpstreamUse Reads;
@@ -1531,6 +1760,172 @@
       ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GatewayNews::Reader::hasRateAsks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayNews::Builder::hasRateAsks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>::Reader GatewayNews::Reader::getRateAsks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::getRateAsks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void GatewayNews::Builder::setRateAsks( ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::initRateAsks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void GatewayNews::Builder::adoptRateAsks(
+    ::capnp::Orphan< ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>> GatewayNews::Builder::disownRateAsks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::RateAsk,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool GatewayNews::Reader::hasRateReplies() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayNews::Builder::hasRateReplies() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>::Reader GatewayNews::Reader::getRateReplies() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::getRateReplies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void GatewayNews::Builder::setRateReplies( ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::initRateReplies(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void GatewayNews::Builder::adoptRateReplies(
+    ::capnp::Orphan< ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>> GatewayNews::Builder::disownRateReplies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RateAsk::Reader::getLimit() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateAsk::Builder::getLimit() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateAsk::Builder::setLimit( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RateAsk::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateAsk::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateAsk::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t RateAsk::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RateAsk::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void RateAsk::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t RateAsk::Reader::getProgram() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RateAsk::Builder::getProgram() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void RateAsk::Builder::setProgram( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RateReply::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateReply::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateReply::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t RateReply::Reader::getWaitMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t RateReply::Builder::getWaitMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RateReply::Builder::setWaitMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t RateReply::Reader::getTokensMilli() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t RateReply::Builder::getTokensMilli() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RateReply::Builder::setTokensMilli( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t UpstreamUse::Reader::getUpstream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -42,6 +42,7 @@
                    "rate_charged",
                    "rate_refunded",
                    "rate_limit_set",
+                   "rate_unanswered",
                    "peer_usage_uncharged",
                    "call_queued",
                    "call_offered",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -39,6 +39,7 @@
   kRateCharged,
   kRateRefunded,
   kRateLimitSet,
+  kRateUnanswered,
   kPeerUsageUncharged,
   kCallQueued,
   kCallOffered,
--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -27,52 +27,46 @@
 asio::awaitable<void> GatewayCall::Admit() {
   if (team_ == nullptr) co_return;
   const ProgramStatus standing = ClassifyProgram();
-  int64_t wait_ms =
-      state_.quota().TryAcquire(team_->name, standing, SteadyMs());
+  rate_decision_ = co_await state_.rates().Acquire(team_->name, standing);
   // Requests of a running program are delayed rather than refused: the program
   // would retry immediately, and would lose all its work after too many
   // refusals.
-  if (wait_ms > 0 && standing == ProgramStatus::kRunningProgram) {
-    const int64_t delay_ms = std::max(
-        wait_ms, state_.quota().ReserveRetryDelay(team_->name, SteadyMs()));
-    if (delay_ms <= kMaxRateWaitMs) {
-      EventLine(Event::kRateWaited)
-          .Text("request", head_.request_id)
-          .Text("program", head_.program)
-          .Text("team", team_->name)
-          .Number("wait_ms", delay_ms)
-          .Number("state_version", desired_->version())
-          .Number("state_age_ms", state_.StateAgeMs());
-      co_await Sleep(milliseconds(delay_ms));
-      if (token_.stopped()) co_return;
-      wait_ms = state_.quota().TryAcquire(team_->name, standing, SteadyMs());
-    }
+  const int64_t delay_ms = rate_decision_.wait_ms;
+  if (delay_ms > 0 && delay_ms <= kMaxRateWaitMs &&
+      standing == ProgramStatus::kRunningProgram) {
+    EventLine(Event::kRateWaited)
+        .Text("request", head_.request_id)
+        .Text("program", head_.program)
+        .Text("team", team_->name)
+        .Number("wait_ms", delay_ms)
+        .Number("state_version", desired_->version())
+        .Number("state_age_ms", state_.StateAgeMs());
+    co_await Sleep(milliseconds(delay_ms));
+    if (token_.stopped()) co_return;
+    rate_decision_ = co_await state_.rates().Acquire(team_->name, standing);
   }
-  if (wait_ms > 0) {
-    const auto level = state_.quota().level(team_->name);
+  if (rate_decision_.wait_ms > 0)
     throw Refusal(
         Reason::kRateLimited, RunState::kNotRun,
         "Team " + team_->name + " is over its rate for " +
             std::string(kStandingNames[static_cast<size_t>(standing)]) +
-            " Thousandths of requests left: " +
-            std::to_string(level ? Milli(level->tokens) : 0) + ".",
-        wait_ms);
-  }
+            " Decided by " + rate_decision_.host +
+            "; thousandths of requests left: " +
+            std::to_string(rate_decision_.tokens_milli) + ".",
+        rate_decision_.wait_ms);
   admitted_ = true;
   LogRateDecision(Event::kRateCharged);
   state_.metrics().Add(Counter::kRateCharged);
-  state_.NoteAdmission(team_->name);
   if (!head_.program.empty())
     state_.programs().OnAdmitted(head_.program, SteadyMs());
 }
 
 void GatewayCall::LogRateDecision(Event event) const {
-  const auto level = state_.quota().level(team_->name);
-  if (!level) return;
   EventLine(event)
       .Text("request", head_.request_id)
       .Text("team", team_->name)
-      .Number("tokens_milli", Milli(level->tokens))
+      .Text("decided_by", rate_decision_.host)
+      .Number("tokens_milli", rate_decision_.tokens_milli)
       .Number("gateways", state_.reachable_gateways())
       .Number("took_ms", ElapsedMs());
 }
@@ -175,7 +169,7 @@
 void GatewayCall::ReleaseUnused() {
   const bool ran = done_ || may_have_run_;
   if (admitted_ && !ran) {
-    state_.quota().Refund(team_->name, SteadyMs());
+    state_.rates().Refund(team_->name, rate_decision_.host);
     state_.metrics().Add(Counter::kRateRefunded);
     LogRateDecision(Event::kRateRefunded);
   }
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -128,7 +128,8 @@
   int priority_ = 0;
   SteadyTime deadline_{};
 
-  // True once the request was charged to the team's rate limit.
+  // Answer of the team's rate limit, and true once the request was charged.
+  RateDecision rate_decision_;
   bool admitted_ = false;
   // True while the archive may hold an unsettled token reservation.
   bool reserved_ = false;
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -30,6 +30,17 @@
 // A peer whose first received message has a sequence number up to this counts
 // as heard from its start: its counters are then charged from zero.
 constexpr uint64_t kStartSequences = 3;
+constexpr int kRateAskKinds = 2;
+constexpr int kProgramStatuses = 3;
+
+// Throws StateError when `value` is not one of the `count` values of Enum.
+template <class Enum>
+Enum CheckedEnum(uint8_t value, int count) {
+  if (value >= count)
+    throw StateError("A gossip message of a gateway has the unknown value " +
+                     std::to_string(value) + ".");
+  return static_cast<Enum>(value);
+}
 
 }  // namespace
 
@@ -74,6 +85,23 @@
     const GossipEcho& echo = gossip.echoes[i];
     echoes.set(i, (echo.sender << kSequenceBits) | echo.sequence);
   }
+  auto asks = out.initRateAsks(
+      static_cast<unsigned>(std::min(gossip.rate_asks.size(), kMaxEntries)));
+  for (unsigned i = 0; i < asks.size(); ++i) {
+    const RateAsk& ask = gossip.rate_asks[i];
+    asks[i].setLimit(ask.limit);
+    asks[i].setId(ask.id);
+    asks[i].setKind(static_cast<uint8_t>(ask.kind));
+    asks[i].setProgram(static_cast<uint8_t>(ask.program));
+  }
+  auto replies = out.initRateReplies(
+      static_cast<unsigned>(std::min(gossip.rate_replies.size(), kMaxEntries)));
+  for (unsigned i = 0; i < replies.size(); ++i) {
+    const RateReply& reply = gossip.rate_replies[i];
+    replies[i].setId(reply.id);
+    replies[i].setWaitMs(static_cast<int32_t>(reply.wait_ms));
+    replies[i].setTokensMilli(static_cast<int32_t>(reply.tokens_milli));
+  }
   const auto words = capnp::messageToFlatArray(message);
   const auto bytes = words.asBytes();
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
@@ -106,6 +134,17 @@
     for (const uint64_t echo : in.getEchoes())
       gossip.echoes.push_back(
           {echo >> kSequenceBits, static_cast<uint16_t>(echo)});
+    for (const auto ask : in.getRateAsks())
+      gossip.rate_asks.push_back(
+          {.kind = CheckedEnum<RateAskKind>(ask.getKind(), kRateAskKinds),
+           .limit = ask.getLimit(),
+           .id = ask.getId(),
+           .program =
+               CheckedEnum<ProgramStatus>(ask.getProgram(), kProgramStatuses)});
+    for (const auto reply : in.getRateReplies())
+      gossip.rate_replies.push_back({.id = reply.getId(),
+                                     .wait_ms = reply.getWaitMs(),
+                                     .tokens_milli = reply.getTokensMilli()});
     return gossip;
   } catch (const kj::Exception& e) {
     throw StateError(
@@ -205,9 +244,14 @@
   SendToAll(EncodeGossip(gossip));
 }
 
-void GatewayPeers::SendTeamUsage(GatewayGossip teams_only) {
-  teams_only.teams_only = true;
-  SendToAll(EncodeGossip(teams_only));
+void GatewayPeers::SendTo(const std::string& address,
+                          const GatewayGossip& gossip) {
+  const auto endpoint = ParseEndpoint(address);
+  const std::string bytes = EncodeGossip(gossip);
+  boost::system::error_code ignored;  // the sender asks again
+  socket_.send_to(asio::buffer(bytes),
+                  udp::endpoint(endpoint.address(), endpoint.port()), 0,
+                  ignored);
 }
 
 void GatewayPeers::SendToAll(const std::string& bytes) {
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "src/boot_clock.h"
+#include "src/rate_server.h"
 #include "src/usage_gossip.h"
 
 namespace pimento {
@@ -59,8 +60,12 @@
   // Hashes of programs whose first request this gateway admitted recently.
   std::vector<uint64_t> programs = {};
   std::vector<GossipEcho> echoes = {};
-  // True for a message that only carries `teams` and is sent between two
-  // regular ones; the other fields then keep their last values.
+  // Asks for rate limits that the receiver owns, and replies to its asks.
+  std::vector<RateAsk> rate_asks = {};
+  std::vector<RateReply> rate_replies = {};
+  // True for a message that only carries `teams`, `rate_asks` and
+  // `rate_replies` and is sent between two regular ones; the other fields then
+  // keep their last values.
   bool teams_only = false;
 };
 
@@ -122,8 +127,8 @@
   std::chrono::milliseconds interval() const;
   // Sends a regular message immediately instead of at the next interval.
   void Announce();
-  // Sends a message that only carries team usage, immediately.
-  void SendTeamUsage(GatewayGossip teams_only);
+  // Sends a message to one peer, immediately.
+  void SendTo(const std::string& address, const GatewayGossip& gossip);
   // When this gateway sent the message whose sequence number ends in these
   // bits; empty unless it is one of the newest 64.
   std::optional<BootClock::time_point> SentAt(uint16_t sequence) const;
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -26,9 +26,6 @@
 constexpr int64_t kInitialSilentAfterMs = 450;
 constexpr milliseconds kHousekeepingInterval{50};
 constexpr milliseconds kRegisterRetryPause{300};
-// At regular intervals from this on, admissions would reach the peers too late
-// and the usage of teams near their limit is sent immediately.
-constexpr milliseconds kSlowGossipInterval{200};
 // How long a watch of the desired state waits, as a share of the time allowed
 // for revoking a key: each answer confirms that no key was revoked.
 constexpr double kConfigWaitShare = 0.26;
@@ -86,7 +83,19 @@
       member_watch_(io, store_, WatchOptions(kMemberListKind, kRareChangeWait)),
       gateway_watch_(io, store_, WatchOptions(kGatewayKind, kRareChangeWait)),
       boot_(UnixUs()),
-      sender_hash_(SenderHash(settings.host, boot_)) {}
+      sender_hash_(SenderHash(settings.host, boot_)),
+      rates_(io, metrics,
+             {.host = settings.host, .boot = boot_, .sender = sender_hash_},
+             [this](const std::string& host, const GatewayGossip& message) {
+               SendToPeer(host, message);
+             }) {}
+
+void GatewayState::SendToPeer(const std::string& host,
+                              const GatewayGossip& message) {
+  const auto address = gateway_addresses_.find(host);
+  if (address != gateway_addresses_.end())
+    peers_.SendTo(address->second, message);
+}
 
 StoreWatchOptions GatewayState::WatchOptions(std::string kind,
                                              milliseconds wait) {
@@ -189,7 +198,7 @@
     EventLine(Event::kHandlerFailed).Text("error", e.what());
     return;
   }
-  quota_.set_teams(*desired_, SteadyMs());
+  rates_.quota().set_teams(*desired_, SteadyMs());
   LogRateLimits();
   table_.set_services(*desired_);
   EventLine(Event::kStateInForce)
@@ -276,6 +285,7 @@
   const int64_t now_ms = SteadyMs();
   const bool was_silent = view_.IsSilent(gossip.host, now_ms);
   ChargePeerUsage(gossip.host, view_.ApplyGossip(gossip, now_ms));
+  rates_.OnMessage(gossip);
   if (was_silent && !view_.IsSilent(gossip.host, now_ms))
     EventLine(Event::kPeerSeen).Text("peer", gossip.host);
   for (const uint64_t program : gossip.programs)
@@ -296,7 +306,7 @@
 void GatewayState::ChargePeerUsage(const std::string& host,
                                    const PeerUsage::Increase& increase) {
   for (const auto& [team, use] : increase.charged) {
-    quota_.AddPeerUsage(team, use, SteadyMs());
+    rates_.quota().AddPeerUsage(team, use, SteadyMs());
     metrics_.Add(Counter::kPeerUsageCharged,
                  static_cast<uint64_t>(std::max<int64_t>(0, use.admitted)));
   }
@@ -305,14 +315,14 @@
                  static_cast<uint64_t>(std::max<int64_t>(0, use.admitted)));
     EventLine(Event::kPeerUsageUncharged)
         .Text("peer", host)
-        .Text("team", quota_.NameOf(team))
+        .Text("team", rates_.quota().NameOf(team))
         .Number("admitted", use.admitted);
   }
 }
 
 void GatewayState::LogRateLimits() {
   for (const TeamSpec& team : desired_->teams()) {
-    const auto level = quota_.level(team.name);
+    const auto level = rates_.quota().level(team.name);
     const double rate = level ? level->rate : 0;
     const auto [it, added] = logged_rates_.try_emplace(team.name, rate);
     if (!added && it->second == rate) continue;
@@ -326,14 +336,6 @@
   }
 }
 
-void GatewayState::NoteAdmission(const std::string& team) {
-  if (peers_.interval() < kSlowGossipInterval || !quota_.NearLimit(team))
-    return;
-  GatewayGossip gossip{.host = settings_.host, .boot = boot_};
-  gossip.teams.push_back({HashName(team), quota_.local_usage().at(team)});
-  peers_.SendTeamUsage(std::move(gossip));
-}
-
 GatewayGossip GatewayState::BuildGossip() {
   GatewayGossip gossip{.host = settings_.host,
                        .boot = boot_,
@@ -346,7 +348,8 @@
                        .store_silent_ms = StoreSilentMs()};
   gossip.loads = table_.LocalLoad();
   gossip.echoes = view_.Echoes(SteadyMs());
-  gossip.teams = usage_gossip_.NextEntries(quota_.local_usage());
+  gossip.teams = usage_gossip_.NextEntries(rates_.quota().local_usage());
+  rates_.quota().OnUsageReported();
   gossip.programs = programs_.NextGossipBatch();
   return gossip;
 }
@@ -400,11 +403,22 @@
   reachable_gateways_ =
       static_cast<int64_t>(view_.ReachablePeers(now_ms).size()) + 1;
   table_.set_gateway_count(std::max(registered_gateways_, reachable_gateways_));
-  quota_.set_gateway_counts(std::max(registered_gateways_, reachable_gateways_),
-                            reachable_gateways_, now_ms);
+  rates_.quota().set_gateway_counts(
+      std::max(registered_gateways_, reachable_gateways_), reachable_gateways_,
+      now_ms);
+  rates_.set_reachable(reachable_gateways_);
+  rates_.set_hosts(ReadyHosts());
   table_.set_peer_load(view_.InFlightByUpstream(now_ms));
 }
 
+std::vector<std::string> GatewayState::ReadyHosts() const {
+  std::vector<std::string> hosts;
+  if (Ready()) hosts.push_back(settings_.host);
+  for (const GatewayGossip* gossip : view_.ReachablePeers(SteadyMs()))
+    if (gossip->ready) hosts.push_back(gossip->host);
+  return hosts;
+}
+
 asio::awaitable<void> GatewayState::Register() {
   const json::value spec =
       json::object{{"zone", settings_.zone},
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -19,6 +19,7 @@
 #include "src/metrics.h"
 #include "src/overload_detector.h"
 #include "src/recent_programs.h"
+#include "src/shared_rates.h"
 #include "src/store_outage.h"
 #include "src/store_watch.h"
 #include "src/team_quota.h"
@@ -50,7 +51,7 @@
 
   UpstreamTable& table() { return table_; }
   Dispatcher& dispatcher() { return dispatcher_; }
-  TeamQuota& quota() { return quota_; }
+  SharedRates& rates() { return rates_; }
   RecentPrograms& programs() { return programs_; }
   ArchiveClient& archive() { return archive_; }
   ConnectionPool& pool() { return pool_; }
@@ -59,9 +60,6 @@
   // The mirror of the store's objects of `kind`; null for a kind that is not
   // mirrored.
   StoreWatch* FindWatch(const std::string& kind);
-  // Called after a request of `team` was admitted. Sends the team's usage to
-  // the peers immediately if the next regular message would be too late.
-  void NoteAdmission(const std::string& team);
   Metrics& metrics() { return metrics_; }
   const platform::BootSettings& settings() const { return settings_; }
   boost::asio::io_context& io() { return io_; }
@@ -73,6 +71,9 @@
   void OnMembers();
   void OnGateways();
   void OnGossip(const GatewayGossip& gossip);
+  void SendToPeer(const std::string& host, const GatewayGossip& message);
+  // The gateways in contact that serve requests, this one included.
+  std::vector<std::string> ReadyHosts() const;
   void ChargePeerUsage(const std::string& host,
                        const PeerUsage::Increase& increase);
   // Logs each team's rate limit once, and again when it has changed.
@@ -100,7 +101,6 @@
   platform::StoreClient store_;
   UpstreamTable table_;
   Dispatcher dispatcher_;
-  TeamQuota quota_;
   RecentPrograms programs_;
   ArchiveClient archive_;
   GatewayView view_;
@@ -129,6 +129,7 @@
   uint64_t boot_ = 0;
   // SenderHash() of this process, by which peers acknowledge its messages.
   uint64_t sender_hash_ = 0;
+  SharedRates rates_;
   UsageGossip usage_gossip_;
   // Requests a second by team, as last logged.
   std::unordered_map<std::string, double> logged_rates_;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -9,17 +9,38 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<size_t>(Counter::kCount)>
-    kCounterNames = {
-        "calls_answered",      "calls_joined",      "calls_replayed",
-        "programs_created",    "programs_ended",    "programs_expired",
-        "records_counted",     "record_batches",    "takeovers",
-        "handovers",           "replacements",      "fenced",
-        "releases_confirmed",  "releases_repeated", "streams_cut",
-        "platform_reads",      "platform_writes",   "platform_errors",
-        "rpc_calls",           "rpc_errors",        "flushes",
-        "tokens_streamed",     "tokens_wasted",     "cached_refusals",
-        "rate_charged",        "rate_refunded",     "peer_usage_charged",
-        "peer_usage_uncharged"};
+    kCounterNames = {"calls_answered",
+                     "calls_joined",
+                     "calls_replayed",
+                     "programs_created",
+                     "programs_ended",
+                     "programs_expired",
+                     "records_counted",
+                     "record_batches",
+                     "takeovers",
+                     "handovers",
+                     "replacements",
+                     "fenced",
+                     "releases_confirmed",
+                     "releases_repeated",
+                     "streams_cut",
+                     "platform_reads",
+                     "platform_writes",
+                     "platform_errors",
+                     "rpc_calls",
+                     "rpc_errors",
+                     "flushes",
+                     "tokens_streamed",
+                     "tokens_wasted",
+                     "cached_refusals",
+                     "rate_charged",
+                     "rate_refunded",
+                     "peer_usage_charged",
+                     "peer_usage_uncharged",
+                     "rate_asked",
+                     "rate_unanswered",
+                     "rate_decided_alone",
+                     "rate_decided_for_peers"};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Latency::kCount)>
     kLatencyNames = {"program", "call", "first_token", "queue_wait", "commit"};
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -56,6 +56,12 @@
   // of a counter and taken as charged before.
   kPeerUsageCharged,
   kPeerUsageUncharged,
+  // Asks for rate limits to other gateways, asks without a reply, requests that
+  // this gateway then decided on by itself, and asks of peers.
+  kRateAsked,
+  kRateUnanswered,
+  kRateDecidedAlone,
+  kRateDecidedForPeers,
   kCount,
 };
 
--- /dev/null
+++ b/src/rate_owner.cc
@@ -0,0 +1,58 @@
+#include "src/rate_owner.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "src/name_hash.h"
+
+namespace pimento {
+namespace {
+
+constexpr int64_t kSuspectMs = 1'000;
+
+uint64_t Weight(uint64_t host, uint64_t limit) {
+  const uint64_t pair[2] = {host, limit};
+  return XXH3_64bits(pair, sizeof pair);
+}
+
+}  // namespace
+
+void RateOwners::set_hosts(const std::vector<std::string>& hosts) {
+  hosts_.clear();
+  for (const std::string& host : hosts)
+    hosts_.push_back({.name = host, .hash = HashName(host)});
+}
+
+std::vector<std::string> RateOwners::Ranked(uint64_t limit, size_t count,
+                                            int64_t now_ms) const {
+  // Replying hosts before suspects, then by weight.
+  using Rank = std::pair<bool, uint64_t>;
+  std::vector<std::pair<Rank, const Host*>> order;
+  order.reserve(hosts_.size());
+  for (const Host& host : hosts_) {
+    const auto suspect = suspect_until_ms_.find(host.name);
+    const bool replies =
+        suspect == suspect_until_ms_.end() || suspect->second <= now_ms;
+    order.emplace_back(Rank{replies, Weight(host.hash, limit)}, &host);
+  }
+  const size_t first = std::min(count, order.size());
+  std::partial_sort(
+      order.begin(), order.begin() + static_cast<std::ptrdiff_t>(first),
+      order.end(),
+      [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<std::string> ranked;
+  for (size_t i = 0; i < first; ++i) ranked.push_back(order[i].second->name);
+  return ranked;
+}
+
+void RateOwners::OnNoReply(const std::string& host, int64_t now_ms) {
+  suspect_until_ms_[host] = now_ms + kSuspectMs;
+}
+
+void RateOwners::OnReply(const std::string& host) {
+  suspect_until_ms_.erase(host);
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/rate_server.cc
@@ -0,0 +1,55 @@
+#include "src/rate_server.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pimento {
+namespace {
+
+// Longer than a sender goes on asking.
+constexpr int64_t kKeepReplyMs = 1'000;
+constexpr double kMilliPerUnit = 1'000;
+
+}  // namespace
+
+RateReply RateServer::Reply(uint64_t sender, const RateAsk& ask,
+                            int64_t now_ms) {
+  ForgetOldReplies(now_ms);
+  const AskKey key{sender, ask.id};
+  const auto known = replies_.find(key);
+  if (known != replies_.end()) return known->second;
+  RateReply reply = Decide(ask, now_ms);
+  reply.id = ask.id;
+  replies_[key] = reply;
+  reply_times_.emplace_back(now_ms, key);
+  return reply;
+}
+
+RateReply RateServer::Decide(const RateAsk& ask, int64_t now_ms) {
+  const std::string team = quota_.NameOf(ask.limit);
+  if (team.empty()) return {.wait_ms = kUnknownLimit};
+  RateReply reply;
+  if (ask.kind == RateAskKind::kTeamRefund) {
+    quota_.Refund(team, now_ms);
+  } else {
+    reply.wait_ms = quota_.TryAcquire(team, ask.program, now_ms);
+    const bool queues =
+        reply.wait_ms > 0 && ask.program == ProgramStatus::kRunningProgram;
+    if (queues)
+      reply.wait_ms =
+          std::max(reply.wait_ms, quota_.ReserveRetryDelay(team, 1, now_ms));
+  }
+  const auto level = quota_.level(team);
+  if (level) reply.tokens_milli = std::llround(level->tokens * kMilliPerUnit);
+  return reply;
+}
+
+void RateServer::ForgetOldReplies(int64_t now_ms) {
+  while (!reply_times_.empty() &&
+         reply_times_.front().first <= now_ms - kKeepReplyMs) {
+    replies_.erase(reply_times_.front().second);
+    reply_times_.pop_front();
+  }
+}
+
+}  // namespace pimento
--- /dev/null
+++ b/src/shared_rates.cc
@@ -0,0 +1,155 @@
+#include "src/shared_rates.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/boot_clock.h"
+#include "src/event_log.h"
+#include "src/name_hash.h"
+
+namespace pimento {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+// The owner of a limit and its stand-in.
+constexpr size_t kDeciders = 2;
+// Times that a host is asked, since datagrams may be lost.
+constexpr int kSendsPerAsk = 2;
+constexpr milliseconds kReplyTimeout{50};
+
+}  // namespace
+
+SharedRates::SharedRates(asio::io_context& io, Metrics& metrics,
+                         SharedRatesOptions options, Send send)
+    : io_(io),
+      metrics_(metrics),
+      options_(std::move(options)),
+      send_(std::move(send)) {}
+
+void SharedRates::set_hosts(const std::vector<std::string>& hosts) {
+  owners_.set_hosts(hosts);
+}
+
+GatewayGossip SharedRates::NewMessage() const {
+  return {.host = options_.host, .boot = options_.boot, .teams_only = true};
+}
+
+asio::awaitable<std::optional<RateReply>> SharedRates::Ask(
+    const std::string& host, RateAsk ask) {
+  ask.id = next_id_++;
+  const auto pending = std::make_shared<PendingAsk>(io_);
+  pending_[ask.id] = pending;
+  Message message = NewMessage();
+  message.rate_asks.push_back(ask);
+  metrics_.Add(Counter::kRateAsked);
+  for (int sends = 0; sends < kSendsPerAsk && !pending->reply; ++sends) {
+    send_(host, message);
+    pending->wakeup.expires_after(kReplyTimeout);
+    boost::system::error_code ignored;  // replied or timed out
+    co_await pending->wakeup.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  pending_.erase(ask.id);
+  if (!pending->reply) {
+    metrics_.Add(Counter::kRateUnanswered);
+    owners_.OnNoReply(host, SteadyMs());
+    EventLine(Event::kRateUnanswered).Text("host", host);
+    co_return std::nullopt;
+  }
+  owners_.OnReply(host);
+  if (pending->reply->wait_ms == kUnknownLimit) co_return std::nullopt;
+  co_return pending->reply;
+}
+
+asio::awaitable<RateDecision> SharedRates::Acquire(std::string team,
+                                                   ProgramStatus status) {
+  if (quota_.TryAcquireUnreported(team, status, SteadyMs()))
+    co_return RateDecision{.tokens_milli = TokensMilli(team)};
+  const uint64_t limit = HashName(team);
+  const auto deciders = owners_.Ranked(limit, kDeciders, SteadyMs());
+  for (const std::string& host : deciders) {
+    const RateAsk ask{.limit = limit, .program = status};
+    std::optional<RateReply> reply;
+    if (host == options_.host) {
+      RateAsk own = ask;
+      own.id = next_id_++;
+      reply = server_.Reply(options_.sender, own, SteadyMs());
+      if (reply->wait_ms == 0) ReportUsage(team);
+    } else {
+      reply = co_await Ask(host, ask);
+    }
+    if (reply)
+      co_return RateDecision{.wait_ms = reply->wait_ms,
+                             .host = host,
+                             .tokens_milli = reply->tokens_milli};
+  }
+  co_return DecideAlone(team, status);
+}
+
+int64_t SharedRates::TokensMilli(const std::string& team) const {
+  const auto level = quota_.level(team);
+  return level ? Milli(level->tokens) : 0;
+}
+
+RateDecision SharedRates::DecideAlone(const std::string& team,
+                                      ProgramStatus status) {
+  const int64_t now_ms = SteadyMs();
+  RateDecision decision;
+  decision.wait_ms = quota_.TryAcquire(team, status, now_ms);
+  if (decision.wait_ms == 0) ReportUsage(team);
+  if (decision.wait_ms > 0 && status == ProgramStatus::kRunningProgram)
+    decision.wait_ms = std::max(
+        decision.wait_ms, quota_.ReserveRetryDelay(team, reachable_, now_ms));
+  decision.tokens_milli = TokensMilli(team);
+  metrics_.Add(Counter::kRateDecidedAlone);
+  return decision;
+}
+
+void SharedRates::ReportUsage(const std::string& team) {
+  const auto usage = quota_.local_usage().find(team);
+  if (usage == quota_.local_usage().end()) return;
+  const uint64_t limit = HashName(team);
+  Message message = NewMessage();
+  message.teams.push_back({limit, usage->second});
+  for (const std::string& host : owners_.Ranked(limit, kDeciders, SteadyMs())) {
+    if (host != options_.host) send_(host, message);
+  }
+}
+
+void SharedRates::Refund(const std::string& team,
+                         const std::string& decided_by) {
+  if (decided_by.empty() || decided_by == options_.host) {
+    quota_.Refund(team, SteadyMs());
+    return;
+  }
+  // A lost datagram only means that the team has one request less.
+  Message message = NewMessage();
+  message.rate_asks.push_back({.kind = RateAskKind::kTeamRefund,
+                               .limit = HashName(team),
+                               .id = next_id_++});
+  send_(decided_by, message);
+}
+
+void SharedRates::OnMessage(const Message& message) {
+  for (const RateReply& reply : message.rate_replies) {
+    const auto it = pending_.find(reply.id);
+    if (it == pending_.end()) continue;
+    it->second->reply = reply;
+    it->second->wakeup.cancel();
+  }
+  if (message.rate_asks.empty()) return;
+  const uint64_t sender = SenderHash(message.host, message.boot);
+  Message replies = NewMessage();
+  for (const RateAsk& ask : message.rate_asks) {
+    const RateReply reply = server_.Reply(sender, ask, SteadyMs());
+    metrics_.Add(Counter::kRateDecidedForPeers);
+    if (ask.kind == RateAskKind::kTeamRefund) continue;
+    replies.rate_replies.push_back(reply);
+    if (reply.wait_ms == 0) ReportUsage(quota_.NameOf(ask.limit));
+  }
+  if (!replies.rate_replies.empty()) send_(message.host, replies);
+}
+
+}  // namespace pimento
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -16,8 +16,9 @@
 // A program whose budget is spent is admitted only while this fraction of the
 // burst remains for other programs.
 constexpr double kReservedForOthers = 0.5;
-// A team is near its limit when less than this fraction of its burst remains.
-constexpr double kNearLimitFraction = 0.75;
+// All gateways together admit at most this fraction of the burst between two of
+// their reports, and only while the rest remains.
+constexpr double kUnreportedFraction = 0.5;
 // The recent counts of a team are halved when they reach this many programs.
 constexpr double kMaxRecentPrograms = 60;
 
@@ -55,11 +56,10 @@
 
 void TeamQuota::set_gateway_counts(int64_t total, int64_t reachable,
                                    int64_t now_ms) {
-  reachable_ = std::max<int64_t>(1, reachable);
-  const double share =
-      std::clamp(static_cast<double>(reachable) /
-                     static_cast<double>(std::max<int64_t>(1, total)),
-                 0.0, 1.0);
+  gateways_ = std::max<int64_t>(1, total);
+  const double share = std::clamp(
+      static_cast<double>(reachable) / static_cast<double>(gateways_), 0.0,
+      1.0);
   if (share == share_) return;
   for (auto& [team, bucket] : buckets_) Refill(bucket, now_ms);
   share_ = share;
@@ -93,13 +93,12 @@
   return starts ? ProgramStatus::kNewProgram : ProgramStatus::kRunningProgram;
 }
 
-int64_t TeamQuota::ReserveRetryDelay(const std::string& team, int64_t now_ms) {
+int64_t TeamQuota::ReserveRetryDelay(const std::string& team, int64_t gateways,
+                                     int64_t now_ms) {
   const auto it = buckets_.find(team);
   if (it == buckets_.end()) return 0;
   Bucket& bucket = it->second;
-  // Interval between requests at this gateway's share of the rate: the rate of
-  // the reachable gateways, divided equally among them.
-  const double interval_ms = kMsPerSecond * static_cast<double>(reachable_) /
+  const double interval_ms = kMsPerSecond * static_cast<double>(gateways) /
                              std::max(1e-3, bucket.rate * share_);
   const double now = static_cast<double>(now_ms);
   const double debt_ms = std::max(0.0, -bucket.tokens) * kMsPerSecond /
@@ -126,6 +125,11 @@
     return std::max<int64_t>(1,
                              static_cast<int64_t>(std::ceil(missing / per_ms)));
   }
+  Charge(team, bucket, starts);
+  return 0;
+}
+
+void TeamQuota::Charge(const std::string& team, Bucket& bucket, bool starts) {
   AdmissionCounts& usage = local_usage_[team];
   bucket.tokens -= 1;
   ++usage.admitted;
@@ -134,13 +138,29 @@
     ++usage.started;
   }
   UpdateRecent(bucket, {.admitted = 1, .started = starts ? 1 : 0});
-  return 0;
 }
 
-bool TeamQuota::NearLimit(const std::string& team) const {
+bool TeamQuota::TryAcquireUnreported(const std::string& team,
+                                     ProgramStatus status, int64_t now_ms) {
   const auto it = buckets_.find(team);
-  if (it == buckets_.end()) return false;
-  return it->second.tokens < kNearLimitFraction * it->second.burst * share_;
+  if (it == buckets_.end()) return true;
+  if (status == ProgramStatus::kBudgetSpent) return false;
+  Bucket& bucket = it->second;
+  Refill(bucket, now_ms);
+  const bool starts = status == ProgramStatus::kNewProgram;
+  const double all = kUnreportedFraction * bucket.burst * share_;
+  const double own = all / static_cast<double>(gateways_);
+  const double rest = bucket.burst * share_ - all;
+  if (static_cast<double>(bucket.unreported + 1) > own) return false;
+  if (bucket.tokens - 1 < rest) return false;
+  if (starts && bucket.start_tokens < rest) return false;
+  ++bucket.unreported;
+  Charge(team, bucket, starts);
+  return true;
+}
+
+void TeamQuota::OnUsageReported() {
+  for (auto& [team, bucket] : buckets_) bucket.unreported = 0;
 }
 
 std::optional<TeamQuota::Level> TeamQuota::level(
--- a/src/team_quota.h
+++ b/src/team_quota.h
@@ -1,21 +1,17 @@
-// Enforces each team's request rate and burst over all gateways together.
+// One gateway's token bucket for each team's request rate and burst, over all
+// gateways together.
 //
 // Load pattern: one team sends many times its rate through all gateways at
-// once, while gateways join, leave and lose contact with each other. Each
-// gateway keeps a token bucket for the whole fleet. It charges its own
-// admissions at once and those of its peers when their gossip arrives. The
-// token count may go below zero: requests that several gateways admitted for
-// the same tokens, before gossip reported them to each other, are paid back
-// later. A gateway that has lost contact with some peers uses only the share of
-// rate and burst of those it can reach, itself included:
+// once, while gateways join, leave and lose contact with each other. The
+// gateway that owns a team's limit decides for all (SharedRates); the others
+// keep the same bucket, to take over when the owner is gone. It is charged with
+// the admissions of peers when their reports arrive, and may go below zero. A
+// gateway that has lost contact with some peers uses only the share of rate and
+// burst of those it can reach, itself included:
 //
 //   6 gateways, rate 60, burst 60; one reaches 3 of its 5 peers
 //   -> it admits 4/6 of the rate from a bucket of at most 40
 //
-// With tens of gateways the gossip interval is long, and each gateway would
-// admit a flood until the next message. So once a team has used a certain part
-// of its burst, its admissions are sent to the peers at once (NearLimit()).
-//
 // Load beyond the rate is refused by whole programs: a program that has started
 // needs more requests to complete, and refusing one midway wastes what it has
 // used. So the first request of a program is also charged to a second bucket of
@@ -73,13 +69,18 @@
                      int64_t now_ms);
   // Classifies a request by its program.
   static ProgramStatus StatusOf(const ProgramFacts& facts);
-  // Time after which a request that waits at this gateway may retry,
-  // milliseconds. Each call reserves the next point in time after those already
-  // reserved, at the spacing of this gateway's share of the rate.
-  int64_t ReserveRetryDelay(const std::string& team, int64_t now_ms);
-  // True while so much of the burst is used that each admission should be sent
-  // to the peers at once, rather than with the next periodic message.
-  bool NearLimit(const std::string& team) const;
+  // Admits one request without the owner of the limit, which hears of it with
+  // the next gossip message. Returns false unless the bucket would hold enough
+  // even if every gateway had admitted as many since its last message.
+  bool TryAcquireUnreported(const std::string& team, ProgramStatus status,
+                            int64_t now_ms);
+  // Call when the usage of all teams was sent to the peers.
+  void OnUsageReported();
+  // Time after which a request that waits may retry, milliseconds. Each call
+  // reserves the next point in time after those already reserved. `gateways`
+  // hand out such times for the team, and each gets an equal share of the rate.
+  int64_t ReserveRetryDelay(const std::string& team, int64_t gateways,
+                            int64_t now_ms);
   // The rate limit of a team and the requests that may be admitted now.
   struct Level {
     double rate = 0;
@@ -126,7 +127,11 @@
     // reaches a limit, so that old programs weigh less.
     double recent_admitted = 0;
     double recent_started = 0;
+    // Requests admitted by TryAcquireUnreported() since the last report.
+    int64_t unreported = 0;
   };
+  // Takes one request from `bucket`, which may go below zero.
+  void Charge(const std::string& team, Bucket& bucket, bool starts);
   // Adds the tokens that accrued since the last call. Every change of a bucket
   // or of what it accrues comes after a refill up to the time of the change:
   // tokens of a time in which the bucket was full must not cancel later
@@ -143,7 +148,7 @@
   std::unordered_map<std::string, AdmissionCounts> local_usage_;
   // Reachable gateways divided by all gateways, in [0, 1].
   double share_ = 1;
-  int64_t reachable_ = 1;
+  int64_t gateways_ = 1;
   // True after the first set_teams().
   bool initialized_ = false;
 };
