Team rate: halves of the gateways that do not hear each other keep it

Class: one bound kept by two deciders that each take the other for gone.

Change: a peer's share of the rate is withheld after 2.5 intervals, its share of the burst counts as used, and a stand-in whose owner is still in contact by its own view charges twice. What it costs: while the owner is gone and not yet known to be, its teams get half of their rate, for 0.25 s at 6 gateways, 1.6 s at 79 and 17 s at 820.

--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -184,6 +184,12 @@
   return reachable;
 }
 
+int64_t GatewayView::PeersHeardWithin(int64_t age_ms, int64_t now_ms) const {
+  return std::count_if(peers_.begin(), peers_.end(), [&](const auto& peer) {
+    return now_ms - peer.second.last_gossip_ms <= age_ms;
+  });
+}
+
 std::unordered_map<uint64_t, int64_t> GatewayView::InFlightByUpstream(
     int64_t now_ms) const {
   std::unordered_map<uint64_t, int64_t> loads;
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -87,7 +87,9 @@
   PeerUsage::Increase ApplyGossip(const GatewayGossip& gossip, int64_t now_ms);
   // The last messages of all peers that are not silent.
   std::vector<const GatewayGossip*> ReachablePeers(int64_t now_ms) const;
-  // Calls in flight at those peers, by upstream hash.
+  // Number of peers whose last regular message is at most `age_ms` old.
+  int64_t PeersHeardWithin(int64_t age_ms, int64_t now_ms) const;
+  // Calls in flight at the peers that are not silent, by upstream hash.
   std::unordered_map<uint64_t, int64_t> InFlightByUpstream(
       int64_t now_ms) const;
   // Time since the last regular message of `host`; `now_ms` if there was none.
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -21,6 +21,11 @@
 
 // A peer is silent after this many gossip intervals without a message.
 constexpr double kSilentIntervals = 4.5;
+// A gateway withholds the share of a peer in the teams' rates after this many
+// intervals without a message; one message may be lost. Shorter than the
+// silence above: while two halves of the gateways do not hear each other, both
+// admit the whole rate.
+constexpr double kRateShareIntervals = 2.5;
 // Initial time after which a peer is silent, until the number of gateways and
 // thus the interval is known.
 constexpr int64_t kInitialSilentAfterMs = 450;
@@ -403,9 +408,11 @@
   reachable_gateways_ =
       static_cast<int64_t>(view_.ReachablePeers(now_ms).size()) + 1;
   table_.set_gateway_count(std::max(registered_gateways_, reachable_gateways_));
+  const auto heard_within_ms = static_cast<int64_t>(
+      kRateShareIntervals * static_cast<double>(peers_.interval().count()));
   rates_.quota().set_gateway_counts(
-      std::max(registered_gateways_, reachable_gateways_), reachable_gateways_,
-      now_ms);
+      std::max(registered_gateways_, reachable_gateways_),
+      view_.PeersHeardWithin(heard_within_ms, now_ms) + 1, now_ms);
   rates_.set_reachable(reachable_gateways_);
   rates_.set_hosts(ReadyHosts());
   table_.set_peer_load(view_.InFlightByUpstream(now_ms));
--- a/src/rate_owner.cc
+++ b/src/rate_owner.cc
@@ -47,6 +47,14 @@
   return ranked;
 }
 
+bool RateOwners::Owns(const std::string& host, uint64_t limit) const {
+  const auto owner = std::max_element(
+      hosts_.begin(), hosts_.end(), [limit](const Host& a, const Host& b) {
+        return Weight(a.hash, limit) < Weight(b.hash, limit);
+      });
+  return owner != hosts_.end() && owner->name == host;
+}
+
 void RateOwners::OnNoReply(const std::string& host, int64_t now_ms) {
   suspect_until_ms_[host] = now_ms + kSuspectMs;
 }
--- a/src/rate_owner.h
+++ b/src/rate_owner.h
@@ -27,6 +27,9 @@
   // as many. Hosts that recently did not reply come last.
   std::vector<std::string> Ranked(uint64_t limit, size_t count,
                                   int64_t now_ms) const;
+  // True when `host` is the first in the order of `limit`, whether or not the
+  // hosts reply.
+  bool Owns(const std::string& host, uint64_t limit) const;
   void OnNoReply(const std::string& host, int64_t now_ms);
   void OnReply(const std::string& host);
 
--- a/src/rate_server.cc
+++ b/src/rate_server.cc
@@ -12,20 +12,20 @@
 
 }  // namespace
 
-RateReply RateServer::Reply(uint64_t sender, const RateAsk& ask,
+RateReply RateServer::Reply(uint64_t sender, const RateAsk& ask, bool owner,
                             int64_t now_ms) {
   ForgetOldReplies(now_ms);
   const AskKey key{sender, ask.id};
   const auto known = replies_.find(key);
   if (known != replies_.end()) return known->second;
-  RateReply reply = Decide(ask, now_ms);
+  RateReply reply = Decide(ask, owner, now_ms);
   reply.id = ask.id;
   replies_[key] = reply;
   reply_times_.emplace_back(now_ms, key);
   return reply;
 }
 
-RateReply RateServer::Decide(const RateAsk& ask, int64_t now_ms) {
+RateReply RateServer::Decide(const RateAsk& ask, bool owner, int64_t now_ms) {
   const std::string team = quota_.NameOf(ask.limit);
   if (team.empty()) return {.wait_ms = kUnknownLimit};
   RateReply reply;
@@ -33,6 +33,7 @@
     quota_.Refund(team, now_ms);
   } else {
     reply.wait_ms = quota_.TryAcquire(team, ask.program, now_ms);
+    if (reply.wait_ms == 0 && !owner) quota_.ChargeElsewhere(team);
     const bool queues =
         reply.wait_ms > 0 && ask.program == ProgramStatus::kRunningProgram;
     if (queues)
--- a/src/rate_server.h
+++ b/src/rate_server.h
@@ -44,13 +44,16 @@
   explicit RateServer(TeamQuota& quota) : quota_(quota) {}
 
   // `sender` identifies the asking process. Retry times of running programs are
-  // handed out one after the other, over all gateways.
-  RateReply Reply(uint64_t sender, const RateAsk& ask, int64_t now_ms);
+  // handed out one after the other, over all gateways. `owner`: false while
+  // another gateway in contact owns the limit. It may still decide for those
+  // that reach it, so a stand-in then charges twice for each request.
+  RateReply Reply(uint64_t sender, const RateAsk& ask, bool owner,
+                  int64_t now_ms);
 
  private:
   using AskKey = std::pair<uint64_t, uint64_t>;
 
-  RateReply Decide(const RateAsk& ask, int64_t now_ms);
+  RateReply Decide(const RateAsk& ask, bool owner, int64_t now_ms);
   void ForgetOldReplies(int64_t now_ms);
 
   TeamQuota& quota_;
--- a/src/shared_rates.cc
+++ b/src/shared_rates.cc
@@ -75,7 +75,8 @@
     if (host == options_.host) {
       RateAsk own = ask;
       own.id = next_id_++;
-      reply = server_.Reply(options_.sender, own, SteadyMs());
+      reply = server_.Reply(options_.sender, own,
+                            owners_.Owns(options_.host, limit), SteadyMs());
       if (reply->wait_ms == 0) ReportUsage(team);
     } else {
       reply = co_await Ask(host, ask);
@@ -143,7 +144,8 @@
   const uint64_t sender = SenderHash(message.host, message.boot);
   Message replies = NewMessage();
   for (const RateAsk& ask : message.rate_asks) {
-    const RateReply reply = server_.Reply(sender, ask, SteadyMs());
+    const bool owner = owners_.Owns(options_.host, ask.limit);
+    const RateReply reply = server_.Reply(sender, ask, owner, SteadyMs());
     metrics_.Add(Counter::kRateDecidedForPeers);
     if (ask.kind == RateAskKind::kTeamRefund) continue;
     replies.rate_replies.push_back(reply);
--- a/src/team_quota.cc
+++ b/src/team_quota.cc
@@ -61,7 +61,12 @@
       static_cast<double>(reachable) / static_cast<double>(gateways_), 0.0,
       1.0);
   if (share == share_) return;
-  for (auto& [team, bucket] : buckets_) Refill(bucket, now_ms);
+  const double lost_share = std::max(0.0, share_ - share);
+  for (auto& [team, bucket] : buckets_) {
+    Refill(bucket, now_ms);
+    bucket.tokens -= lost_share * bucket.burst;
+    bucket.start_tokens -= lost_share * bucket.burst;
+  }
   share_ = share;
 }
 
@@ -159,6 +164,11 @@
   return true;
 }
 
+void TeamQuota::ChargeElsewhere(const std::string& team) {
+  const auto it = buckets_.find(team);
+  if (it != buckets_.end()) it->second.tokens -= 1;
+}
+
 void TeamQuota::OnUsageReported() {
   for (auto& [team, bucket] : buckets_) bucket.unreported = 0;
 }
--- a/src/team_quota.h
+++ b/src/team_quota.h
@@ -60,7 +60,8 @@
   // Keeps the buckets of known teams. Teams without a rate limit have none.
   void set_teams(const DesiredState& state, int64_t now_ms);
   // Number of gateways that may admit requests, and number of those that this
-  // one has contact with; both include this gateway.
+  // one has contact with; both include this gateway. The share of the burst of
+  // gateways that are lost counts as used by them.
   void set_gateway_counts(int64_t total, int64_t reachable, int64_t now_ms);
 
   // Admits one request of `team` and returns 0, or returns the time after which
@@ -74,6 +75,9 @@
   // even if every gateway had admitted as many since its last message.
   bool TryAcquireUnreported(const std::string& team, ProgramStatus status,
                             int64_t now_ms);
+  // Takes one more request from the team's bucket, which another gateway may
+  // have admitted without this one's knowledge.
+  void ChargeElsewhere(const std::string& team);
   // Call when the usage of all teams was sent to the peers.
   void OnUsageReported();
   // Time after which a request that waits may retry, milliseconds. Each call
