--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -34,6 +34,7 @@
                    "upstream_changed",
                    "upstream_removed",
                    "upstream_avoided",
+                   "upstream_limit_named",
                    "zones_drained",
                    "peer_seen",
                    "peer_lost",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -31,6 +31,7 @@
   kUpstreamChanged,
   kUpstreamRemoved,
   kUpstreamAvoided,
+  kUpstreamLimitNamed,
   kZonesDrained,
   kPeerSeen,
   kPeerLost,
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -76,6 +76,10 @@
   boost::asio::awaitable<const PooledConnection::ResponseHeader*>
   ReadMatchingHeader(PooledConnection& connection,
                      platform::ResponseHead& head);
+  // Keeps the limit that the upstream names in its answer, or that it names
+  // none.
+  void NoteNamedLimit(const UpstreamEntry& upstream,
+                      const platform::ResponseHead& head);
   boost::asio::awaitable<AttemptResult> RelayBuffered(
       PooledConnection& connection,
       const PooledConnection::ResponseHeader& header);
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -91,6 +91,8 @@
         std::min(kConnectTimeout,
                  milliseconds(std::max<int64_t>(1, RemainingMs()))));
     ++attempts_;
+    if (state_.table().named_limit(upstream.id))
+      state_.metrics().Add(Counter::kLimitedSends);
     EventLine(Event::kCallOffered)
         .Text("request", head_.request_id)
         .Text("upstream", upstream.id)
@@ -172,11 +174,23 @@
   throw TransportError("The upstream sent only responses to other requests.");
 }
 
+void GatewayCall::NoteNamedLimit(const UpstreamEntry& upstream,
+                                 const platform::ResponseHead& head) {
+  if (!state_.table().set_named_limit(upstream.id, head.limit_per_second))
+    return;
+  EventLine(Event::kUpstreamLimitNamed)
+      .Text("request", head_.request_id)
+      .Text("upstream", upstream.id)
+      .Text("state", head.limit_per_second ? "named" : "lifted")
+      .Number("per_second_milli", Milli(head.limit_per_second.value_or(0)));
+}
+
 asio::awaitable<AttemptResult> GatewayCall::Exchange(
     const UpstreamEntry& upstream, PooledConnection& connection) {
   co_await connection.Send(BuildUpstreamRequest(upstream), deadline_);
   platform::ResponseHead head;
   const auto* header = co_await ReadMatchingHeader(connection, head);
+  NoteNamedLimit(upstream, head);
   AttemptResult attempt = AttemptResult::kDone;
   if (head.not_run) {
     co_await connection.ReadRemainingBody(deadline_, kMaxResponseBytes);
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -40,7 +40,9 @@
                      "rate_asked",
                      "rate_unanswered",
                      "rate_decided_alone",
-                     "rate_decided_for_peers"};
+                     "rate_decided_for_peers",
+                     "limited_sends",
+                     "limited_delays"};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Latency::kCount)>
     kLatencyNames = {"program", "call", "first_token", "queue_wait", "commit"};
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -62,6 +62,10 @@
   kRateUnanswered,
   kRateDecidedAlone,
   kRateDecidedForPeers,
+  // Calls to upstreams that had named a limit, and those that waited or went
+  // elsewhere because of it.
+  kLimitedSends,
+  kLimitedDelays,
   kCount,
 };
 
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -287,6 +287,20 @@
   if (it != upstreams_.end()) it->second.misdirected = true;
 }
 
+bool UpstreamTable::set_named_limit(const std::string& id,
+                                    std::optional<double> per_second) {
+  const auto it = upstreams_.find(id);
+  if (it == upstreams_.end() || it->second.named_limit == per_second)
+    return false;
+  it->second.named_limit = per_second;
+  return true;
+}
+
+std::optional<double> UpstreamTable::named_limit(const std::string& id) const {
+  const auto it = upstreams_.find(id);
+  return it == upstreams_.end() ? std::nullopt : it->second.named_limit;
+}
+
 int64_t UpstreamTable::ExpectedWaitMs(const std::string& service,
                                       size_t waiting) const {
   // Slots that become free each millisecond.
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -82,6 +82,12 @@
   // Calls in flight from all other gateways, by upstream hash.
   void set_peer_load(std::unordered_map<uint64_t, int64_t> load);
 
+  // Sets the calls a second that the upstream says it accepts from all gateways
+  // together; empty when it names no limit. Returns true when that changed.
+  bool set_named_limit(const std::string& id, std::optional<double> per_second);
+  // Empty when the upstream names no limit or is unknown.
+  std::optional<double> named_limit(const std::string& id) const;
+
   enum class Verdict : uint8_t {
     kChosen,
     // Every usable upstream has no free slot or has reached this gateway's rate
@@ -131,6 +137,8 @@
     // Backoff after consecutive failures: no call is sent before this time.
     int64_t backoff_until_ms = 0;
     int consecutive_failures = 0;
+    // Calls a second that the upstream says it accepts from all gateways.
+    std::optional<double> named_limit = {};
     // True after OnMisdirected(): another upstream answers at the address.
     bool misdirected = false;
     // Time of the last use, by hash of a prompt prefix that was sent there.
