--- a/standins/model_server.cc
+++ b/standins/model_server.cc
@@ -6,10 +6,12 @@
 // a caller can tell the whole answer: event N is "w<hash of body and N>".
 // Switches: id, tokens (events of a stream, by 12), event_ms, shed (count of
 // requests refused as not run), cut_after (count of streams broken off after
-// two events), lose_answers (count of requests run without an answer). GET
-// /runs lists what ran: id, path, team, key, body.
+// two events), lose_answers (count of requests run without an answer),
+// limit_per_s (names this limit, and half a request more, in its answers). GET
+// /runs lists what ran: id, path, team, key, body, at_ms (steady clock).
 #include <algorithm>
 
+#include "src/boot_clock.h"
 #include "src/worker_thread.h"
 #include "standins/standin_main.h"
 
@@ -50,12 +52,16 @@
                      {"path", request.path},
                      {"team", request.Header("x-pimentopulley-tenant")},
                      {"key", request.Header("authorization")},
+                     {"at_ms", SteadyMs()},
                      {"body", request.body}});
     if (switches_.Take("lose_answers")) {
       responder.Abort();
       co_return;
     }
     answer.headers["X-Pimentopulley-Server-Stamp"] = "stamp-" + id;
+    if (switches_.On("limit_per_s"))
+      answer.headers["Server-Limit"] =
+          std::to_string(switches_.Number("limit_per_s")) + ".5";
     if (request.Header("x-pimentopulley-token-count").empty()) {
       co_await Sleep(switches_.Number("event_ms"));
       answer.body = "done " + request.Header(kRequestId);
--- a/test/platform/path_test.cc
+++ b/test/platform/path_test.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 #include <signal.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <chrono>
 #include <set>
@@ -266,6 +267,50 @@
               .status == 200);
 }
 
+namespace {
+
+// Most of the runs that began in any `window_ms`.
+size_t MostRunsIn(const json::array& runs, int64_t window_ms) {
+  std::vector<int64_t> times;
+  for (const auto& run : runs)
+    times.push_back(run.at("at_ms").to_number<int64_t>());
+  std::sort(times.begin(), times.end());
+  size_t most = 0;
+  size_t first = 0;
+  for (size_t last = 0; last < times.size(); ++last) {
+    while (times[last] - times[first] > window_ms) ++first;
+    most = std::max(most, last + 1 - first);
+  }
+  return most;
+}
+
+}  // namespace
+
+TEST_CASE("an upstream that names a limit gets no more, and all are served") {
+  auto fleet = MakeFleet("limit");
+  constexpr int kLimit = 3;
+  fleet.SetFaults("desk-0", R"({"limit_per_s":3})");
+  // Every gateway hears of the limit.
+  for (int i = 0; i < 12; ++i)
+    CHECK(fleet.Call(i % 2, fleet.PlainRequest("h" + std::to_string(i), true))
+              .status == 200);
+  const size_t before = RunsOf(fleet, "desk", 1).size();
+  for (int i = 0; i < 240; ++i) {
+    CHECK(fleet.Call(i % 2, fleet.PlainRequest("l" + std::to_string(i), true))
+              .status == 200);
+    Pause(25);
+  }
+  json::array runs = RunsOf(fleet, "desk", 1);
+  runs.erase(runs.begin(), runs.begin() + static_cast<std::ptrdiff_t>(before));
+  constexpr int64_t kWindowMs = 4'000;
+  MESSAGE("most in 4 s: " << MostRunsIn(runs, kWindowMs) << ", " << runs.size()
+                          << " in all");
+  // The platform allows half as much again and five requests.
+  CHECK(MostRunsIn(runs, kWindowMs) <= (kLimit + 0.5) * 4 * 1.5 + 5);
+  // Not refused far below it either.
+  CHECK(runs.size() >= kLimit * 6 / 2);
+}
+
 TEST_CASE("an idempotent request is retried after a lost response") {
   auto fleet = MakeFleet("again");
   fleet.SetFaults("desk-0", R"({"lose_answers":1})");
