Team rate: a peer's share is withheld after 450 ms at the earliest

2.5 report intervals are 250 ms at 6 gateways, which a busy host misses without being cut off; teams then get five sixths of their rate.

--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -26,6 +26,7 @@
 // silence above: while two halves of the gateways do not hear each other, both
 // admit the whole rate.
 constexpr double kRateShareIntervals = 2.5;
+constexpr int64_t kMinRateShareMs = 450;
 // Initial time after which a peer is silent, until the number of gateways and
 // thus the interval is known.
 constexpr int64_t kInitialSilentAfterMs = 450;
@@ -408,8 +409,10 @@
   reachable_gateways_ =
       static_cast<int64_t>(view_.ReachablePeers(now_ms).size()) + 1;
   table_.set_gateway_count(std::max(registered_gateways_, reachable_gateways_));
-  const auto heard_within_ms = static_cast<int64_t>(
-      kRateShareIntervals * static_cast<double>(peers_.interval().count()));
+  const auto heard_within_ms = std::max(
+      kMinRateShareMs,
+      static_cast<int64_t>(kRateShareIntervals *
+                           static_cast<double>(peers_.interval().count())));
   rates_.quota().set_gateway_counts(
       std::max(registered_gateways_, reachable_gateways_),
       view_.PeersHeardWithin(heard_within_ms, now_ms) + 1, now_ms);
