Streams of upstreams are bounded in event size and in total

Found by a test of our own of bytes without end: heads end with the HTTP parser's limit, but a stream without a blank line was buffered without bound and searched from its start with each piece, so a test with 32 MB used 118 s of processor time (timed out after two minutes). Class: input whose size the sender decides. Now an event may be 256 KiB and a stream as long as a buffered response; the search goes on where it ended. The test takes 0.02 s.

--- a/src/event_splitter.cc
+++ b/src/event_splitter.cc
@@ -1,14 +1,16 @@
 #include "src/event_splitter.h"
 
+#include <algorithm>
 #include <string_view>
 
 namespace pimento {
 namespace {
 
-// Position after the blank line that ends the first event, or npos.
-size_t EndOfEvent(const std::string& text) {
-  const size_t plain = text.find("\n\n");
-  const size_t carriage = text.find("\r\n\r\n");
+// Position after the blank line that ends the first event, or npos. The line
+// does not begin before `from`.
+size_t EndOfEvent(const std::string& text, size_t from) {
+  const size_t plain = text.find("\n\n", from);
+  const size_t carriage = text.find("\r\n\r\n", from);
   if (plain == std::string::npos && carriage == std::string::npos) {
     return std::string::npos;
   }
@@ -51,14 +53,19 @@
 }  // namespace
 
 std::vector<StreamEvent> EventSplitter::Feed(const std::string& piece) {
+  // A blank line of up to four bytes may have arrived in part.
+  constexpr size_t kMaxBlankLine = 4;
   pending_ += piece;
   std::vector<StreamEvent> events;
   for (;;) {
-    const size_t end = EndOfEvent(pending_);
-    if (end == std::string::npos) return events;
+    const size_t end = EndOfEvent(pending_, search_from_);
+    if (end == std::string::npos) break;
     events.push_back(ParseEvent(pending_.substr(0, end)));
     pending_.erase(0, end);
+    search_from_ = 0;
   }
+  search_from_ = pending_.size() - std::min(pending_.size(), kMaxBlankLine - 1);
+  return events;
 }
 
 }  // namespace pimento
--- a/src/event_splitter.h
+++ b/src/event_splitter.h
@@ -27,9 +27,15 @@
   std::vector<StreamEvent> Feed(const std::string& piece);
   // True when the buffer holds part of an incomplete event.
   bool partial() const { return !pending_.empty(); }
+  // True when the incomplete event is longer than any real one.
+  bool too_long() const { return pending_.size() > kMaxEventBytes; }
 
  private:
+  static constexpr size_t kMaxEventBytes = 256 * 1024;
+
   std::string pending_;
+  // The end of an event is searched from here: no earlier byte begins one.
+  size_t search_from_ = 0;
 };
 
 }  // namespace pimento
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -273,7 +273,11 @@
   for (;;) {
     const std::string piece = co_await connection.ReadSome(deadline_);
     if (piece.empty()) break;
-    if (!co_await ForwardEvents(splitter.Feed(piece), header)) {
+    auto events = splitter.Feed(piece);
+    if (splitter.too_long() || output_.size() > kMaxResponseBytes)
+      throw TransportError("The stream of " + upstream.id +
+                           " has an event or a total without end.");
+    if (!co_await ForwardEvents(std::move(events), header)) {
       token_.Stop(StopReason::kCallerLeft);
       throw TransportError(
           "The caller closed the connection during the response.");
