--- a/src/rate_owner.cc
+++ b/src/rate_owner.cc
@@ -21,16 +21,18 @@
 
 void RateOwners::set_hosts(const std::vector<std::string>& hosts) {
   hosts_.clear();
-  for (const std::string& host : hosts)
+  for (const std::string& host : hosts) {
     hosts_.push_back({.name = host, .hash = HashName(host)});
+  }
 }
 
 std::vector<std::string> RateOwners::Ranked(uint64_t limit, size_t count,
                                             int64_t now_ms) const {
   std::vector<std::pair<uint64_t, const Host*>> order;
   order.reserve(hosts_.size());
-  for (const Host& host : hosts_)
+  for (const Host& host : hosts_) {
     order.emplace_back(Weight(host.hash, limit), &host);
+  }
   const size_t first = std::min(count, order.size());
   const auto end = order.begin() + static_cast<std::ptrdiff_t>(first);
   std::partial_sort(
@@ -41,8 +43,9 @@
     return suspect == suspect_until_ms_.end() || suspect->second <= now_ms;
   });
   std::vector<std::string> ranked;
-  for (auto it = order.begin(); it != end; ++it)
+  for (auto it = order.begin(); it != end; ++it) {
     ranked.push_back(it->second->name);
+  }
   return ranked;
 }
 
--- a/src/rate_server.cc
+++ b/src/rate_server.cc
@@ -53,9 +53,10 @@
     if (reply.wait_ms == 0 && !owner) quota_.ChargeElsewhere(team);
     const bool queues =
         reply.wait_ms > 0 && ask.program == ProgramStatus::kRunningProgram;
-    if (queues)
+    if (queues) {
       reply.wait_ms =
           std::max(reply.wait_ms, quota_.ReserveRetryDelay(team, 1, now_ms));
+    }
   }
   const auto level = quota_.level(team);
   if (level) reply.tokens_milli = std::llround(level->tokens * kMilliPerUnit);
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -304,8 +304,9 @@
 bool UpstreamTable::set_named_limit(const std::string& id,
                                     std::optional<double> per_second) {
   const auto it = upstreams_.find(id);
-  if (it == upstreams_.end() || it->second.named_limit == per_second)
+  if (it == upstreams_.end() || it->second.named_limit == per_second) {
     return false;
+  }
   it->second.named_limit = per_second;
   it->second.limit_reached_until_ms = 0;
   return true;
