An upstream that says in its answers that it leaves gets no new requests

Cause: Server-Leaving was read by nobody. An upstream that said so while its entry in the store still said that it serves got every next request. Ruled out: waiting for the entry. It follows late or never, and the time allowed counts from the answer that the gateway passed on. Running requests end where they are. The mark is looked at again just before a request is sent, as connecting or the upstream's limit may take time; a queued request is refused as soon as nothing is left that could serve it, instead of at its deadline. Gateways report in their gossip what upstreams told them themselves, until the entry says it too. What a 421 says about limits is no longer taken for the upstream that was meant. Not shown by a test with processes: an upstream that begins to leave between the choice and a slow connect (upstream_table_test covers the decision).

--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -145,15 +145,21 @@
     registered = HostAddress(name, kProxyPort);
     proxies_[name] = std::make_unique<FaultProxy>(registered, addresses_[name]);
   }
+  RegisterUpstream(id, service, registered);
+}
+
+void PlatformFleet::RegisterUpstream(int id, const std::string& service,
+                                     const std::string& address, int64_t slots,
+                                     int64_t born) {
   const json::object spec = {{"service", service},
-                             {"addr", registered},
+                             {"addr", address},
                              {"zone", "zone-" + std::to_string(id % 3)},
                              {"version", "v1"},
-                             {"slots", 8},
+                             {"slots", slots},
                              {"state", "ready"},
                              {"cold_left_ms", 0},
                              {"sequence", 1},
-                             {"born", 1}};
+                             {"born", born}};
   PutObject("servers", std::to_string(id), json::serialize(spec));
 }
 
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -90,6 +90,11 @@
   // Creates or replaces an object of the store; `spec` is JSON.
   void PutObject(const std::string& kind, const std::string& name,
                  const std::string& spec);
+  // Writes the store entry of an upstream of `service` ("talk" or "desk") with
+  // the numeric `id`, which started at `born` (Unix milliseconds).
+  void RegisterUpstream(int id, const std::string& service,
+                        const std::string& address, int64_t slots = 8,
+                        int64_t born = 1);
   // An object of the store, as JSON.
   std::string Object(const std::string& kind, const std::string& name);
   // Number of calls that the store has received.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -39,6 +39,9 @@
   # that it decides on. Sent in messages of their own, with teamsOnly.
   rateAsks @15 :List(RateAsk);
   rateReplies @16 :List(RateReply);
+  # Hashes of upstream processes whose responses to the sender stated that they
+  # are about to stop, while their entries in the store do not.
+  leavingUpstreams @17 :List(UInt64);
 }
 
 struct RateAsk {
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -49,7 +49,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 6, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 6, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -265,6 +265,9 @@
   inline bool hasRateReplies() const;
   inline  ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>::Reader getRateReplies() const;
 
+  inline bool hasLeavingUpstreams() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getLeavingUpstreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -382,6 +385,14 @@
   inline void adoptRateReplies(::capnp::Orphan< ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::RateReply,  ::capnp::Kind::STRUCT>> disownRateReplies();
 
+  inline bool hasLeavingUpstreams();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getLeavingUpstreams();
+  inline void setLeavingUpstreams( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLeavingUpstreams(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initLeavingUpstreams(unsigned int size);
+  inline void adoptLeavingUpstreams(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownLeavingUpstreams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1833,6 +1844,44 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline bool GatewayNews::Reader::hasLeavingUpstreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayNews::Builder::hasLeavingUpstreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GatewayNews::Reader::getLeavingUpstreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GatewayNews::Builder::getLeavingUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void GatewayNews::Builder::setLeavingUpstreams( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline void GatewayNews::Builder::setLeavingUpstreams(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GatewayNews::Builder::initLeavingUpstreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void GatewayNews::Builder::adoptLeavingUpstreams(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GatewayNews::Builder::disownLeavingUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RateAsk::Reader::getLimit() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -11,6 +11,7 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
+using Verdict = UpstreamTable::Verdict;
 
 // Interval at which queued calls are dispatched. Capacity also becomes
 // available with time alone: sends leave the one-second rate window, and an
@@ -21,6 +22,12 @@
 // Queue cost, in tokens, of a call that states no output tokens.
 constexpr double kDefaultCost = 20;
 
+[[noreturn]] void RefuseUnservable(const std::string& service) {
+  throw Refusal(Reason::kNoUpstream, RunState::kNotRun,
+                "No upstream of service " + service + " is available.",
+                kNoUpstreamRetryAfterMs);
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(asio::io_context& io, UpstreamTable& table,
@@ -37,13 +44,13 @@
   return ahead;
 }
 
-bool Dispatcher::TryGrant(Waiter& waiter) {
+UpstreamTable::Verdict Dispatcher::TryGrant(Waiter& waiter) {
   const int64_t now_ms = SteadyMs();
   const auto choice = table_.Choose(waiter.request.input, now_ms);
-  if (choice.verdict != UpstreamTable::Verdict::kChosen) return false;
+  if (choice.verdict != Verdict::kChosen) return choice.verdict;
   table_.OnCallStarted(choice.upstream.id, waiter.request.input, now_ms);
   waiter.granted = choice.upstream;
-  return true;
+  return choice.verdict;
 }
 
 asio::awaitable<UpstreamEntry> Dispatcher::Acquire(DispatchRequest request,
@@ -56,12 +63,9 @@
       asio::steady_timer(io_, steady_clock::time_point::max()), std::nullopt});
   const size_t ahead = QueuedAhead(service, priority);
   if (ahead == 0) {
-    if (TryGrant(*waiter)) co_return *waiter->granted;
-    const auto choice = table_.Choose(waiter->request.input, arrived_ms);
-    if (choice.verdict == UpstreamTable::Verdict::kNone)
-      throw Refusal(Reason::kNoUpstream, RunState::kNotRun,
-                    "No upstream of service " + service + " is available.",
-                    kNoUpstreamRetryAfterMs);
+    const Verdict verdict = TryGrant(*waiter);
+    if (verdict == Verdict::kChosen) co_return *waiter->granted;
+    if (verdict == Verdict::kNone) RefuseUnservable(service);
   }
   const int64_t expected_ms = table_.ExpectedWaitMs(service, ahead + 1);
   const int64_t left_ms = waiter->request.wait_deadline_ms - arrived_ms;
@@ -106,6 +110,7 @@
   metrics_.Observe(Latency::kQueueWait,
                    static_cast<double>(SteadyMs() - arrived_ms));
   if (waiter->granted) co_return *waiter->granted;
+  if (waiter->unservable) RefuseUnservable(service);
   throw Refusal(Reason::kQueueTimeout, RunState::kNotRun,
                 "No upstream had capacity before the deadline.",
                 kMinRetryAfterMs);
@@ -118,13 +123,20 @@
       auto call = queue->Pop(SteadyMs());
       if (!call) break;
       const auto it = waiters_.find(call->ticket);
-      if (it == waiters_.end() || it->second->granted) continue;
-      if (TryGrant(*it->second)) {
+      if (it == waiters_.end() || it->second->granted || it->second->unservable)
+        continue;
+      const Verdict verdict = TryGrant(*it->second);
+      if (verdict == Verdict::kChosen) {
         it->second->wakeup.cancel();
         continue;
       }
-      // Undo the charge made by Pop() and put the call back into the queue.
+      // Undo the charge made by Pop().
       queue->Settle(call->team, call->weight, call->cost, 0);
+      if (verdict == Verdict::kNone) {
+        it->second->unservable = true;
+        it->second->wakeup.cancel();
+        continue;
+      }
       queue->Push(std::move(*call));
       return;
     }
@@ -141,12 +153,16 @@
   DispatchQueued();
 }
 
-void Dispatcher::Withdraw(const std::string& id, int64_t until_ms) {
+void Dispatcher::Withdraw(const std::string& id) {
   table_.OnCallWithdrawn(id);
-  table_.OnLimitReached(id, until_ms);
   DispatchQueued();
 }
 
+void Dispatcher::WithdrawUntil(const std::string& id, int64_t until_ms) {
+  table_.OnLimitReached(id, until_ms);
+  Withdraw(id);
+}
+
 size_t Dispatcher::waiting() const { return waiters_.size(); }
 
 asio::awaitable<void> Dispatcher::RunDispatchLoop() {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -6,7 +6,9 @@
 // admit in order of arrival and have no priorities, so calls are queued here
 // rather than there: by priority, and within a priority fairly among teams. A
 // call that is not expected to be assigned before its deadline is refused on
-// arrival, with the time after which a retry is expected to succeed.
+// arrival, with the time after which a retry is expected to succeed. A queued
+// call is refused as soon as no upstream is left that could ever serve it, as
+// when all upstreams of its service are leaving.
 #pragma once
 
 #include <boost/asio.hpp>
@@ -51,9 +53,10 @@
                                                 StopToken& token);
   // Returns the capacity reserved on upstream `id` and dispatches queued calls.
   void Release(const std::string& id, const CallResult& result);
-  // Returns the capacity reserved on upstream `id` for a call that is not sent,
-  // since the upstream's limit is used up until `until_ms`.
-  void Withdraw(const std::string& id, int64_t until_ms);
+  // Returns the capacity reserved on upstream `id` for a call that is not sent.
+  void Withdraw(const std::string& id);
+  // The same, since the upstream's limit is used up until `until_ms`.
+  void WithdrawUntil(const std::string& id, int64_t until_ms);
   // Assigns queued calls to upstreams. Release() does so itself; call this when
   // capacity may have become available for another reason.
   void DispatchQueued();
@@ -66,6 +69,8 @@
     // Cancelled to wake the waiting call.
     boost::asio::steady_timer wakeup;
     std::optional<UpstreamEntry> granted;
+    // True once no upstream is left that may serve the call.
+    bool unservable = false;
   };
   // Queued calls of one service, by priority.
   struct ServiceQueues {
@@ -76,8 +81,8 @@
   boost::asio::awaitable<void> RunDispatchLoop();
   // Assigns queued calls until no upstream has capacity for the next one.
   void ServeQueues(const std::string& service, ServiceQueues& service_queues);
-  // Reserves an upstream for `waiter`; returns false when none has capacity.
-  bool TryGrant(Waiter& waiter);
+  // Reserves an upstream for `waiter` if one has capacity.
+  UpstreamTable::Verdict TryGrant(Waiter& waiter);
   // Number of queued calls with the same or a higher priority.
   size_t QueuedAhead(const std::string& service, int priority) const;
 
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -35,6 +35,7 @@
                    "upstream_removed",
                    "upstream_avoided",
                    "upstream_limit_named",
+                   "upstream_leaving",
                    "zones_drained",
                    "peer_seen",
                    "peer_lost",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -32,6 +32,7 @@
   kUpstreamRemoved,
   kUpstreamAvoided,
   kUpstreamLimitNamed,
+  kUpstreamLeaving,
   kZonesDrained,
   kPeerSeen,
   kPeerLost,
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -84,6 +84,13 @@
   // none.
   void NoteNamedLimit(const UpstreamEntry& upstream,
                       const platform::ResponseHead& head);
+  // Keeps that the upstream states in its answer that it is about to stop.
+  void NoteLeaving(const UpstreamEntry& upstream,
+                   const platform::ResponseHead& head);
+  // Gives back what was reserved at an upstream that went out of service before
+  // the request was sent.
+  void WithholdFrom(const UpstreamEntry& upstream,
+                    std::unique_ptr<PooledConnection> connection);
   boost::asio::awaitable<AttemptResult> RelayBuffered(
       PooledConnection& connection,
       const PooledConnection::ResponseHeader& header);
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -85,7 +85,7 @@
     const int64_t wait_ms =
         co_await state_.rates().AcquireUpstream(HashName(upstream.id), *limit);
     if (wait_ms == 0 && !token_.stopped()) co_return upstream;
-    state_.dispatcher().Withdraw(upstream.id, SteadyMs() + wait_ms);
+    state_.dispatcher().WithdrawUntil(upstream.id, SteadyMs() + wait_ms);
     if (token_.stopped())
       throw Refusal(Reason::kQueueTimeout, RunState::kNotRun,
                     "The request ended while it waited for the limit of " +
@@ -110,6 +110,10 @@
         upstream.address,
         std::min(kConnectTimeout,
                  milliseconds(std::max<int64_t>(1, RemainingMs()))));
+    if (!state_.table().MayReceive(upstream)) {
+      WithholdFrom(upstream, std::move(connection));
+      co_return AttemptResult::kNotRun;
+    }
     ++attempts_;
     if (state_.table().named_limit(upstream.id))
       state_.metrics().Add(Counter::kLimitedSends);
@@ -158,6 +162,19 @@
   co_return attempt;
 }
 
+void GatewayCall::WithholdFrom(const UpstreamEntry& upstream,
+                               std::unique_ptr<PooledConnection> connection) {
+  last_failure_ = "The upstream " + upstream.id +
+                  " went out of service before the request was sent.";
+  state_.pool().Release(std::move(connection), PoolIdleTimeout());
+  state_.dispatcher().Withdraw(upstream.id);
+  state_.metrics().Add(Counter::kSendsWithheld);
+  EventLine(Event::kOfferFailed)
+      .Text("request", head_.request_id)
+      .Text("upstream", upstream.id)
+      .Text("error", last_failure_);
+}
+
 std::shared_ptr<PooledConnection::Request> GatewayCall::BuildUpstreamRequest(
     const UpstreamEntry& upstream) const {
   const platform::UpstreamHeaders order{
@@ -194,6 +211,16 @@
   throw TransportError("The upstream sent only responses to other requests.");
 }
 
+void GatewayCall::NoteLeaving(const UpstreamEntry& upstream,
+                              const platform::ResponseHead& head) {
+  if (!head.leaving || !state_.table().OnLeavingStated(upstream)) return;
+  state_.metrics().Add(Counter::kLeavingStated);
+  EventLine(Event::kUpstreamLeaving)
+      .Text("request", head_.request_id)
+      .Text("upstream", upstream.id)
+      .Number("status", head.status);
+}
+
 void GatewayCall::NoteNamedLimit(const UpstreamEntry& upstream,
                                  const platform::ResponseHead& head) {
   if (!state_.table().set_named_limit(upstream.id, head.limit_per_second))
@@ -210,12 +237,17 @@
   co_await connection.Send(BuildUpstreamRequest(upstream), deadline_);
   platform::ResponseHead head;
   const auto* header = co_await ReadMatchingHeader(connection, head);
-  NoteNamedLimit(upstream, head);
+  constexpr int kMisdirected = 421;
+  if (head.status == kMisdirected) {
+    // Its other headers are those of another upstream.
+    state_.table().OnMisdirected(upstream.id);
+  } else {
+    NoteNamedLimit(upstream, head);
+    NoteLeaving(upstream, head);
+  }
   AttemptResult attempt = AttemptResult::kDone;
   if (head.not_run) {
     co_await connection.ReadRemainingBody(deadline_, kMaxResponseBytes);
-    constexpr int kMisdirected = 421;
-    if (head.status == kMisdirected) state_.table().OnMisdirected(upstream.id);
     attempt = AttemptResult::kNotRun;
   } else if (Successful(head.status) && !head.has_server_stamp) {
     throw TransportError(
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -79,6 +79,10 @@
       static_cast<unsigned>(std::min(gossip.programs.size(), kMaxEntries)));
   for (unsigned i = 0; i < programs.size(); ++i)
     programs.set(i, gossip.programs[i]);
+  auto leaving = out.initLeavingUpstreams(static_cast<unsigned>(
+      std::min(gossip.leaving_upstreams.size(), kMaxEntries)));
+  for (unsigned i = 0; i < leaving.size(); ++i)
+    leaving.set(i, gossip.leaving_upstreams[i]);
   auto echoes = out.initEchoes(
       static_cast<unsigned>(std::min(gossip.echoes.size(), kMaxEntries)));
   for (unsigned i = 0; i < echoes.size(); ++i) {
@@ -132,6 +136,8 @@
           {team.getTeam(), {team.getAdmitted(), team.getStarted()}});
     for (const uint64_t program : in.getPrograms())
       gossip.programs.push_back(program);
+    for (const uint64_t process : in.getLeavingUpstreams())
+      gossip.leaving_upstreams.push_back(process);
     for (const uint64_t echo : in.getEchoes())
       gossip.echoes.push_back(
           {echo >> kSequenceBits, static_cast<uint16_t>(echo)});
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -63,6 +63,9 @@
   // Asks for rate limits that the receiver owns, and replies to its asks.
   std::vector<RateAsk> rate_asks = {};
   std::vector<RateReply> rate_replies = {};
+  // Hashes of upstream processes that told the sender that they are about to
+  // stop.
+  std::vector<uint64_t> leaving_upstreams = {};
   // True for a message that only carries `teams`, `rate_asks` and
   // `rate_replies` and is sent between two regular ones; the other fields then
   // keep their last values.
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -296,6 +296,8 @@
     EventLine(Event::kPeerSeen).Text("peer", gossip.host);
   for (const uint64_t program : gossip.programs)
     programs_.OnPeerAdmitted(program, now_ms);
+  for (const uint64_t process : gossip.leaving_upstreams)
+    OnPeerReportsLeaving(gossip.host, process);
   // The peer wrote the message after the echoed one was sent, so that send time
   // is a safe time for its reports, however long the message was buffered.
   for (const GossipEcho& echo : gossip.echoes) {
@@ -309,6 +311,14 @@
   }
 }
 
+void GatewayState::OnPeerReportsLeaving(const std::string& host,
+                                        uint64_t process) {
+  const std::string id = table_.OnPeerReportsLeaving(process);
+  if (id.empty()) return;
+  metrics_.Add(Counter::kLeavingReported);
+  EventLine(Event::kUpstreamLeaving).Text("upstream", id).Text("peer", host);
+}
+
 void GatewayState::ChargePeerUsage(const std::string& host,
                                    const PeerUsage::Increase& increase) {
   for (const auto& [team, use] : increase.charged) {
@@ -353,6 +363,7 @@
                        .state_age_ms = StateAgeMs(),
                        .store_silent_ms = StoreSilentMs()};
   gossip.loads = table_.LocalLoad();
+  gossip.leaving_upstreams = table_.LeavingToReport();
   gossip.echoes = view_.Echoes(SteadyMs());
   gossip.teams = usage_gossip_.NextEntries(rates_.quota().local_usage());
   rates_.quota().OnUsageReported();
@@ -486,6 +497,7 @@
       last_sweep_ms_ = now_ms;
       pool_.Sweep();
       programs_.Sweep(now_ms);
+      table_.SweepLeaving(now_ms);
     }
     const bool usable = UsableState() != nullptr;
     if (usable == was_usable_) continue;
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -74,6 +74,7 @@
   void SendToPeer(const std::string& host, const GatewayGossip& message);
   // The gateways in contact that serve requests, this one included.
   std::vector<std::string> ReadyHosts() const;
+  void OnPeerReportsLeaving(const std::string& host, uint64_t process);
   void ChargePeerUsage(const std::string& host,
                        const PeerUsage::Increase& increase);
   // Logs each team's rate limit once, and again when it has changed.
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -42,7 +42,10 @@
                      "rate_decided_alone",
                      "rate_decided_for_peers",
                      "limited_sends",
-                     "limited_delays"};
+                     "limited_delays",
+                     "leaving_stated",
+                     "leaving_reported",
+                     "sends_withheld"};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Latency::kCount)>
     kLatencyNames = {"program", "call", "first_token", "queue_wait", "commit"};
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -66,6 +66,13 @@
   // elsewhere because of it.
   kLimitedSends,
   kLimitedDelays,
+  // Upstreams that stated in a response that they are about to stop, and those
+  // of which a peer reported it first.
+  kLeavingStated,
+  kLeavingReported,
+  // Calls that were not sent to the upstream that they were assigned to, because
+  // it went out of service meanwhile.
+  kSendsWithheld,
   kCount,
 };
 
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -35,12 +35,20 @@
 // are dropped.
 constexpr size_t kMaxPrefixes = 4'096;
 constexpr int64_t kPrefixTtlMs = 60'000;
+// A process that stated that it is about to stop is forgotten after it has had
+// no entry for this long.
+constexpr int64_t kLeavingTtlMs = 600'000;
 
 uint64_t CombineHash(uint64_t hash, uint64_t value) {
   const uint64_t pair[2] = {hash, value};
   return XXH3_64bits(pair, sizeof pair);
 }
 
+uint64_t ProcessHash(const UpstreamEntry& entry) {
+  return CombineHash(HashName(entry.id),
+                     static_cast<uint64_t>(entry.started_at_ms));
+}
+
 void UpdateAverage(double& average, double value) {
   average = average == 0 ? value : average + kSampleWeight * (value - average);
 }
@@ -65,6 +73,7 @@
   if (before.address != entry.address) upstream.misdirected = false;
   upstream.entry = entry;
   upstream.hash = HashName(entry.id);
+  upstream.process_hash = ProcessHash(entry);
   return before.id.empty() || before.leaving != entry.leaving ||
          before.address != entry.address ||
          before.started_at_ms != entry.started_at_ms;
@@ -110,16 +119,32 @@
   return std::any_of(
       upstreams_.begin(), upstreams_.end(), [&](const auto& item) {
         return item.second.entry.service == service &&
-               !item.second.misdirected && !item.second.entry.leaving &&
+               !item.second.misdirected && !IsLeaving(item.second) &&
                MaxSendsPerSecond(item.second) != 0;
       });
 }
 
+bool UpstreamTable::IsLeaving(const Upstream& upstream) const {
+  return upstream.entry.leaving ||
+         leaving_processes_.count(upstream.process_hash) > 0;
+}
+
+bool UpstreamTable::InService(const Upstream& upstream) const {
+  return !IsLeaving(upstream) && !upstream.misdirected &&
+         drained_zones_.count(upstream.entry.zone) == 0;
+}
+
+bool UpstreamTable::MayReceive(const UpstreamEntry& entry) const {
+  const auto it = upstreams_.find(entry.id);
+  return it != upstreams_.end() && it->second.entry.address == entry.address &&
+         it->second.entry.started_at_ms == entry.started_at_ms &&
+         InService(it->second);
+}
+
 bool UpstreamTable::Usable(const Upstream& upstream,
                            const PlacementInput& input, int64_t now_ms) const {
   const UpstreamEntry& entry = upstream.entry;
-  return entry.service == input.service && !entry.leaving &&
-         !upstream.misdirected && drained_zones_.count(entry.zone) == 0 &&
+  return entry.service == input.service && InService(upstream) &&
          input.tried.count(entry.id) == 0 &&
          upstream.backoff_until_ms <= now_ms;
 }
@@ -301,6 +326,53 @@
   if (it != upstreams_.end()) it->second.misdirected = true;
 }
 
+bool UpstreamTable::OnLeavingStated(const UpstreamEntry& entry) {
+  LeavingProcess& process = leaving_processes_[ProcessHash(entry)];
+  const bool first = !process.stated_here;
+  process.stated_here = true;
+  return first;
+}
+
+std::string UpstreamTable::OnPeerReportsLeaving(uint64_t process_hash) {
+  if (leaving_processes_.count(process_hash) > 0) return {};
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.process_hash != process_hash) continue;
+    leaving_processes_[process_hash] = {};
+    return id;
+  }
+  return {};
+}
+
+std::vector<uint64_t> UpstreamTable::LeavingToReport() const {
+  std::vector<uint64_t> hashes;
+  if (leaving_processes_.empty()) return hashes;
+  for (const auto& [id, upstream] : upstreams_) {
+    const auto it = leaving_processes_.find(upstream.process_hash);
+    const bool stated =
+        it != leaving_processes_.end() && it->second.stated_here;
+    if (stated && !upstream.entry.leaving)
+      hashes.push_back(upstream.process_hash);
+  }
+  return hashes;
+}
+
+void UpstreamTable::SweepLeaving(int64_t now_ms) {
+  if (leaving_processes_.empty()) return;
+  std::set<uint64_t> present;
+  for (const auto& [id, upstream] : upstreams_)
+    present.insert(upstream.process_hash);
+  for (auto& [hash, process] : leaving_processes_) {
+    if (present.count(hash) > 0)
+      process.absent_since_ms = 0;
+    else if (process.absent_since_ms == 0)
+      process.absent_since_ms = now_ms;
+  }
+  std::erase_if(leaving_processes_, [now_ms](const auto& item) {
+    const int64_t since_ms = item.second.absent_since_ms;
+    return since_ms > 0 && now_ms - since_ms >= kLeavingTtlMs;
+  });
+}
+
 bool UpstreamTable::set_named_limit(const std::string& id,
                                     std::optional<double> per_second) {
   const auto it = upstreams_.find(id);
@@ -327,7 +399,7 @@
   // Slots that become free each millisecond.
   double slots_per_ms = 0;
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry.service != service || upstream.entry.leaving) continue;
+    if (upstream.entry.service != service || IsLeaving(upstream)) continue;
     const double event_ms =
         upstream.event_ms > 0 ? upstream.event_ms : kDefaultEventMs;
     // Events of a typical stream.
@@ -349,10 +421,7 @@
 size_t UpstreamTable::usable(const std::string& service) const {
   return static_cast<size_t>(std::count_if(
       upstreams_.begin(), upstreams_.end(), [&](const auto& item) {
-        const UpstreamEntry& entry = item.second.entry;
-        return entry.service == service && !entry.leaving &&
-               !item.second.misdirected &&
-               drained_zones_.count(entry.zone) == 0;
+        return item.second.entry.service == service && InService(item.second);
       }));
 }
 
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -91,6 +91,23 @@
   // Empty when the upstream names no limit or is unknown.
   std::optional<double> named_limit(const std::string& id) const;
 
+  // A response of the upstream states that it is about to stop. Its process
+  // gets no new calls any more, whatever its entry says; a process that starts
+  // later under the same id does. Returns true the first time.
+  bool OnLeavingStated(const UpstreamEntry& entry);
+  // A peer received such a response from the process with this hash. Returns
+  // the upstream's id the first time; empty otherwise, or if no entry has that
+  // hash.
+  std::string OnPeerReportsLeaving(uint64_t process_hash);
+  // Hashes of the processes whose responses to this gateway stated it while
+  // their entries do not, for the peers.
+  std::vector<uint64_t> LeavingToReport() const;
+  // Forgets processes that have had no entry for a long time.
+  void SweepLeaving(int64_t now_ms);
+  // True while new calls may be sent to the upstream: its entry is present and
+  // unchanged, and it is neither leaving nor misdirected nor in a drained zone.
+  bool MayReceive(const UpstreamEntry& entry) const;
+
   enum class Verdict : uint8_t {
     kChosen,
     // Every usable upstream has no free slot or has reached this gateway's rate
@@ -130,6 +147,8 @@
   struct Upstream {
     UpstreamEntry entry = {};
     uint64_t hash = 0;
+    // Hash of the id and the start time: identifies one process.
+    uint64_t process_hash = 0;
     // Calls in flight from this gateway and from all others.
     int64_t in_flight = 0;
     int64_t peers_in_flight = 0;
@@ -152,6 +171,18 @@
     std::unordered_map<uint64_t, int64_t> prefixes = {};
   };
 
+  // A process that stated that it is about to stop.
+  struct LeavingProcess {
+    // True when a response to this gateway stated it, not only a peer's report.
+    bool stated_here = false;
+    // Since when no entry has had this process; 0 while one has.
+    int64_t absent_since_ms = 0;
+  };
+
+  // True when the entry or the upstream's own responses say that it is leaving.
+  bool IsLeaving(const Upstream& upstream) const;
+  // True when the upstream may get new calls at all.
+  bool InService(const Upstream& upstream) const;
   bool Usable(const Upstream& upstream, const PlacementInput& input,
               int64_t now_ms) const;
   // True when a slot is free and this gateway's rate share is not used up.
@@ -170,6 +201,8 @@
 
   UpstreamTableOptions options_;
   std::map<std::string, Upstream> upstreams_;
+  // By process hash. Kept while an entry is missing: it may return unchanged.
+  std::unordered_map<uint64_t, LeavingProcess> leaving_processes_;
   std::set<std::string> drained_zones_;
   std::unordered_map<std::string, ServiceSpec> services_;
   int64_t gateways_ = 1;
--- a/test/correctness/gateway_view_test.cc
+++ b/test/correctness/gateway_view_test.cc
@@ -27,4 +27,11 @@
   CHECK(view.IsSilent("a1", 30'000));
 }
 
+TEST_CASE("reports of leaving upstreams survive the encoding") {
+  GatewayGossip gossip{.host = "a", .boot = 1, .sequence = 1};
+  gossip.leaving_upstreams = {7, 0xffff'ffff'ffff'ffff};
+  const auto decoded = DecodeGossip(EncodeGossip(gossip));
+  CHECK(decoded.leaving_upstreams == gossip.leaving_upstreams);
+}
+
 }  // namespace pimento
--- a/test/correctness/upstream_table_test.cc
+++ b/test/correctness/upstream_table_test.cc
@@ -174,3 +174,63 @@
   CHECK(table.Choose(Input(&prompt), 0).upstream.id == "one");
   CHECK_FALSE(table.Put(restarted, 0));
 }
+
+TEST_CASE("an upstream whose response says it is leaving gets no more calls") {
+  auto table = TableOf({Entry("one"), Entry("two")});
+  CHECK(table.MayReceive(Entry("one")));
+  CHECK(table.OnLeavingStated(Entry("one")));
+  CHECK_FALSE(table.OnLeavingStated(Entry("one")));
+  CHECK_FALSE(table.MayReceive(Entry("one")));
+  CHECK(table.usable("talk") == 1);
+  CHECK(table.Choose(Input(), 0).upstream.id == "two");
+  // Its entry is written again, or is away for a while: the same process.
+  table.Put(Entry("one"), 0);
+  CHECK_FALSE(table.MayReceive(Entry("one")));
+  table.Remove("one");
+  table.SweepLeaving(1);
+  table.SweepLeaving(1 + 599'000);
+  table.Put(Entry("one"), 0);
+  CHECK_FALSE(table.MayReceive(Entry("one")));
+  // All upstreams of the service leave at once.
+  table.OnLeavingStated(Entry("two"));
+  CHECK(table.Choose(Input(), 0).verdict == UpstreamTable::Verdict::kNone);
+  // A new process under the same id.
+  UpstreamEntry restarted = Entry("one");
+  restarted.started_at_ms = 2;
+  table.Put(restarted, 0);
+  CHECK(table.MayReceive(restarted));
+  CHECK_FALSE(table.MayReceive(Entry("one")));
+  CHECK(table.Choose(Input(), 0).upstream.id == "one");
+}
+
+TEST_CASE("a process that is long gone is forgotten, one that serves is not") {
+  auto table = TableOf({Entry("one"), Entry("two")});
+  table.OnLeavingStated(Entry("one"));
+  table.OnLeavingStated(Entry("two"));
+  table.Remove("two");
+  table.SweepLeaving(1);
+  table.SweepLeaving(1 + 600'000);
+  table.Put(Entry("two"), 0);
+  CHECK(table.MayReceive(Entry("two")));
+  CHECK_FALSE(table.MayReceive(Entry("one")));
+}
+
+TEST_CASE("peers learn which upstreams said that they are leaving") {
+  auto told = TableOf({Entry("one"), Entry("two")});
+  auto peer = TableOf({Entry("one"), Entry("two")});
+  CHECK(told.LeavingToReport().empty());
+  told.OnLeavingStated(Entry("one"));
+  const auto reported = told.LeavingToReport();
+  REQUIRE(reported.size() == 1);
+  CHECK(peer.OnPeerReportsLeaving(reported.front()) == "one");
+  CHECK(peer.OnPeerReportsLeaving(reported.front()).empty());
+  CHECK(peer.OnPeerReportsLeaving(reported.front() + 1).empty());
+  CHECK_FALSE(peer.MayReceive(Entry("one")));
+  // Only what an upstream said to the gateway itself is passed on, and only
+  // until its entry says it too.
+  CHECK(peer.LeavingToReport().empty());
+  UpstreamEntry leaving = Entry("one");
+  leaving.leaving = true;
+  told.Put(leaving, 0);
+  CHECK(told.LeavingToReport().empty());
+}
