--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -27,6 +27,8 @@
 // Limit on unacknowledged data; see SetTcpTimeouts().
 constexpr milliseconds kUnackedTimeout{5'000};
 constexpr size_t kListenBacklog = 512;
+// Longest stream that is collected for a caller without chunked coding.
+constexpr size_t kMaxCollectedBytes = 8 * 1024 * 1024;
 
 class Session;
 
@@ -98,6 +100,11 @@
   bool is_head_request_ = false;
   // True when the connection must close after the current response.
   bool closing_ = false;
+  // True for an HTTP/1.0 request, whose stream is sent whole with its length:
+  // without chunks, a broken one could not be told from a complete one.
+  bool collects_stream_ = false;
+  Header collected_header_;
+  std::string collected_;
 };
 
 void Session::SetFraming(Header& header) const {
@@ -177,7 +184,9 @@
 
 asio::awaitable<void> Session::HandleRequest(Parser& parser) {
   is_head_request_ = parser.get().method() == http::verb::head;
-  if (!parser.keep_alive()) closing_ = true;
+  constexpr unsigned kHttp11 = 11;
+  collects_stream_ = parser.get().version() < kHttp11;
+  if (collects_stream_ || !parser.keep_alive()) closing_ = true;
   CallerRequest request{.header = std::move(parser.get().base()),
                         .body = std::move(parser.get().body()),
                         .arrived = steady_clock::now()};
@@ -242,6 +251,10 @@
 
 asio::awaitable<bool> Session::Begin(Header header) {
   begun_ = true;
+  if (collects_stream_) {
+    collected_header_ = std::move(header);
+    co_return true;
+  }
   SetFraming(header);
   header.set(http::field::transfer_encoding, "chunked");
   http::response<http::empty_body> response(std::move(header));
@@ -254,6 +267,10 @@
 }
 
 asio::awaitable<bool> Session::Write(std::string piece) {
+  if (collects_stream_) {
+    collected_ += piece;
+    co_return collected_.size() <= kMaxCollectedBytes;
+  }
   stream_.expires_after(kWriteTimeout);
   beast::error_code error;
   co_await asio::async_write(stream_, http::make_chunk(asio::buffer(piece)),
@@ -262,6 +279,9 @@
 }
 
 asio::awaitable<bool> Session::End() {
+  if (collects_stream_)
+    co_return co_await Send(std::move(collected_header_),
+                            std::move(collected_));
   stream_.expires_after(kWriteTimeout);
   beast::error_code error;
   co_await asio::async_write(stream_, http::make_chunk_last(),
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -53,7 +53,9 @@
   // Closes the socket; a pending operation throws. Call it only on the
   // connection's own thread.
   void Close();
-  bool used() const { return exchanges_ > 0; }
+  // True when the response that is being read has neither a length nor chunks:
+  // its body ends where the upstream closes the connection.
+  bool ends_with_close() const { return parser_ && parser_->need_eof(); }
 
  private:
   friend class ConnectionPool;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -201,6 +201,8 @@
                          (head.request_id.empty() && !Successful(head.status));
     if (matches && !interim) co_return header;
     // An interim response, or a late one to another request: discard it.
+    if (connection.ends_with_close())
+      throw TransportError("The upstream answered another request and closes.");
     co_await connection.ReadRemainingBody(deadline_, kMaxResponseBytes);
     EventLine(Event::kOfferFailed)
         .Text("request", head_.request_id)
@@ -247,7 +249,9 @@
   }
   AttemptResult attempt = AttemptResult::kDone;
   if (head.not_run) {
-    co_await connection.ReadRemainingBody(deadline_, kMaxResponseBytes);
+    // A body that only a close ends is not waited for.
+    if (!connection.ends_with_close())
+      co_await connection.ReadRemainingBody(deadline_, kMaxResponseBytes);
     attempt = AttemptResult::kNotRun;
   } else if (Successful(head.status) && !head.has_server_stamp) {
     throw TransportError(
