A planned stop cuts nothing that callers on new connections had just sent

Cause: a gateway that stops went on accepting connections until its last moment, and ended with the requests on them unanswered. Ruled out: a longer stop. Callers that connect all the time fill any time. Change: half way through the grace period the listening sockets close; callers go elsewhere at once. What was accepted ends in the other half. The directory has not named the host for seconds by then.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -328,7 +328,7 @@
     beast::error_code error;
     tcp::socket socket = co_await acceptor.async_accept(
         asio::redirect_error(asio::use_awaitable, error));
-    if (error == asio::error::operation_aborted) co_return;
+    if (!acceptor.is_open()) co_return;
     if (error) {
       EventLine(Event::kAcceptFailed).Text("error", error.message());
       asio::steady_timer pause(state->io, milliseconds(50));
@@ -371,6 +371,13 @@
   for (Session* session : state_->sessions) session->Drain();
 }
 
+void CallerServer::StopAccepting() {
+  for (tcp::acceptor& acceptor : state_->acceptors) {
+    beast::error_code ignored;  // it may be closed already
+    acceptor.close(ignored);
+  }
+}
+
 size_t CallerServer::requests_in_flight() const {
   return state_->requests_in_flight;
 }
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -64,6 +64,8 @@
   // From now on, responses carry "Connection: close" and connections close
   // after `idle_grace` without a request.
   void Drain(std::chrono::milliseconds idle_grace);
+  // Closes the listening sockets: new connections are refused by the system.
+  void StopAccepting();
   // Requests that a handler is processing.
   size_t requests_in_flight() const;
   size_t connections() const;
--- a/src/gateway_server.cc
+++ b/src/gateway_server.cc
@@ -25,9 +25,11 @@
 // Minimum duration of a shutdown: callers with a cached directory entry
 // continue to connect for a while.
 constexpr milliseconds kMinDrainTime{2'500};
-// Shares of the configured grace period: after the first one the shutdown
-// completes once no request is in flight, even if connections are still open;
-// after the second one it completes in any case.
+// Shares of the configured grace period: after the first one no connection is
+// accepted any more, so that what was accepted can end; after the second one the
+// shutdown completes once no request is in flight, even if connections are still
+// open; after the third one it completes in any case.
+constexpr double kAcceptShare = 0.5;
 constexpr double kIdleDrainShare = 0.8;
 constexpr double kMaxDrainShare = 0.94;
 constexpr uint64_t kInternalBodyBytes = 64 * 1024;
@@ -131,6 +133,7 @@
     std::function<void()> on_done) {
   const auto began = steady_clock::now();
   const auto grace = static_cast<double>(state_.settings().grace_ms);
+  const milliseconds accept_limit(static_cast<int64_t>(grace * kAcceptShare));
   const milliseconds idle_limit(static_cast<int64_t>(grace * kIdleDrainShare));
   const milliseconds drain_limit(static_cast<int64_t>(grace * kMaxDrainShare));
   for (;;) {
@@ -138,6 +141,7 @@
     co_await timer.async_wait(asio::use_awaitable);
     const auto passed = steady_clock::now() - began;
     if (passed >= drain_limit) break;
+    if (passed >= accept_limit) callers_.StopAccepting();
     if (callers_.requests_in_flight() > 0) continue;
     if (passed >= idle_limit) break;
     if (passed >= kMinDrainTime && callers_.connections() == 0) break;
