A late copy of an answer without an id makes no false "not run"

Cause: a failure without the request's id was taken for the answer to whatever request the connection carried. A second copy of an earlier refusal, late, made the gateway tell the next caller that its request had not run. Ruled out: copies with an id (discarded by it) and copies that arrive while the connection is idle (the connection is dropped); both pass on.

--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -290,8 +290,24 @@
 
 std::string PlatformFleet::SendRaw(int gateway, const std::string& bytes,
                                    int64_t limit_ms) {
-  const std::string address =
-      HostAddress("gateway-" + std::to_string(gateway), kCallerPort);
+  return SendRawTo(
+      HostAddress("gateway-" + std::to_string(gateway), kCallerPort), bytes,
+      limit_ms);
+}
+
+std::vector<std::string> PlatformFleet::Listening(
+    const std::string& name) const {
+  std::vector<int> ports = {kFirstPort, kMetricsPort};
+  if (name.starts_with("gateway"))
+    ports.insert(ports.end(), {kCallerPort, kReadyPort, kDirectoryPort});
+  std::vector<std::string> addresses;
+  for (const int port : ports) addresses.push_back(HostAddress(name, port));
+  return addresses;
+}
+
+std::string PlatformFleet::SendRawTo(const std::string& address,
+                                     const std::string& bytes,
+                                     int64_t limit_ms) {
   asio::io_context io;
   beast::tcp_stream stream(io);
   const size_t colon = address.find(':');
@@ -353,6 +369,13 @@
                              "/" + name + ".");
 }
 
+void PlatformFleet::DeleteObject(const std::string& kind,
+                                 const std::string& name) {
+  SendTo(addresses_["store"], {.method = "DELETE",
+                               .target = "/-/objects/" + kind + "/" + name,
+                               .limit_ms = kStandInTimeoutMs});
+}
+
 std::string PlatformFleet::Object(const std::string& kind,
                                   const std::string& name) {
   return SendTo(addresses_["store"],
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -78,6 +78,12 @@
   // Sends `bytes` unchanged to a gateway. Returns what it received until the
   // connection ended or `limit_ms` was over.
   std::string SendRaw(int gateway, const std::string& bytes, int64_t limit_ms);
+  // The same, to any address.
+  static std::string SendRawTo(const std::string& address,
+                               const std::string& bytes, int64_t limit_ms);
+  // Addresses on which host `name` listens by TCP; the first one is for other
+  // hosts, which also send datagrams there.
+  std::vector<std::string> Listening(const std::string& name) const;
 
   // JSON array of the requests that upstream `name` ("talk-0", "desk-1") ran.
   std::string Runs(const std::string& name);
@@ -90,6 +96,7 @@
   // Creates or replaces an object of the store; `spec` is JSON.
   void PutObject(const std::string& kind, const std::string& name,
                  const std::string& spec);
+  void DeleteObject(const std::string& kind, const std::string& name);
   // Writes the store entry of an upstream of `service` ("talk" or "desk") with
   // the numeric `id`, which started at `born` (Unix milliseconds).
   void RegisterUpstream(int id, const std::string& service,
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -53,6 +53,8 @@
   // Closes the socket; a pending operation throws. Call it only on the
   // connection's own thread.
   void Close();
+  // True when the connection carried another exchange before this one.
+  bool reused() const { return exchanges_ > 1; }
   // True when the response that is being read has neither a length nor chunks:
   // its body ends where the upstream closes the connection.
   bool ends_with_close() const { return parser_ && parser_->need_eof(); }
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -197,9 +197,13 @@
     head = platform::DecodeResponse(*header);
     keep_alive_ms_ = head.keep_alive_ms;
     const bool interim = head.status < kHttpOk;
-    const bool matches = head.request_id == head_.request_id ||
-                         (head.request_id.empty() && !Successful(head.status));
-    if (matches && !interim) co_return header;
+    if (head.request_id == head_.request_id && !interim) co_return header;
+    if (head.request_id.empty() && !interim) {
+      // Without an id it is attributed to the only request that the connection
+      // has carried.
+      if (!connection.reused() && !Successful(head.status)) co_return header;
+      throw TransportError("The response does not name its request.");
+    }
     // An interim response, or a late one to another request: discard it.
     if (connection.ends_with_close())
       throw TransportError("The upstream answered another request and closes.");
