One malformed registration no longer silences the gossip to other gateways

Cause: the list of peers was built until the first address that cannot be parsed; peers after it got no gossip, and each gateway knew only itself. Loops that run as long as the process (gossip, watches, housekeeping, registration, dispatch, membership) ended silently when a handler threw something else than the one error that they caught; the process then served on with what it last knew. Ruled out: random and truncated datagrams and bytes on every port, malformed upstream entries and zones: they stopped nothing on. Change: a registration without a valid address is logged and left out alone; KeepRunning logs an error that escapes from a loop and starts the loop again.

--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -8,6 +8,7 @@
 
 #include "platform/object_codec.h"
 #include "platform/wire_names.h"
+#include "src/background_loop.h"
 #include "src/errors.h"
 #include "src/event_log.h"
 
@@ -122,8 +123,8 @@
   list_watch_.Start(adopt);
   registration_watch_.Start([] {});
   retirement_watch_.Start([] {});
-  asio::co_spawn(io_, Register(), asio::detached);
-  asio::co_spawn(io_, RunMembership(), asio::detached);
+  KeepRunning(io_, "registration", [this] { return Register(); });
+  KeepRunning(io_, "membership", [this] { return RunMembership(); });
 }
 
 bool ArchiveNode::IsMember() const {
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/background_loop.h"
 #include "src/event_log.h"
 
 namespace pimento {
@@ -97,7 +98,7 @@
       .Number("expected_ms", expected_ms);
   if (!dispatch_loop_running_) {
     dispatch_loop_running_ = true;
-    asio::co_spawn(io_, RunDispatchLoop(), asio::detached);
+    KeepRunning(io_, "dispatch", [this] { return RunDispatchLoop(); });
   }
   token.set_on_stop([waiter] { waiter->wakeup.cancel(); });
   waiter->wakeup.expires_after(milliseconds(left_ms));
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -10,6 +10,7 @@
 #include <cstring>
 
 #include "schema/fleet.capnp.h"
+#include "src/background_loop.h"
 #include "src/connection_pool.h"
 #include "src/errors.h"
 #include "src/event_log.h"
@@ -247,8 +248,8 @@
                          std::function<void(const GatewayGossip&)> on_gossip) {
   build_gossip_ = std::move(build_gossip);
   on_gossip_ = std::move(on_gossip);
-  asio::co_spawn(io_, Send(), asio::detached);
-  asio::co_spawn(io_, Receive(), asio::detached);
+  KeepRunning(io_, "gossip sender", [this] { return Send(); });
+  KeepRunning(io_, "gossip receiver", [this] { return Receive(); });
 }
 
 void GatewayPeers::Announce() {
@@ -309,7 +310,8 @@
     if (error) continue;  // ICMP errors of unreachable peers are reported here
     try {
       on_gossip_(DecodeGossip(bytes.substr(0, got)));
-    } catch (const StateError& e) {
+    } catch (const std::exception& e) {
+      // One message that cannot be handled must not end the loop.
       EventLine(Event::kHandlerFailed).Text("error", e.what());
     }
   }
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -7,6 +7,7 @@
 #include "platform/object_codec.h"
 #include "platform/wire_names.h"
 #include "src/archive_node.h"
+#include "src/background_loop.h"
 #include "src/errors.h"
 #include "src/event_log.h"
 
@@ -52,6 +53,28 @@
       static_cast<int64_t>(static_cast<double>(revoke_ms) * kConfigWaitShare));
 }
 
+// The address at which gateway `host` receives gossip; empty, with a log line,
+// when its registration has no valid one.
+std::string GossipAddress(const std::string& host, const json::value& spec) {
+  const json::value* address =
+      spec.is_object() ? spec.get_object().if_contains("news_address")
+                       : nullptr;
+  std::string error = "no address";
+  if (address != nullptr && address->is_string()) {
+    const std::string text(address->get_string());
+    try {
+      ParseEndpoint(text);
+      return text;
+    } catch (const TransportError& e) {
+      error = e.what();
+    }
+  }
+  EventLine(Event::kHandlerFailed)
+      .Text("error",
+            "The registration of gateway " + host + " is invalid: " + error);
+  return {};
+}
+
 uint64_t UnixUs() {
   return static_cast<uint64_t>(
       duration_cast<std::chrono::microseconds>(
@@ -183,8 +206,8 @@
                                       BootClock::time_point as_of) {
     outage_.AddReport(host, silent_ms, BootMs(as_of));
   });
-  asio::co_spawn(io_, Register(), asio::detached);
-  asio::co_spawn(io_, Housekeeping(), asio::detached);
+  KeepRunning(io_, "registration", [this] { return Register(); });
+  KeepRunning(io_, "housekeeping", [this] { return Housekeeping(); });
 }
 
 void GatewayState::Drain() {
@@ -267,23 +290,19 @@
   int64_t count = 0;
   for (const auto& [host, object] : gateway_watch_.objects()) {
     ++count;
-    if (host == settings_.host || !object.spec.is_object()) continue;
-    const auto* address = object.spec.get_object().if_contains("news_address");
-    if (address == nullptr || !address->is_string()) continue;
-    addresses.emplace_back(address->get_string());
-    gateway_addresses_[host] = addresses.back();
+    if (host == settings_.host) continue;
+    const std::string address = GossipAddress(host, object.spec);
+    if (address.empty()) continue;
+    addresses.push_back(address);
+    gateway_addresses_[host] = address;
   }
   registered_gateways_ = std::max<int64_t>(1, count);
   const auto& all = gateway_watch_.objects();
   table_.set_gateway_index(
       std::distance(all.begin(), all.lower_bound(settings_.host)));
-  try {
-    peers_.set_peers(addresses);
-    view_.set_silent_after_ms(static_cast<int64_t>(
-        kSilentIntervals * static_cast<double>(peers_.interval().count())));
-  } catch (const TransportError& e) {
-    EventLine(Event::kHandlerFailed).Text("error", e.what());
-  }
+  peers_.set_peers(addresses);
+  view_.set_silent_after_ms(static_cast<int64_t>(
+      kSilentIntervals * static_cast<double>(peers_.interval().count())));
   UpdateFleet();
 }
 
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -70,8 +70,8 @@
   // of which a peer reported it first.
   kLeavingStated,
   kLeavingReported,
-  // Calls that were not sent to the upstream that they were assigned to, because
-  // it went out of service meanwhile.
+  // Calls that were not sent to the upstream that they were assigned to,
+  // because it went out of service meanwhile.
   kSendsWithheld,
   kCount,
 };
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "src/background_loop.h"
 #include "src/event_log.h"
 
 namespace pimento {
@@ -36,7 +37,7 @@
 
 void StoreWatch::Start(std::function<void()> on_change) {
   on_change_ = std::move(on_change);
-  asio::co_spawn(io_, Run(), asio::detached);
+  KeepRunning(io_, "watch of " + options_.kind, [this] { return Run(); });
 }
 
 asio::awaitable<void> StoreWatch::Run() {
