A stream that closes before its first event is no whole answer; torn answers

Cause: an upstream that opens a stream with neither length nor chunks and closes at once gave the caller a complete stream without events, kept as a turn without output. Ruled out: the same after an event: a resumed stream may rightly be empty, and a close at a whole event is its end.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -325,6 +325,8 @@
   }
   if (splitter.partial())
     throw TransportError("The stream ended in the middle of an event.");
+  if (events_ == 0 && connection.ends_with_close())
+    throw TransportError("The connection closed before the first event.");
   if (!response_.begun() &&
       !co_await response_.Begin(platform::HeaderForCaller(header)))
     throw TransportError("The caller closed the connection.");
--- a/test/error/platform_codec_test.cc
+++ b/test/error/platform_codec_test.cc
@@ -216,3 +216,16 @@
     CHECK(splitter.partial());
   }
 }
+
+TEST_CASE("an upstream leaves only where its answer says exactly so") {
+  platform::ResponseHeader header;
+  header.result(200);
+  CHECK_FALSE(platform::DecodeResponse(header).leaving);
+  header.set("Server-Leaving", "1");
+  CHECK(platform::DecodeResponse(header).leaving);
+  for (const std::string value : {"0", "", "1, 1", "yes", "11"}) {
+    CAPTURE(value);
+    header.set("Server-Leaving", value);
+    CHECK_FALSE(platform::DecodeResponse(header).leaving);
+  }
+}
