Leaving upstreams are kept in a part of their own; lint

Cause: upstream_table had grown by what is not about choosing; four places lacked the braces that the linter asks for. Ruled out: a change of behaviour: the tests are the same. Change: leaving_processes holds which processes said that they leave, whether to this gateway, and when they are forgotten.

--- a/src/gateway_server.cc
+++ b/src/gateway_server.cc
@@ -25,10 +25,10 @@
 // Minimum duration of a shutdown: callers with a cached directory entry
 // continue to connect for a while.
 constexpr milliseconds kMinDrainTime{2'500};
-// Shares of the configured grace period: after the first one no connection is
-// accepted any more, so that what was accepted can end; after the second one the
-// shutdown completes once no request is in flight, even if connections are still
-// open; after the third one it completes in any case.
+// Shares of the configured grace period. After the first one no connection is
+// accepted any more, so that what was accepted can end. After the second one
+// the shutdown completes once no request is in flight, even if connections are
+// still open. After the third one it completes in any case.
 constexpr double kAcceptShare = 0.5;
 constexpr double kIdleDrainShare = 0.8;
 constexpr double kMaxDrainShare = 0.94;
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -35,20 +35,12 @@
 // are dropped.
 constexpr size_t kMaxPrefixes = 4'096;
 constexpr int64_t kPrefixTtlMs = 60'000;
-// A process that stated that it is about to stop is forgotten after it has had
-// no entry for this long.
-constexpr int64_t kLeavingTtlMs = 600'000;
 
 uint64_t CombineHash(uint64_t hash, uint64_t value) {
   const uint64_t pair[2] = {hash, value};
   return XXH3_64bits(pair, sizeof pair);
 }
 
-uint64_t ProcessHash(const UpstreamEntry& entry) {
-  return CombineHash(HashName(entry.id),
-                     static_cast<uint64_t>(entry.started_at_ms));
-}
-
 void UpdateAverage(double& average, double value) {
   average = average == 0 ? value : average + kSampleWeight * (value - average);
 }
@@ -73,7 +65,7 @@
   if (before.address != entry.address) upstream.misdirected = false;
   upstream.entry = entry;
   upstream.hash = HashName(entry.id);
-  upstream.process_hash = ProcessHash(entry);
+  upstream.process = LeavingProcesses::HashOf(entry);
   return before.id.empty() || before.leaving != entry.leaving ||
          before.address != entry.address ||
          before.started_at_ms != entry.started_at_ms;
@@ -125,8 +117,7 @@
 }
 
 bool UpstreamTable::IsLeaving(const Upstream& upstream) const {
-  return upstream.entry.leaving ||
-         leaving_processes_.count(upstream.process_hash) > 0;
+  return upstream.entry.leaving || leaving_.Contains(upstream.process);
 }
 
 bool UpstreamTable::InService(const Upstream& upstream) const {
@@ -327,50 +318,35 @@
 }
 
 bool UpstreamTable::OnLeavingStated(const UpstreamEntry& entry) {
-  LeavingProcess& process = leaving_processes_[ProcessHash(entry)];
-  const bool first = !process.stated_here;
-  process.stated_here = true;
-  return first;
+  return leaving_.AddStated(LeavingProcesses::HashOf(entry));
 }
 
-std::string UpstreamTable::OnPeerReportsLeaving(uint64_t process_hash) {
-  if (leaving_processes_.count(process_hash) > 0) return {};
+std::string UpstreamTable::OnPeerReportsLeaving(uint64_t process) {
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.process_hash != process_hash) continue;
-    leaving_processes_[process_hash] = {};
-    return id;
+    if (upstream.process != process) continue;
+    return leaving_.AddReported(process) ? id : "";
   }
   return {};
 }
 
 std::vector<uint64_t> UpstreamTable::LeavingToReport() const {
-  std::vector<uint64_t> hashes;
-  if (leaving_processes_.empty()) return hashes;
+  std::vector<uint64_t> processes;
+  if (leaving_.empty()) return processes;
   for (const auto& [id, upstream] : upstreams_) {
-    const auto it = leaving_processes_.find(upstream.process_hash);
-    const bool stated =
-        it != leaving_processes_.end() && it->second.stated_here;
-    if (stated && !upstream.entry.leaving)
-      hashes.push_back(upstream.process_hash);
+    if (!upstream.entry.leaving && leaving_.StatedHere(upstream.process)) {
+      processes.push_back(upstream.process);
+    }
   }
-  return hashes;
+  return processes;
 }
 
 void UpstreamTable::SweepLeaving(int64_t now_ms) {
-  if (leaving_processes_.empty()) return;
+  if (leaving_.empty()) return;
   std::set<uint64_t> present;
-  for (const auto& [id, upstream] : upstreams_)
-    present.insert(upstream.process_hash);
-  for (auto& [hash, process] : leaving_processes_) {
-    if (present.count(hash) > 0)
-      process.absent_since_ms = 0;
-    else if (process.absent_since_ms == 0)
-      process.absent_since_ms = now_ms;
+  for (const auto& [id, upstream] : upstreams_) {
+    present.insert(upstream.process);
   }
-  std::erase_if(leaving_processes_, [now_ms](const auto& item) {
-    const int64_t since_ms = item.second.absent_since_ms;
-    return since_ms > 0 && now_ms - since_ms >= kLeavingTtlMs;
-  });
+  leaving_.Sweep(present, now_ms);
 }
 
 bool UpstreamTable::set_named_limit(const std::string& id,
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -28,6 +28,7 @@
 
 #include "src/call_head.h"
 #include "src/desired_state.h"
+#include "src/leaving_processes.h"
 #include "src/name_hash.h"
 #include "src/upstream_entry.h"
 
@@ -95,12 +96,12 @@
   // gets no new calls any more, whatever its entry says; a process that starts
   // later under the same id does. Returns true the first time.
   bool OnLeavingStated(const UpstreamEntry& entry);
-  // A peer received such a response from the process with this hash. Returns
-  // the upstream's id the first time; empty otherwise, or if no entry has that
-  // hash.
-  std::string OnPeerReportsLeaving(uint64_t process_hash);
-  // Hashes of the processes whose responses to this gateway stated it while
-  // their entries do not, for the peers.
+  // A peer received such a response from a process, see
+  // LeavingProcesses::HashOf(). Returns the upstream's id the first time; empty
+  // otherwise, or if no entry is of that process.
+  std::string OnPeerReportsLeaving(uint64_t process);
+  // The processes whose responses to this gateway stated it while their entries
+  // do not, for the peers.
   std::vector<uint64_t> LeavingToReport() const;
   // Forgets processes that have had no entry for a long time.
   void SweepLeaving(int64_t now_ms);
@@ -147,8 +148,8 @@
   struct Upstream {
     UpstreamEntry entry = {};
     uint64_t hash = 0;
-    // Hash of the id and the start time: identifies one process.
-    uint64_t process_hash = 0;
+    // LeavingProcesses::HashOf() of the entry.
+    uint64_t process = 0;
     // Calls in flight from this gateway and from all others.
     int64_t in_flight = 0;
     int64_t peers_in_flight = 0;
@@ -171,14 +172,6 @@
     std::unordered_map<uint64_t, int64_t> prefixes = {};
   };
 
-  // A process that stated that it is about to stop.
-  struct LeavingProcess {
-    // True when a response to this gateway stated it, not only a peer's report.
-    bool stated_here = false;
-    // Since when no entry has had this process; 0 while one has.
-    int64_t absent_since_ms = 0;
-  };
-
   // True when the entry or the upstream's own responses say that it is leaving.
   bool IsLeaving(const Upstream& upstream) const;
   // True when the upstream may get new calls at all.
@@ -201,8 +194,7 @@
 
   UpstreamTableOptions options_;
   std::map<std::string, Upstream> upstreams_;
-  // By process hash. Kept while an entry is missing: it may return unchanged.
-  std::unordered_map<uint64_t, LeavingProcess> leaving_processes_;
+  LeavingProcesses leaving_;
   std::set<std::string> drained_zones_;
   std::unordered_map<std::string, ServiceSpec> services_;
   int64_t gateways_ = 1;
