A planned stop closes idle connections; it took four fifths of the grace

Shortening the timeout of a read that is already pending does not shorten it in Beast, it removes it. Ruled out: requests in flight (busy 0 long before), and closing idle connections at once: callers that have not asked the directory again would run into the close. Change: a connection ends after its next answer, as before; half way through the grace period, when the listening sockets close, idle ones are closed too.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -62,8 +62,8 @@
   ~Session() override { state_->sessions.erase(position_); }
 
   asio::awaitable<void> Run();
-  // Shortens the wait for the next request to the idle grace of the drain.
-  void Drain();
+  // Closes the connection unless a request is handled or has begun to arrive.
+  void CloseIfIdle();
 
   asio::awaitable<bool> Send(Header header, std::string body) override;
   asio::awaitable<bool> Begin(Header header) override;
@@ -296,8 +296,13 @@
   stream_.socket().close(ignored);
 }
 
-void Session::Drain() {
-  if (!in_request_) stream_.expires_after(state_->idle_grace);
+void Session::CloseIfIdle() {
+  char byte;
+  const bool idle =
+      !in_request_ && recv(stream_.socket().native_handle(), &byte, 1,
+                           MSG_PEEK | MSG_DONTWAIT) <= 0;
+  beast::error_code ignored;  // the caller may have closed it already
+  if (idle) stream_.socket().close(ignored);
 }
 
 asio::awaitable<void> Session::Run() {
@@ -368,7 +373,6 @@
 void CallerServer::Drain(milliseconds idle_grace) {
   state_->draining = true;
   state_->idle_grace = idle_grace;
-  for (Session* session : state_->sessions) session->Drain();
 }
 
 void CallerServer::StopAccepting() {
@@ -376,6 +380,7 @@
     beast::error_code ignored;  // it may be closed already
     acceptor.close(ignored);
   }
+  for (Session* session : state_->sessions) session->CloseIfIdle();
 }
 
 size_t CallerServer::requests_in_flight() const {
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -61,10 +61,12 @@
 
   // Throws TransportError when it cannot listen on `address`.
   void Listen(const std::string& address);
-  // From now on, responses carry "Connection: close" and connections close
-  // after `idle_grace` without a request.
+  // From now on, responses carry "Connection: close" and end their connections.
+  // New connections are still accepted, and close after `idle_grace` without a
+  // request.
   void Drain(std::chrono::milliseconds idle_grace);
-  // Closes the listening sockets: new connections are refused by the system.
+  // Closes the listening sockets and idle connections: callers that come now
+  // are refused at once and go elsewhere.
   void StopAccepting();
   // Requests that a handler is processing.
   size_t requests_in_flight() const;
--- a/src/gateway_server.cc
+++ b/src/gateway_server.cc
@@ -19,16 +19,18 @@
 // Callers query the directory again after this time, so they soon move away
 // from a host that shuts down.
 constexpr double kDirectoryTtlS = 1.0;
-// Idle connections are closed after this time during a shutdown.
+// New connections without a request are closed after this time during a
+// shutdown.
 constexpr milliseconds kIdleGrace{300};
 constexpr milliseconds kDrainPollInterval{50};
 // Minimum duration of a shutdown: callers with a cached directory entry
 // continue to connect for a while.
 constexpr milliseconds kMinDrainTime{2'500};
 // Shares of the configured grace period. After the first one no connection is
-// accepted any more, so that what was accepted can end. After the second one
-// the shutdown completes once no request is in flight, even if connections are
-// still open. After the third one it completes in any case.
+// accepted any more and idle ones are closed; by then callers have learned from
+// the directory to go elsewhere, and what was accepted has time to end. After
+// the second one the shutdown completes once no request is in flight, even if
+// connections are still open. After the third one it completes in any case.
 constexpr double kAcceptShare = 0.5;
 constexpr double kIdleDrainShare = 0.8;
 constexpr double kMaxDrainShare = 0.94;
--- a/test/platform/misbehaving_peer_test.cc
+++ b/test/platform/misbehaving_peer_test.cc
@@ -96,6 +96,12 @@
     return !error;
   }
   bool open() const { return open_; }
+  // Returns once the gateway has closed the connection.
+  void WaitForClose() {
+    char byte;
+    boost::system::error_code ended;
+    socket_.read_some(asio::buffer(&byte, 1), ended);
+  }
 
  private:
   asio::io_context io_;
@@ -308,6 +314,34 @@
   CHECK(cut == 0);
 }
 
+TEST_CASE("idle connections do not hold up a planned stop") {
+  PlatformFleet fleet("build/bin", "build/platform/stop_while_idle", {});
+  REQUIRE(Serves(fleet));
+  KeptConnection idle(fleet.Listening("gateway-0").at(2));
+  REQUIRE(idle.Exchange(fleet.PlainRequest("first", true)));
+  fleet.processes().Signal("gateway-0", SIGTERM);
+  Pause(600);
+  // Callers that have not heard of the stop yet are still served.
+  CHECK(idle.Exchange(fleet.PlainRequest("second", true)));
+  KeptConnection unused(fleet.Listening("gateway-0").at(2));
+  KeptConnection other(fleet.Listening("gateway-0").at(2));
+  CHECK(other.Exchange(fleet.PlainRequest("third", true)));
+  CHECK_FALSE(other.open());
+  unused.WaitForClose();
+  CHECK(fleet.processes().Running("gateway-0"));
+}
+
+TEST_CASE("a connection that was idle since before a stop is closed in it") {
+  PlatformFleet fleet("build/bin", "build/platform/stop_closes_idle", {});
+  REQUIRE(Serves(fleet));
+  KeptConnection idle(fleet.Listening("gateway-0").at(2));
+  REQUIRE(idle.Exchange(fleet.PlainRequest("first", true)));
+  fleet.processes().Signal("gateway-0", SIGTERM);
+  idle.WaitForClose();
+  // The process goes on for those who come with an old directory.
+  CHECK(fleet.processes().Running("gateway-0"));
+}
+
 TEST_CASE("malformed messages and objects stop no process and no loop") {
   PlatformFleet fleet("build/bin", "build/platform/malformed", {});
   REQUIRE(Serves(fleet));
