A connection whose next request was just read is not closed as idle

Cause: closing idle connections in a planned stop looked at the socket. A request that had been taken from it, but whose read was not handled yet in this turn of the event loop, would have been run on a closed connection. Change: a connection that waits for a request has its read cancelled instead; a read that has completed is not affected by that.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -62,7 +62,7 @@
   ~Session() override { state_->sessions.erase(position_); }
 
   asio::awaitable<void> Run();
-  // Closes the connection unless a request is handled or has begun to arrive.
+  // Ends the connection if it waits for a request of which nothing has arrived.
   void CloseIfIdle();
 
   asio::awaitable<bool> Send(Header header, std::string body) override;
@@ -92,8 +92,8 @@
   StopToken* token_ = nullptr;
   // True while a wait started by WatchForClose() is pending.
   bool watching_ = false;
-  // True from the first bytes of a request until it was handled.
-  bool in_request_ = false;
+  // True while the first bytes of the next request are awaited.
+  bool waiting_ = false;
   // Whether the current response was started and completely written.
   bool begun_ = false;
   bool ended_ = false;
@@ -122,9 +122,11 @@
   // Reading through the stream applies the timeout; the bytes stay in the
   // buffer for the parser.
   stream_.expires_after(idle);
+  waiting_ = true;
   beast::error_code error;
   const size_t received = co_await stream_.async_read_some(
       buffer_.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
+  waiting_ = false;
   buffer_.commit(received);
   co_return !error && received > 0;
 }
@@ -138,7 +140,6 @@
 
 asio::awaitable<bool> Session::ReadRequest() {
   if (!co_await WaitForRequest()) co_return false;
-  in_request_ = true;
   begun_ = false;
   ended_ = false;
   const auto limits = state_->options.limits();
@@ -178,7 +179,6 @@
   }
   if (error) co_return false;
   co_await HandleRequest(parser);
-  in_request_ = false;
   co_return ended_ && !closing_ && !state_->draining;
 }
 
@@ -297,12 +297,13 @@
 }
 
 void Session::CloseIfIdle() {
+  if (!waiting_) return;
   char byte;
-  const bool idle =
-      !in_request_ && recv(stream_.socket().native_handle(), &byte, 1,
-                           MSG_PEEK | MSG_DONTWAIT) <= 0;
-  beast::error_code ignored;  // the caller may have closed it already
-  if (idle) stream_.socket().close(ignored);
+  const ssize_t arrived =
+      recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  // A read that has taken bytes but was not handled yet is not cancelled.
+  beast::error_code ignored;  // the caller may have closed the connection
+  if (arrived <= 0) stream_.socket().cancel(ignored);
 }
 
 asio::awaitable<void> Session::Run() {
