The test of a leaving upstream's next process leaves the gateway no choice

Its log shows why: 302 had answered in 0 to 7 ms, 301 was new, and a new upstream is taken to need 30 ms, so the gateway rightly preferred 302. In the runs that passed, all answers had taken 0 ms, which counts as unknown: both were equal. Ruled out: a mark that stays: the entry with the new start is in the log, and the gateway of these runs offers it calls once 302 is gone. Change: the test takes 302 away before it asks that 301 is used again, and sends it one request more that may not be repeated: what it demands is the same, without the chance.

--- a/test/platform/leaving_upstream_test.cc
+++ b/test/platform/leaving_upstream_test.cc
@@ -97,10 +97,13 @@
       CHECK(fleet.Call(0, fleet.PlainRequest("n" + std::to_string(i), i % 2))
                 .status == 200);
     CHECK(one.requests().size() == before);
-    // A new process under the same id is used again.
+    // A new process under the same id is used again. Without the other one, the
+    // gateway has no choice by speed.
     leaving = false;
     fleet.RegisterUpstream(301, "desk", one.address(), 8, 2);
+    fleet.DeleteObject("servers", "302");
     CHECK(Reaches(fleet, 0, one));
+    CHECK(fleet.Call(0, fleet.PlainRequest("again", false)).status == 200);
   }
 }
 
