--- a/review/build.sh
+++ b/review/build.sh
@@ -7,6 +7,7 @@
 mkdir -p bin
 for source in */case.cc; do
   name="case-$(dirname "$source")"
+  [ $# -gt 0 ] && [ "$name" != "case-$1" ] && continue
   g++ -std=c++20 -I.. -O1 -Wall -Wextra -Wno-missing-field-initializers \
     -o "bin/$name" "$source" -lboost_json -lpthread
 done
