--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,5 +1,9 @@
 // Keys are taken away while the store turns two gateways away and serves the
-// others. A third gateway has been removed for good. Do the two go on accepting the key?
+// others. A third gateway has been removed for good. Do the two go on accepting
+// the key?
+//
+// WAIT_MS: from readiness to the disruption. VARIANT=one: five storage machines
+// instead of three; one gateway is turned away, and two are removed.
 #include "review/lib/stand_ins.h"
 
 using namespace review;
@@ -29,13 +33,20 @@
   Store& store = fleet.store;
   const std::vector<std::string> fronts = {"front-a-1", "front-b-1",
                                            "front-c-1"};
-  const std::vector<std::string> storages = {"storage-a-1", "storage-b-1",
-                                             "storage-c-1"};
+  const bool one = getenv("VARIANT") != nullptr;
+  const int rejected = one ? 1 : 2;
+  std::vector<std::string> storages = {"storage-a-1", "storage-b-1",
+                                       "storage-c-1"};
+  if (one) {
+    storages.insert(storages.end(), {"storage-a-2", "storage-b-2"});
+    fleet.tolerated_machines = 2;
+  }
   const std::vector<std::string> zones = {"zone-a", "zone-b", "zone-c"};
   for (int i = 0; i < 3; ++i) {
     fleet.AddHost(fronts[i], 1 + i, zones[i]);
-    fleet.AddHost(storages[i], 11 + i, zones[i]);
   }
+  for (size_t i = 0; i < storages.size(); ++i)
+    fleet.AddHost(storages[i], 11 + static_cast<int>(i), zones[i % 3]);
   store.Put("config", "main",
             DesiredState(1, {{"tenant-a", {"key-a"}}, {"tenant-b", {"key-b"}}}));
   std::vector<std::unique_ptr<Engine>> engines;
@@ -61,10 +72,8 @@
         }));
   }
   for (auto& engine : engines) engine->Register();
-  for (int i = 0; i < 3; ++i) {
-    fleet.Start(storages[i], true);
-    fleet.Start(fronts[i], true);
-  }
+  for (const auto& storage : storages) fleet.Start(storage, true);
+  for (const auto& front : fronts) fleet.Start(front, true);
   for (const auto& front : fronts) {
     if (fleet.AwaitReady(front, 15'000)) continue;
     record.Line("%s is not ready", front.c_str());
@@ -78,11 +87,14 @@
 
   const int64_t began_ms = NowMs();
   if (options.trouble) {
-    fleet.Kill(fronts[2]);
-    record.Line("front-c-1 is removed for good");
-    store.SetMode(fleet.StoreAddress(fronts[0]), Store::Mode::kBusy);
-    store.SetMode(fleet.StoreAddress(fronts[1]), Store::Mode::kBusy);
-    record.Line("the store answers 503 to front-a-1 and front-b-1");
+    for (int i = rejected; i < 3; ++i) {
+      fleet.Kill(fronts[i]);
+      record.Line("%s is removed for good", fronts[i].c_str());
+    }
+    for (int i = 0; i < rejected; ++i) {
+      store.SetMode(fleet.StoreAddress(fronts[i]), Store::Mode::kBusy);
+      record.Line("the store answers 503 to %s", fronts[i].c_str());
+    }
   }
   const int64_t revoked_ms = store.Put(
       "config", "main", DesiredState(2, {{"tenant-a", {}}, {"tenant-b", {"key-b"}}}));
@@ -94,7 +106,7 @@
   std::map<std::string, int> status;
   std::vector<std::thread> requests;
   for (int i = 0; NowMs() < began_ms + kRejectMs; ++i) {
-    for (int front = 0; front < 2; ++front) {
+    for (int front = 0; front < rejected; ++front) {
       requests.emplace_back([&, i, front] {
         const std::string id =
             "k" + std::to_string(front) + "-" + std::to_string(i);
@@ -110,8 +122,8 @@
   }
   for (std::thread& request : requests) request.join();
   if (options.trouble) {
-    store.SetMode(fleet.StoreAddress(fronts[0]), Store::Mode::kServe);
-    store.SetMode(fleet.StoreAddress(fronts[1]), Store::Mode::kServe);
+    for (int i = 0; i < rejected; ++i)
+      store.SetMode(fleet.StoreAddress(fronts[i]), Store::Mode::kServe);
   }
   stop = true;
   turns_a.join();
--- a/review/lib/stand_ins.h
+++ b/review/lib/stand_ins.h
@@ -802,6 +802,8 @@
   }
 
   Store store;
+  // The setting tolerate.machines.
+  int tolerated_machines = 1;
 
  private:
   void WriteSettings(const std::string& name, bool gateway, bool bootstrap) {
@@ -829,7 +831,8 @@
         << "discovery=platform\nentry=directory\nheartbeat_interval_ms=1200\n"
         << "contracts=base,drain,config,cost,recover,agent,stream,engine,"
            "tenants,quota,places,platform\n"
-        << "tolerate.machines=1\ntolerate.zones=1\ntolerate.regions=0\n"
+        << "tolerate.machines=" << tolerated_machines
+        << "\ntolerate.zones=1\ntolerate.regions=0\n"
         << "bounds.stability_window_ms=3000\nbounds.ack_ms=4000\n"
         << "bounds.catch_up_s=4.5\nbounds.drain_ms=2000\nbounds.grace_s=8\n"
         << "bounds.loss_slack_ms=200\nbounds.config_propagation_ms=2000\n"
