Review: stand-ins beside the cases, programs in their folders

Nothing in the product changes, and nothing is mended. review/lib and review/bin are gone: only cases are folders. The header of the stand-ins is review/stand_ins.h, and review/build.sh builds review/N/case.

--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -4,7 +4,7 @@
 //
 // WAIT_MS: from readiness to the disruption. VARIANT=one: five storage machines
 // instead of three; one gateway is turned away, and two are removed.
-#include "review/lib/stand_ins.h"
+#include "review/stand_ins.h"
 
 using namespace review;
 
