A revoked key is refused though archives are idle while the store turns gateways away

The store turns two of three gateways away and serves the archives; a revoked key is still accepted later than revoke_ms after the acknowledgement.

Cause: each host reported the time since the store's last answer as its loss of the store. An archive makes only watches of 4 s that return together, so an idle archive that is served well reported a loss for half of the time, and three archives and two gateways are enough for an outage (store_outage), during which a configuration may be used beyond its age.

Evidence: the untouched code with the log line store_outage added: "confirmed" with the three archives among the lost 150 ms after the state went stale, "over" when their watches return, "confirmed" again 2 s later. Ruled out: a gateway that does not notice (state_stale comes at 4,299 ms), relayed freshness (the age only grows), reports kept too long (the first answer ends it).

Change: a report says for how long an answer is overdue (store_contact): from the end of a call's wait or from its failure. A follower of a mirror takes over the mirror's figure as of its answer; before, it gave the last one as current. One watch of an archive waits no longer than the gateways' watch of the configuration, so that a real outage is known as soon as before. 429 and 5xx stay failures. New message fields, so that hosts of both versions together confirm no false outage. Log line store_outage with the hosts that count.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -28,7 +28,8 @@
   echoes @10 :List(UInt64);
   # True while the gateway is overloaded.
   strained @11 :Bool;
-  # Time since the store last answered the gateway.
+  # No longer set or read: earlier versions reported the time since the store
+  # last answered the gateway. The default reads as an answer just now.
   storeSilentMs @12 :Int64;
   # Hashes of programs whose first request this gateway admitted recently.
   programs @13 :List(UInt64);
@@ -42,6 +43,8 @@
   # Hashes of upstream processes whose responses to the sender stated that they
   # are about to stop, while their entries in the store do not.
   leavingUpstreams @17 :List(UInt64);
+  # How long an answer of the store to the gateway has been overdue; 0 if none is.
+  storeOverdueMs @18 :Int64;
 }
 
 struct RateAsk {
@@ -148,6 +151,8 @@
   next @7 :UInt64;
   more @8 :Bool;
   members @9 :Text;
-  # Time since the store last answered the member.
+  # No longer set or read, as in GatewayNews.
   storeSilentMs @10 :Int64;
+  # How long an answer of the store to the member has been overdue; 0 if none is.
+  storeOverdueMs @11 :Int64;
 }
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -49,7 +49,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 6, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 7, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -196,7 +196,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd38a5c82d5a0291, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(bd38a5c82d5a0291, 6, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -268,6 +268,8 @@
   inline bool hasLeavingUpstreams() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getLeavingUpstreams() const;
 
+  inline  ::int64_t getStoreOverdueMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -393,6 +395,9 @@
   inline void adoptLeavingUpstreams(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownLeavingUpstreams();
 
+  inline  ::int64_t getStoreOverdueMs();
+  inline void setStoreOverdueMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1313,6 +1318,8 @@
 
   inline  ::int64_t getStoreSilentMs() const;
 
+  inline  ::int64_t getStoreOverdueMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1390,6 +1397,9 @@
   inline  ::int64_t getStoreSilentMs();
   inline void setStoreSilentMs( ::int64_t value);
 
+  inline  ::int64_t getStoreOverdueMs();
+  inline void setStoreOverdueMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1882,6 +1892,20 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t GatewayNews::Reader::getStoreOverdueMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GatewayNews::Builder::getStoreOverdueMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void GatewayNews::Builder::setStoreOverdueMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RateAsk::Reader::getLimit() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3099,6 +3123,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t ArchiveReply::Reader::getStoreOverdueMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ArchiveReply::Builder::getStoreOverdueMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ArchiveReply::Builder::setStoreOverdueMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/archive_client.cc
+++ b/src/archive_client.cc
@@ -86,7 +86,7 @@
           .Text("member", member.host);
     health_.RecordSuccess(member.id);
     if (on_store_report_)
-      on_store_report_(member.host, reply.store_silent_ms, sent_at);
+      on_store_report_(member.host, reply.store_overdue_ms, sent_at);
     co_return reply;
   } catch (const TransportError& e) {
     failure = e.what();
--- a/src/archive_client.h
+++ b/src/archive_client.h
@@ -50,9 +50,10 @@
   const MemberList& list() const { return *list_; }
   // False while too few members respond for a quorum, so that calls would fail.
   bool quorum_likely() const { return health_.QuorumLikely(*list_); }
-  // Called for each reply with the member's host, the time since the store last
-  // responded to that host in milliseconds, and the time at which the request
-  // was sent: the member reported the value no earlier than that.
+  // Called for each reply with the member's host, the time for which an
+  // answer of the store to that host has been overdue in milliseconds, and the
+  // time at which the request was sent: the member reported the value no
+  // earlier than that.
   using OnStoreReport =
       std::function<void(const std::string&, int64_t, BootClock::time_point)>;
   void set_on_store_report(OnStoreReport on_report) {
--- a/src/archive_codec.cc
+++ b/src/archive_codec.cc
@@ -183,7 +183,7 @@
   out.setNext(reply.next);
   out.setMore(reply.more);
   out.setMembers(reply.members);
-  out.setStoreSilentMs(reply.store_silent_ms);
+  out.setStoreOverdueMs(reply.store_overdue_ms);
   return Serialize(message);
 }
 
@@ -208,7 +208,7 @@
     reply.next = in.getNext();
     reply.more = in.getMore();
     reply.members = Text(in.getMembers());
-    reply.store_silent_ms = in.getStoreSilentMs();
+    reply.store_overdue_ms = in.getStoreOverdueMs();
     return reply;
   });
 }
--- a/src/archive_codec.h
+++ b/src/archive_codec.h
@@ -74,8 +74,9 @@
   // For kStaleList, the member's newer member list, encoded; empty when it has
   // none.
   std::string members = {};
-  // Time since the platform's store last answered the member, milliseconds.
-  int64_t store_silent_ms = 0;
+  // How long an answer of the platform's store to the member has been overdue,
+  // milliseconds; 0 if none is.
+  int64_t store_overdue_ms = 0;
 };
 
 std::string EncodeCall(const ArchiveCall& call);
--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -11,6 +11,7 @@
 #include "src/background_loop.h"
 #include "src/errors.h"
 #include "src/event_log.h"
+#include "src/store_outage.h"
 
 namespace pimento {
 namespace {
@@ -91,7 +92,9 @@
                                  StopToken&) { return Serve(request, answer); },
                .max_connections = kMaxConnections}),
       registration_watch_(io, store, {.kind = kArchiveKind}),
-      list_watch_(io, store, {.kind = kMemberListKind}),
+      list_watch_(io, store,
+                  {.kind = kMemberListKind,
+                   .wait = MaxContactWait(options_.revoke_ms)}),
       retirement_watch_(io, store,
                         {.kind = std::string(platform::kRetirementKind)}),
       observing_since_(steady_clock::now()) {}
@@ -173,7 +176,7 @@
   reply.member = id_;
   reply.intact = IsMember();
   reply.list_version = std::max(list_.version, fence_);
-  reply.store_silent_ms = store_.SilentMs();
+  reply.store_overdue_ms = store_.OverdueMs();
   header.result(http::status::ok);
   co_await answer.Send(std::move(header), EncodeReply(reply));
 }
@@ -314,7 +317,7 @@
       << "pimento_archive_calls_total " << calls_ << "\n"
       << "pimento_archive_syncs_total " << syncs_ << "\n"
       << "pimento_archive_slowest_sync_ms " << slowest_sync_ms_ << "\n"
-      << "pimento_archive_store_silent_ms " << store_.SilentMs() << "\n"
+      << "pimento_archive_store_overdue_ms " << store_.OverdueMs() << "\n"
       << "pimento_archive_list_version " << list_.version << "\n";
   return out.str();
 }
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -41,6 +41,9 @@
   // Number of hosts whose disks may be lost at the same time. Each record is
   // stored on at least one more host.
   int64_t tolerated_losses = 1;
+  // Time allowed for revoking a key, milliseconds: during an outage of the
+  // store gateways rely on the archives' word that they have lost it too.
+  int64_t revoke_ms = 5'000;
 };
 
 // Runs on the thread of `io`; journal writes run on the thread of `disk`.
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -28,6 +28,7 @@
                    "state_in_force",
                    "state_stale",
                    "state_fresh",
+                   "store_outage",
                    "dependency_lost",
                    "dependency_regained",
                    "upstream_added",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -25,6 +25,7 @@
   kStateInForce,
   kStateStale,
   kStateFresh,
+  kStoreOutage,
   kDependencyLost,
   kDependencyRegained,
   kUpstreamAdded,
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -60,7 +60,7 @@
   out.setTeamsOnly(gossip.teams_only);
   out.setReady(gossip.ready);
   out.setStrained(gossip.strained);
-  out.setStoreSilentMs(gossip.store_silent_ms);
+  out.setStoreOverdueMs(gossip.store_overdue_ms);
   out.setStateVersion(gossip.state_version);
   out.setStateAgeMs(gossip.state_age_ms);
   auto loads = out.initLoads(
@@ -128,7 +128,7 @@
                          .strained = in.getStrained(),
                          .state_version = in.getStateVersion(),
                          .state_age_ms = in.getStateAgeMs(),
-                         .store_silent_ms = in.getStoreSilentMs(),
+                         .store_overdue_ms = in.getStoreOverdueMs(),
                          .teams_only = in.getTeamsOnly()};
     for (const auto load : in.getLoads())
       gossip.loads.emplace_back(load.getUpstream(), load.getInFlight());
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -51,8 +51,9 @@
   int64_t state_version = 0;
   // Time since that version was known to be the newest, milliseconds.
   int64_t state_age_ms = 0;
-  // Time since the store last answered the sender, milliseconds.
-  int64_t store_silent_ms = 0;
+  // How long an answer of the store to the sender, or to the gateway that it
+  // follows, has been overdue, milliseconds; 0 if none is.
+  int64_t store_overdue_ms = 0;
   // Calls in flight, by upstream hash.
   std::vector<std::pair<uint64_t, int64_t>> loads = {};
   // Cumulative usage since the process started.
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -1,6 +1,7 @@
 #include "src/gateway_state.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/join.hpp>
 #include <set>
 #include <utility>
 
@@ -33,9 +34,6 @@
 constexpr int64_t kInitialSilentAfterMs = 450;
 constexpr milliseconds kHousekeepingInterval{50};
 constexpr milliseconds kRegisterRetryPause{300};
-// How long a watch of the desired state waits, as a share of the time allowed
-// for revoking a key: each answer confirms that no key was revoked.
-constexpr double kConfigWaitShare = 0.26;
 // Maximum waits of the other watches.
 constexpr milliseconds kUpstreamWait{4'000};
 constexpr milliseconds kZoneWait{3'500};
@@ -48,11 +46,6 @@
 // Maximum age of the desired state that is used during an outage of the store.
 constexpr int64_t kMaxOutageUseMs = 60'000;
 
-milliseconds ConfigWait(int64_t revoke_ms) {
-  return milliseconds(
-      static_cast<int64_t>(static_cast<double>(revoke_ms) * kConfigWaitShare));
-}
-
 // The address at which gateway `host` receives gossip; empty, with a log line,
 // when its registration has no valid one.
 std::string GossipAddress(const std::string& host, const json::value& spec) {
@@ -102,7 +95,7 @@
       watch_assignment_(settings.host, {}),
       config_watch_(io, store_,
                     WatchOptions(std::string(platform::kConfigKind),
-                                 ConfigWait(settings.revoke_ms))),
+                                 MaxContactWait(settings.revoke_ms))),
       upstream_watch_(
           io, store_,
           WatchOptions(std::string(platform::kUpstreamKind), kUpstreamWait)),
@@ -176,16 +169,6 @@
   }
 }
 
-int64_t GatewayState::StoreSilentMs() {
-  const bool relayed = !config_watch_.source().host.empty();
-  const auto& status = config_watch_.source_status();
-  if (relayed)
-    relayed_contact_ = BootClock::now() - milliseconds(status.silent_ms);
-  const auto since_contact = BootClock::now() - relayed_contact_;
-  return std::min(store_.SilentMs(),
-                  duration_cast<milliseconds>(since_contact).count());
-}
-
 StoreWatch* GatewayState::FindWatch(const std::string& kind) {
   for (StoreWatch* watch : watches_) {
     if (watch->kind() == kind) return watch;
@@ -202,9 +185,9 @@
   peers_.Start([this] { return BuildGossip(); },
                [this](const GatewayGossip& gossip) { OnGossip(gossip); });
   archive_.set_on_store_report([this](const std::string& host,
-                                      int64_t silent_ms,
+                                      int64_t overdue_ms,
                                       BootClock::time_point as_of) {
-    outage_.AddReport(host, silent_ms, BootMs(as_of));
+    outage_.AddReport(host, overdue_ms, BootMs(as_of));
   });
   KeepRunning(io_, "registration", [this] { return Register(); });
   KeepRunning(io_, "housekeeping", [this] { return Housekeeping(); });
@@ -323,7 +306,7 @@
     if (echo.sender != sender_hash_) continue;
     const auto sent = peers_.SentAt(echo.sequence);
     if (!sent) continue;
-    outage_.AddReport(gossip.host, gossip.store_silent_ms, BootMs(*sent));
+    outage_.AddReport(gossip.host, gossip.store_overdue_ms, BootMs(*sent));
     if (!desired_ || gossip.state_version != desired_->version()) continue;
     const milliseconds age(std::max<int64_t>(0, gossip.state_age_ms));
     relayed_fresh_as_of_ = std::max(relayed_fresh_as_of_, *sent - age);
@@ -380,7 +363,7 @@
                        .strained = overload_.overloaded(),
                        .state_version = desired_ ? desired_->version() : 0,
                        .state_age_ms = StateAgeMs(),
-                       .store_silent_ms = StoreSilentMs()};
+                       .store_overdue_ms = store_.OverdueMs()};
   gossip.loads = table_.LocalLoad();
   gossip.leaving_upstreams = table_.LeavingToReport();
   gossip.echoes = view_.Echoes(SteadyMs());
@@ -411,6 +394,16 @@
   return outage_.Confirmed(hosts, BootMs());
 }
 
+void GatewayState::LogOutage() {
+  const bool down = StoreIsDown();
+  if (down == was_down_) return;
+  was_down_ = down;
+  EventLine(Event::kStoreOutage)
+      .Text("state", down ? "confirmed" : "over")
+      .Text("lost", boost::algorithm::join(outage_.LostHosts(BootMs()), ","))
+      .Number("age_ms", StateAgeMs());
+}
+
 bool GatewayState::Ready() const {
   return !draining_ && UsableState() != nullptr && upstream_watch_.known() &&
          archive_.quorum_likely();
@@ -509,7 +502,7 @@
     dispatcher_.DispatchQueued();
     archive_.Probe();
     AbortLostSources();
-    outage_.AddReport(settings_.host, StoreSilentMs(), BootMs());
+    outage_.AddReport(settings_.host, store_.OverdueMs(), BootMs());
     const int64_t now_ms = SteadyMs();
     constexpr int64_t kSweepIntervalMs = 1'000;
     if (now_ms - last_sweep_ms_ >= kSweepIntervalMs) {
@@ -518,6 +511,7 @@
       programs_.Sweep(now_ms);
       table_.SweepLeaving(now_ms);
     }
+    LogOutage();
     const bool usable = UsableState() != nullptr;
     if (usable == was_usable_) continue;
     was_usable_ = usable;
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -89,10 +89,10 @@
   StoreSource WatchSource();
   // Aborts calls to sources that are silent or whose data is too old.
   void AbortLostSources();
-  // Time since the store last answered this host or the one that it follows.
-  int64_t StoreSilentMs();
   // True while current reports confirm that no host reaches the store.
   bool StoreIsDown() const;
+  // Logs the start and the end of an outage of the store.
+  void LogOutage();
   void SampleTimerLag(std::chrono::steady_clock::time_point due);
 
   boost::asio::io_context& io_;
@@ -122,8 +122,6 @@
   DesiredStatePtr desired_;
   // When `desired_` was last known to be the newest, as reported by peers.
   BootClock::time_point relayed_fresh_as_of_{};
-  // When the store last answered the gateway that this one follows.
-  BootClock::time_point relayed_contact_{};
   // Registered gateways, this one included.
   int64_t registered_gateways_ = 1;
   int64_t reachable_gateways_ = 1;
@@ -136,6 +134,8 @@
   std::unordered_map<std::string, double> logged_rates_;
   bool draining_ = false;
   bool was_usable_ = false;
+  // Whether an outage was confirmed at the last log line about it.
+  bool was_down_ = false;
   int64_t last_sweep_ms_ = 0;
   OverloadDetector overload_{{}};
   StoreOutage outage_{{}};
--- a/src/main/archive_main.cc
+++ b/src/main/archive_main.cc
@@ -24,7 +24,8 @@
            settings.ip + ":" + std::string(platform::kMetricsPort),
        .data_dir = settings.data_dir,
        .first_start = settings.first_start,
-       .tolerated_losses = settings.tolerated_losses});
+       .tolerated_losses = settings.tolerated_losses,
+       .revoke_ms = settings.revoke_ms});
   supervisor.Start();
   node.Start();
   boost::asio::co_spawn(io, ServeSignals(io, [&io] { io.stop(); }),
--- a/src/store_outage.cc
+++ b/src/store_outage.cc
@@ -1,19 +1,45 @@
 #include "src/store_outage.h"
 
 namespace pimento {
+namespace {
 
-void StoreOutage::AddReport(const std::string& host, int64_t silent_ms,
+constexpr double kContactWaitShare = 0.26;
+
+}  // namespace
+
+std::chrono::milliseconds MaxContactWait(int64_t revoke_ms) {
+  return std::chrono::milliseconds(
+      static_cast<int64_t>(static_cast<double>(revoke_ms) * kContactWaitShare));
+}
+
+void StoreOutage::AddReport(const std::string& host, int64_t overdue_ms,
                             int64_t as_of_ms) {
   OutageReport& report = reports_[host];
   if (as_of_ms < report.as_of_ms) return;
-  report = {.silent_ms = silent_ms, .as_of_ms = as_of_ms};
+  report = {.overdue_ms = overdue_ms, .as_of_ms = as_of_ms};
+}
+
+bool StoreOutage::IsCurrent(const OutageReport& report, int64_t now_ms) const {
+  return now_ms - report.as_of_ms <= options_.report_ttl_ms;
+}
+
+bool StoreOutage::IsLost(const OutageReport& report) const {
+  return report.overdue_ms >= options_.lost_after_ms;
+}
+
+std::vector<std::string> StoreOutage::LostHosts(int64_t now_ms) const {
+  std::vector<std::string> hosts;
+  for (const auto& [host, report] : reports_) {
+    if (IsCurrent(report, now_ms) && IsLost(report)) hosts.push_back(host);
+  }
+  return hosts;
 }
 
 bool StoreOutage::Confirmed(int64_t hosts, int64_t now_ms) const {
   int64_t lost = 0;
   for (const auto& [host, report] : reports_) {
-    if (now_ms - report.as_of_ms > options_.report_ttl_ms) continue;
-    if (report.silent_ms < options_.lost_after_ms) return false;
+    if (!IsCurrent(report, now_ms)) continue;
+    if (!IsLost(report)) return false;
     ++lost;
   }
   return hosts > 1 && static_cast<double>(lost) >=
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -74,7 +74,7 @@
 }
 
 void StoreWatch::ApplySourceStatus(const platform::MirrorStatus& status) {
-  source_status_ = status;
+  if (!source_.host.empty()) store_.AddRelayedOverdue(status.overdue_ms);
   source_is_new_ = false;
   if (!status.store_unreachable) {
     OnStoreRegained();
@@ -173,7 +173,7 @@
   const auto age =
       std::chrono::duration_cast<milliseconds>(BootClock::now() - fresh_as_of_);
   return {.age_ms = age.count(),
-          .silent_ms = store_.SilentMs(),
+          .overdue_ms = store_.OverdueMs(),
           .store_unreachable = !reachable_};
 }
 
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -67,8 +67,6 @@
   bool reachable() const { return reachable_; }
   // The source of the last call.
   const StoreSource& source() const { return source_; }
-  // Status of that mirror; all zero when the source was the store itself.
-  const platform::MirrorStatus& source_status() const { return source_status_; }
 
   // True if other hosts may be served: the mirror is read from the store
   // itself.
@@ -95,7 +93,7 @@
   void OnStoreRegained();
   void RemoveOrHold(const std::string& name);
   void ApplyHeldDeletes();
-  // Stores the status that the source reported. Throws StoreError when the
+  // Takes over the status that the source reported. Throws StoreError when the
   // source has lost the store itself.
   void ApplySourceStatus(const platform::MirrorStatus& status);
   void AppendToHistory(Batch batch);
@@ -107,7 +105,6 @@
   StoreWatchOptions options_;
   std::function<void()> on_change_;
   StoreSource source_;
-  platform::MirrorStatus source_status_;
   Objects objects_;
   // Names of objects whose deletion is held back.
   std::map<std::string, bool> held_deletes_;
--- a/test/platform/path_test.cc
+++ b/test/platform/path_test.cc
@@ -532,6 +532,47 @@
   }
 }
 
+// Guards against idle archives, which the store serves, being counted among the
+// hosts that have lost it: the gateways that it turns away then took the outage
+// for a general one and went on accepting revoked keys.
+TEST_CASE("gateways that the store turns away stop though archives are idle") {
+  constexpr int64_t kRevokeMs = 5'000;
+  auto fleet = MakeFleet(
+      "turned_away", {.gateways = 3, .revoke_ms = kRevokeMs, .proxied = true});
+  // Streams that end seconds later, when archives report in their answers.
+  for (const char* upstream : {"talk-0", "talk-1"})
+    fleet.SetFaults(upstream, R"({"tokens":16,"event_ms":140})");
+  std::vector<std::jthread> streams;
+  const auto start_stream = [&](int gateway, const std::string& id) {
+    streams.emplace_back([&fleet, gateway, id] {
+      auto turn = fleet.TurnRequest(id, id, "", "x");
+      turn.headers["Authorization"] = "Token key-of-others";
+      fleet.Call(gateway, turn);
+    });
+  };
+  Pause(4'500);
+  fleet.processes().Kill("gateway-2");
+  fleet.LinkOf("gateway-0").SetFault(LinkFault::kSilent);
+  fleet.LinkOf("gateway-1").SetFault(LinkFault::kSilent);
+  fleet.PutState(2, {"another-key"});
+  const auto revoked = std::chrono::steady_clock::now();
+  const auto past_ms = [&] {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::steady_clock::now() - revoked)
+        .count();
+  };
+  int late = 0;
+  for (int i = 0; past_ms() < 2 * kRevokeMs; ++i, Pause(50)) {
+    const std::string id = std::to_string(i);
+    if (i % 4 < 2) start_stream(i % 2, "s" + id);
+    const bool is_late = past_ms() > kRevokeMs;
+    const int status =
+        fleet.Call(i % 2, fleet.PlainRequest("k" + id, true)).status;
+    late += is_late && status == 200 ? 1 : 0;
+  }
+  CHECK(late == 0);
+}
+
 TEST_CASE("gateways and archives serve their metrics") {
   auto fleet = MakeFleet("metrics");
   REQUIRE(fleet.Call(0, fleet.TurnRequest("t1", "p", "", "x")).status == 200);
