Removals of upstreams are held back after an outage only, not after each failed watch

What callers saw (DRAIN): a store breaks off watches that wait, as it may; an upstream whose entry is removed gets requests up to 0.3 s later than drain_ms.

Cause: a failed watch was taken for an outage and its repetition 0.1 s later for the store's return, which starts the hold of 2 s. Ruled out: a reader of a mirror (these gateways read the store), a late view (the removal is read within 0.1 s).

Change: store_contact tells when the last outage ended: no served call on any connection for two heartbeat intervals of upstreams, and one that failed. The hold counts from there.

--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -43,6 +43,10 @@
 constexpr double kMaxStateAgeShare = 0.85;
 // Share of that age after which calls to another gateway's mirror are aborted.
 constexpr double kMaxMirrorAgeShare = 0.8;
+// An entry is removed after three heartbeat intervals without a renewal, and
+// the last renewal may be one interval old when an outage begins: a shorter
+// outage removes none.
+constexpr int64_t kMinExpiryIntervals = 2;
 // Maximum age of the desired state that is used during an outage of the store.
 constexpr int64_t kMaxOutageUseMs = 60'000;
 
@@ -84,7 +88,9 @@
       settings_(settings),
       metrics_(metrics),
       pool_(io.get_executor()),
-      store_(pool_, settings.store_address),
+      store_(pool_, settings.store_address,
+             {.min_outage_ms =
+                  kMinExpiryIntervals * settings.heartbeat_interval_ms}),
       table_({.cold_factor = settings.cold_factor,
               .cold_slack = settings.cold_slack,
               .zone = settings.zone}),
--- a/src/store_contact.cc
+++ b/src/store_contact.cc
@@ -42,6 +42,9 @@
 }
 
 void StoreContact::NoteServed(int64_t now_ms) {
+  const bool outage = missing_since_ms_ && served_at_ms_ != 0 &&
+                      now_ms - served_at_ms_ >= options_.min_outage_ms;
+  if (outage) outage_ended_ms_ = now_ms;
   missing_since_ms_.reset();
   served_at_ms_ = std::max(served_at_ms_, now_ms);
 }
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -212,7 +212,9 @@
 }
 
 bool StoreWatch::IsHoldingDeletes() const {
-  return options_.hold_deleted && steady_clock::now() < hold_until_;
+  const auto ended_ms = store_.outage_ended_ms();
+  return options_.hold_deleted && ended_ms &&
+         BootMs() < *ended_ms + kDeleteHold.count();
 }
 
 void StoreWatch::RemoveOrHold(const std::string& name) {
@@ -241,7 +243,6 @@
 void StoreWatch::OnStoreRegained() {
   if (reachable_) return;
   reachable_ = true;
-  hold_until_ = steady_clock::now() + kDeleteHold;
   EventLine(Event::kDependencyRegained)
       .Text("dependency", "store")
       .Text("kind", options_.kind);
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -2,9 +2,9 @@
 // changes, either at the store itself or at another host's mirror.
 //
 // The mirror has an age: at `fresh_as_of` it was known to match the store.
-// Objects that are deleted while the store is unreachable, or within
-// `kDeleteHold` of its return, are kept until that hold ends: their owners may
-// only have been unable to reach the store and renew them.
+// Objects that are deleted in an outage of the store (see store_contact.h), or
+// within `kDeleteHold` of its end, are kept until that hold ends: their owners
+// may only have been unable to reach the store and renew them.
 //
 // Other hosts can read the mirror: ServeList() and ServeWatch() answer them as
 // the store would, and add the mirror's age. They never show what only the hold
@@ -35,7 +35,7 @@
   std::string kind = {};
   // Maximum time for which a watch call waits at the source for a change.
   std::chrono::milliseconds wait{4'000};
-  // True if deletions that follow an outage are applied only after a hold.
+  // True if deletions that come with an outage are applied only after a hold.
   bool hold_deleted = false;
   // Chooses the source before each call; if not set, the store itself is used.
   std::function<StoreSource()> source = {};
@@ -125,7 +125,6 @@
   bool known_ = false;
   bool reachable_ = true;
   BootClock::time_point fresh_as_of_{};
-  std::chrono::steady_clock::time_point hold_until_{};
 };
 
 }  // namespace pimento
--- a/test/correctness/store_contact_test.cc
+++ b/test/correctness/store_contact_test.cc
@@ -63,3 +63,24 @@
   contact.AddRelayed(900, 3'300);
   CHECK(contact.OverdueMs(3'300) == 100);
 }
+
+// Guards against a watch that is broken off and served again at once counting
+// as an outage, after which removals of upstreams are held back.
+TEST_CASE("only a long time without a served call is an outage") {
+  StoreContact contact({.min_outage_ms = 2'400});
+  contact.EndServed(contact.Begin(0, 1'300), 1'300);
+  contact.EndFailed(contact.Begin(1'300, 1'300), 2'000);
+  contact.EndServed(contact.Begin(2'100, 0), 2'105);
+  CHECK_FALSE(contact.outage_ended_ms());
+  // A long wait without a failure is none either.
+  contact.EndServed(contact.Begin(2'200, 4'000), 6'202);
+  CHECK_FALSE(contact.outage_ended_ms());
+  contact.EndFailed(contact.Begin(6'300, 1'300), 8'300);
+  contact.EndFailed(contact.Begin(8'400, 0), 9'100);
+  contact.EndServed(contact.Begin(9'200, 0), 9'205);
+  CHECK(contact.outage_ended_ms() == 9'205);
+  // What breaks off later does not move its end.
+  contact.EndFailed(contact.Begin(9'210, 1'300), 9'900);
+  contact.EndServed(contact.Begin(10'000, 0), 10'005);
+  CHECK(contact.outage_ended_ms() == 9'205);
+}
--- a/test/platform/drain_test.cc
+++ b/test/platform/drain_test.cc
@@ -72,6 +72,17 @@
   return times;
 }
 
+// Writes the leaver's entry as it is: ready, of the process born at `born`.
+void Return(PlatformFleet& fleet, const std::string& address, int64_t born) {
+  fleet.RegisterUpstream(kLeaverId, "desk", address, 8, born);
+}
+
+// Slows the other upstream down, so that the leaver gets requests again as soon
+// as it has returned.
+void PreferLeaver(PlatformFleet& fleet) {
+  fleet.SetFaults("desk-1", R"({"event_ms":40})");
+}
+
 std::string AddressOf(PlatformFleet& fleet, int id) {
   const auto object = json::parse(fleet.Object("servers", std::to_string(id)));
   return std::string(object.at("spec").at("addr").as_string());
@@ -96,6 +107,28 @@
 
 }  // namespace
 
+// Guards against each watch that the store breaks off being taken for an
+// outage, after which removals are held back.
+TEST_CASE("upstreams are let go in time by a store that breaks off watches") {
+  auto fleet = PlatformFleet("build/bin", "build/platform/drain_cut", {});
+  const std::string address = AddressOf(fleet, kLeaverId);
+  PreferLeaver(fleet);
+  fleet.SetFaults("store", R"({"cut_watch_ms":900})");
+  Pause(kCalmMs);
+  const SteadyLoad load(fleet);
+  for (int round = 0; round < 8; ++round) {
+    CAPTURE(round);
+    Pause(1'200 + 130 * round);
+    REQUIRE(!RunsAfter(fleet, kLeaver, SteadyMs() - 1'000).empty());
+    Leaves(fleet, Leave::kRemoved, address, 1);
+    const int64_t removed_ms = SteadyMs();
+    Pause(kDrainMs + 1'500);
+    const auto late = RunsAfter(fleet, kLeaver, removed_ms + kDrainMs);
+    CHECK(late.size() == 0);
+    Return(fleet, address, round + 2);
+  }
+}
+
 // Guards against a removal that a gateway holds back after an outage being
 // unknown for good to another one that listed at it meanwhile.
 TEST_CASE("upstreams that left during an outage are forgotten after it") {
