The view of upstreams and zones is renewed within the platform's bounds

What callers saw (DRAIN, EVAC): after open connections to the store have gone silent, upstreams that report draining, whose entries are removed or whose zone is to be emptied go on getting requests.

Cause: the watch of upstreams waits 4,000 ms and that of zones 7,000, and 700 more pass before it is given up; the view is as old as that. Ruled out: old decisions sent late (the requests go on evenly until the watch fails), a store that does not serve the gateway (its other watches are answered).

Change: both waits derive from stability_window_ms, drain_ms and evac_ms, less the time to notice and to ask again. The unused wait of 3,500 ms is gone.

--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -36,8 +36,11 @@
 constexpr milliseconds kRegisterRetryPause{300};
 // Maximum waits of the other watches.
 constexpr milliseconds kUpstreamWait{4'000};
-constexpr milliseconds kZoneWait{3'500};
 constexpr milliseconds kRareChangeWait{7'000};
+// Time to notice that a watch whose wait is over has no answer, and to ask
+// again.
+constexpr milliseconds kWatchRecovery{1'000};
+constexpr milliseconds kMinWait{500};
 // Maximum age of a usable desired state, as a share of the time allowed for
 // revoking a key. The rest is for requests on their way to an upstream.
 constexpr double kMaxStateAgeShare = 0.85;
@@ -50,6 +53,13 @@
 // Maximum age of the desired state that is used during an outage of the store.
 constexpr int64_t kMaxOutageUseMs = 60'000;
 
+// The wait of a watch whose connection may die unnoticed at any time: what it
+// missed is known within `bound_ms` of that.
+milliseconds BoundedWait(milliseconds wait, int64_t bound_ms) {
+  const milliseconds bounded = milliseconds(bound_ms) - kWatchRecovery;
+  return std::clamp(bounded, kMinWait, wait);
+}
+
 // The address at which gateway `host` receives gossip; empty, with a log line,
 // when its registration has no valid one.
 std::string GossipAddress(const std::string& host, const json::value& spec) {
@@ -104,10 +114,14 @@
                                  MaxContactWait(settings.revoke_ms))),
       upstream_watch_(
           io, store_,
-          WatchOptions(std::string(platform::kUpstreamKind), kUpstreamWait)),
+          WatchOptions(
+              std::string(platform::kUpstreamKind),
+              BoundedWait(kUpstreamWait, std::max(settings.stability_window_ms,
+                                                  settings.drain_ms)))),
       zone_watch_(io, store_,
                   WatchOptions(std::string(platform::kDrainedZoneKind),
-                               kRareChangeWait)),
+                               BoundedWait(kRareChangeWait,
+                                           settings.zone_evacuation_ms))),
       member_watch_(io, store_, WatchOptions(kMemberListKind, kRareChangeWait)),
       gateway_watch_(io, store_, WatchOptions(kGatewayKind, kRareChangeWait)),
       boot_(UnixUs()),
--- a/test/platform/drain_test.cc
+++ b/test/platform/drain_test.cc
@@ -23,9 +23,12 @@
 // have been without a fault for `kCalmMs`.
 constexpr int64_t kDrainMs = 2'000;
 constexpr int64_t kCalmMs = 3'000;
+// The same for a zone that is to be emptied.
+constexpr int64_t kEvacuationMs = 5'000;
 // The upstream that leaves, by its name and its id in the store.
 constexpr const char* kLeaver = "desk-0";
 constexpr int kLeaverId = 200;
+constexpr const char* kLeaverZone = "zone-2";
 
 void Pause(int64_t time_ms) {
   std::this_thread::sleep_for(std::chrono::milliseconds(time_ms));
@@ -88,8 +91,8 @@
   return std::string(object.at("spec").at("addr").as_string());
 }
 
-// How an upstream tells the store that it leaves.
-enum class Leave : uint8_t { kRemoved, kDraining };
+// How the store learns that an upstream leaves, or is to get nothing more.
+enum class Leave : uint8_t { kRemoved, kDraining, kZoneEmptied };
 
 void Leaves(PlatformFleet& fleet, Leave how, const std::string& address,
             int64_t born) {
@@ -98,8 +101,12 @@
     fleet.DeleteObject("servers", id);
     return;
   }
+  if (how == Leave::kZoneEmptied) {
+    fleet.PutObject("evacuations", kLeaverZone, "{}");
+    return;
+  }
   const json::object spec = {
-      {"service", "desk"}, {"addr", address}, {"zone", "zone-0"},
+      {"service", "desk"}, {"addr", address}, {"zone", kLeaverZone},
       {"version", "v1"},   {"slots", 8},      {"state", "draining"},
       {"cold_left_ms", 0}, {"sequence", 2},   {"born", born}};
   fleet.PutObject("servers", id, json::serialize(spec));
@@ -129,6 +136,41 @@
   }
 }
 
+// Guards against a watch that hangs on a dead connection for its whole wait
+// being noticed too late, and removals being held back after it.
+TEST_CASE("upstreams are let go in time though watches hang") {
+  struct Way {
+    Leave how;
+    int64_t bound_ms;
+  };
+  for (const Way way :
+       {Way{Leave::kDraining, kDrainMs}, Way{Leave::kRemoved, kDrainMs},
+        Way{Leave::kZoneEmptied, kEvacuationMs}}) {
+    CAPTURE(static_cast<int>(way.how));
+    auto fleet = PlatformFleet("build/bin", "build/platform/drain_hang", {});
+    const std::string address = AddressOf(fleet, kLeaverId);
+    PreferLeaver(fleet);
+    Pause(kCalmMs);
+    const SteadyLoad load(fleet);
+    Pause(500);
+    // All watches that matter begin anew just before they hang.
+    fleet.RegisterUpstream(203, "other", address);
+    fleet.PutObject("evacuations", "zone-9", "{}");
+    Pause(150);
+    fleet.SetFaults("store", R"({"hang_watches":true})");
+    Pause(50);
+    fleet.SetFaults("store", R"({"hang_watches":false})");
+    const int64_t hung_ms = SteadyMs();
+    REQUIRE(!RunsAfter(fleet, kLeaver, hung_ms - 500).empty());
+    Leaves(fleet, way.how, address, 1);
+    const int64_t left_ms = SteadyMs();
+    Pause(8'500);
+    const auto late = RunsAfter(
+        fleet, kLeaver, std::max(left_ms + way.bound_ms, hung_ms + kCalmMs));
+    CHECK(late.size() == 0);
+  }
+}
+
 // Guards against a removal that a gateway holds back after an outage being
 // unknown for good to another one that listed at it meanwhile.
 TEST_CASE("upstreams that left during an outage are forgotten after it") {
