An outage does not revive a configuration that was too old before it

Cause: in a confirmed outage any configuration up to 60 s old was used, also one that was too old when the outage began or that a peer has replaced.

Change: store_outage tells for how long nearly all hosts have been without the store, and only that time does not count towards the age; a newer version in the gossip of a peer rules the old one out.

--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -320,6 +320,7 @@
     programs_.OnPeerAdmitted(program, now_ms);
   for (const uint64_t process : gossip.leaving_upstreams)
     OnPeerReportsLeaving(gossip.host, process);
+  newest_peer_version_ = std::max(newest_peer_version_, gossip.state_version);
   // The peer wrote the message after the echoed one was sent, so that send time
   // is a safe time for its reports, however long the message was buffered.
   for (const GossipEcho& echo : gossip.echoes) {
@@ -405,17 +406,23 @@
       static_cast<double>(settings_.revoke_ms) * kMaxStateAgeShare);
   const int64_t age_ms = StateAgeMs();
   if (age_ms <= max_age_ms) return desired_;
-  return age_ms <= kMaxOutageUseMs && StoreIsDown() ? desired_ : nullptr;
+  // No state changes in an outage, so its time does not count. What was too old
+  // when it began, or is known to have been replaced, stays unusable.
+  const auto outage_ms = StoreOutageMs();
+  const bool usable = outage_ms && age_ms - *outage_ms <= max_age_ms &&
+                      age_ms <= kMaxOutageUseMs &&
+                      newest_peer_version_ <= desired_->version();
+  return usable ? desired_ : nullptr;
 }
 
-bool GatewayState::StoreIsDown() const {
+std::optional<int64_t> GatewayState::StoreOutageMs() const {
   const auto hosts =
       registered_gateways_ + static_cast<int64_t>(archive_.list().All().size());
-  return outage_.Confirmed(hosts, BootMs());
+  return outage_.DurationMs(hosts, BootMs());
 }
 
 void GatewayState::LogOutage() {
-  const bool down = StoreIsDown();
+  const bool down = StoreOutageMs().has_value();
   if (down == was_down_) return;
   was_down_ = down;
   EventLine(Event::kStoreOutage)
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -89,8 +89,8 @@
   StoreSource WatchSource();
   // Aborts calls to sources that are silent or whose data is too old.
   void AbortLostSources();
-  // True while current reports confirm that no host reaches the store.
-  bool StoreIsDown() const;
+  // For how long no host has reached the store, if current reports confirm it.
+  std::optional<int64_t> StoreOutageMs() const;
   // Logs the start and the end of an outage of the store.
   void LogOutage();
   void SampleTimerLag(std::chrono::steady_clock::time_point due);
@@ -122,6 +122,8 @@
   DesiredStatePtr desired_;
   // When `desired_` was last known to be the newest, as reported by peers.
   BootClock::time_point relayed_fresh_as_of_{};
+  // Highest version of the desired state that a peer has reported.
+  int64_t newest_peer_version_ = 0;
   // Registered gateways, this one included.
   int64_t registered_gateways_ = 1;
   int64_t reachable_gateways_ = 1;
--- a/src/store_outage.cc
+++ b/src/store_outage.cc
@@ -1,5 +1,9 @@
 #include "src/store_outage.h"
 
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
 namespace pimento {
 namespace {
 
@@ -35,15 +39,19 @@
   return hosts;
 }
 
-bool StoreOutage::Confirmed(int64_t hosts, int64_t now_ms) const {
-  int64_t lost = 0;
+std::optional<int64_t> StoreOutage::DurationMs(int64_t hosts,
+                                               int64_t now_ms) const {
+  std::vector<int64_t> lost_for_ms;
   for (const auto& [host, report] : reports_) {
     if (!IsCurrent(report, now_ms)) continue;
-    if (!IsLost(report)) return false;
-    ++lost;
+    if (!IsLost(report)) return std::nullopt;
+    lost_for_ms.push_back(report.overdue_ms + now_ms - report.as_of_ms);
   }
-  return hosts > 1 && static_cast<double>(lost) >=
-                          options_.min_share * static_cast<double>(hosts);
+  const auto needed = static_cast<size_t>(
+      std::ceil(options_.min_share * static_cast<double>(hosts)));
+  if (hosts <= 1 || lost_for_ms.size() < needed) return std::nullopt;
+  std::sort(lost_for_ms.begin(), lost_for_ms.end(), std::greater<>());
+  return lost_for_ms[needed - 1];
 }
 
 }  // namespace pimento
--- a/src/store_outage.h
+++ b/src/store_outage.h
@@ -15,14 +15,16 @@
 // must not be taken for one that has lost the store. Rejections count as
 // missing answers, because a store that rejects every host serves none of them.
 //
-//   9 hosts, 8 report "overdue for 3 s", one is silent    -> outage
+//   9 hosts, 8 report "overdue for 3 s", one is silent    -> outage for 3 s
 //   9 hosts, 6 report it (a zone is cut off)              -> not confirmed
 //   9 hosts, 8 report it, one has nothing overdue         -> no outage
+//   9 hosts, 7 report it, two "overdue for 20 s"          -> outage for 3 s
 #pragma once
 
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,9 +53,11 @@
   // At `as_of_ms`, an answer of the store to `host` had been overdue for
   // `overdue_ms`. Ignored when a newer report of that host is known.
   void AddReport(const std::string& host, int64_t overdue_ms, int64_t as_of_ms);
-  // Returns whether current reports confirm an outage at `now_ms`. `hosts`: the
-  // number of hosts in the system, this one included.
-  bool Confirmed(int64_t hosts, int64_t now_ms) const;
+  // Returns for how long the store has been unreachable for nearly all hosts,
+  // if current reports confirm an outage at `now_ms`. A few hosts may have lost
+  // it before, or have started since. `hosts`: the number of hosts in the
+  // system, this one included.
+  std::optional<int64_t> DurationMs(int64_t hosts, int64_t now_ms) const;
   // The hosts whose current reports say that the store is unreachable, for the
   // log.
   std::vector<std::string> LostHosts(int64_t now_ms) const;
--- a/test/platform/path_test.cc
+++ b/test/platform/path_test.cc
@@ -573,6 +573,30 @@
   CHECK(late == 0);
 }
 
+// Guards against a gateway that alone had missed a revocation using its old
+// configuration again once the store is down for all.
+TEST_CASE("an outage does not revive a configuration that was too old before") {
+  // Gateways are over three quarters of the hosts, each in a zone of its own.
+  auto fleet = MakeFleet(
+      "revived",
+      {.gateways = 10, .revoke_ms = 3'000, .zones = 10, .proxied = true});
+  fleet.LinkOf("gateway-0").SetFault(LinkFault::kSilent);
+  fleet.PutState(2, {"another-key"});
+  Pause(4'000);
+  REQUIRE(fleet.Call(0, fleet.PlainRequest("before", true)).status == 503);
+  fleet.SetFaults("store", R"({"down":true})");
+  int late = 0;
+  for (int i = 0; i < 100; ++i, Pause(40)) {
+    const auto id = "r" + std::to_string(i);
+    late += fleet.Call(0, fleet.PlainRequest(id, true)).status == 200 ? 1 : 0;
+  }
+  CHECK(late == 0);
+  // The gateway that knows of the revocation serves on.
+  auto call = fleet.PlainRequest("served", true);
+  call.headers["Authorization"] = "Token another-key";
+  CHECK(fleet.Call(1, call).status == 200);
+}
+
 TEST_CASE("gateways and archives serve their metrics") {
   auto fleet = MakeFleet("metrics");
   REQUIRE(fleet.Call(0, fleet.TurnRequest("t1", "p", "", "x")).status == 200);
