--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -123,7 +123,10 @@
         .Text("address", upstream.address)
         .Number("attempt", attempts_)
         .Number("left_ms", RemainingMs())
-        .Number("state_version", desired_->version());
+        .Number("state_version", desired_->version())
+        .Number("view_age_ms", state_.upstream_view().AgeMs())
+        .Number("view_revision",
+                static_cast<int64_t>(state_.upstream_view().revision()));
     token_.set_on_stop([&connection] {
       if (connection) connection->Close();
     });
--- a/src/gateway_server.cc
+++ b/src/gateway_server.cc
@@ -92,7 +92,7 @@
   } else if (path == "/metrics") {
     header.result(http::status::ok);
     header.set(http::field::content_type, "text/plain; version=0.0.4");
-    body = state_.metrics().PrometheusText();
+    body = state_.metrics().PrometheusText() + state_.ViewMetrics();
   } else {
     header.result(http::status::not_found);
   }
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/algorithm/string/join.hpp>
 #include <set>
+#include <sstream>
 #include <utility>
 
 #include "platform/object_codec.h"
@@ -196,6 +197,17 @@
   return nullptr;
 }
 
+std::string GatewayState::ViewMetrics() const {
+  std::ostringstream out;
+  for (const StoreWatch* watch : watches_) {
+    const std::string label = "{kind=\"" + watch->kind() + "\"} ";
+    out << "pimento_view_age_ms" << label << watch->AgeMs() << "\n"
+        << "pimento_view_revision" << label << watch->revision() << "\n"
+        << "pimento_view_held" << label << watch->held() << "\n";
+  }
+  return out.str();
+}
+
 void GatewayState::Start() {
   config_watch_.Start([this] { OnConfig(); });
   upstream_watch_.Start([this] { OnUpstreams(); });
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -60,6 +60,10 @@
   // The mirror of the store's objects of `kind`; null for a kind that is not
   // mirrored.
   StoreWatch* FindWatch(const std::string& kind);
+  // The mirror of the upstreams' entries, from which calls are placed.
+  const StoreWatch& upstream_view() const { return upstream_watch_; }
+  // Age, revision and held objects of each mirror, Prometheus text.
+  std::string ViewMetrics() const;
   Metrics& metrics() { return metrics_; }
   const platform::BootSettings& settings() const { return settings_; }
   boost::asio::io_context& io() { return io_; }
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -64,6 +64,12 @@
   bool known() const { return known_; }
   // Latest time at which the mirror is known to have matched the store.
   BootClock::time_point fresh_as_of() const { return fresh_as_of_; }
+  // Time since then, milliseconds.
+  int64_t AgeMs() const { return BootMs() - BootMs(fresh_as_of_); }
+  // Revision of the mirror; 0 if it must be listed again.
+  uint64_t revision() const { return revision_; }
+  // Number of objects that only the hold keeps.
+  size_t held() const { return held_deletes_.size(); }
   // False while the store is unreachable, for this host or for its source.
   bool reachable() const { return reachable_; }
   // The source of the last call.
--- a/test/platform/path_test.cc
+++ b/test/platform/path_test.cc
@@ -605,6 +605,9 @@
   CHECK(gateway.find("pimento_refused_total{reason=\"not_found\"} 1") !=
         std::string::npos);
   CHECK(gateway.find("pimento_call_milliseconds_count 1") != std::string::npos);
+  for (const char* view : {"age_ms", "revision", "held"})
+    CHECK(gateway.find("pimento_view_" + std::string(view) +
+                       "{kind=\"servers\"} ") != std::string::npos);
   int turns = 0;
   for (int i = 0; i < 3; ++i) {
     const auto text = fleet.Metrics("archive-" + std::to_string(i));
