--- a/test/platform/drain_test.cc
+++ b/test/platform/drain_test.cc
@@ -6,6 +6,8 @@
 #include <atomic>
 #include <boost/json.hpp>
 #include <chrono>
+#include <cstdlib>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -112,6 +114,71 @@
   fleet.PutObject("servers", id, json::serialize(spec));
 }
 
+// What befalls the store, or a gateway's way to it, for a while.
+enum class Trouble : uint8_t {
+  kStoreFrozen,
+  kStoreRestarts,
+  kStoreDown,
+  kWatchesHang,
+  kWatchesBreakOff,
+  kHistoryGone,
+  kGatewayFrozen,
+  kGatewayTurnedAway,
+  kGatewayLinkSilent,
+  kGatewayLinkReset,
+  kCount,
+};
+
+// Whether the store takes writes of others meanwhile.
+bool AcceptsWrites(Trouble trouble) {
+  return trouble != Trouble::kStoreFrozen &&
+         trouble != Trouble::kStoreRestarts && trouble != Trouble::kStoreDown;
+}
+
+void Begin(PlatformFleet& fleet, Trouble trouble, int number,
+           int64_t lasts_ms) {
+  const std::string gateway = "gateway-" + std::to_string(number);
+  switch (trouble) {
+    case Trouble::kStoreFrozen:
+      return fleet.processes().Freeze("store");
+    case Trouble::kStoreRestarts:
+      return fleet.RestartStore(lasts_ms);
+    case Trouble::kStoreDown:
+      return fleet.SetFaults("store", R"({"down":true})");
+    case Trouble::kWatchesHang:
+      return fleet.SetFaults("store", R"({"hang_watches":true})");
+    case Trouble::kWatchesBreakOff:
+      return fleet.SetFaults("store", R"({"cut_watch_ms":300})");
+    case Trouble::kHistoryGone:
+      return fleet.RestartStore(0);
+    case Trouble::kGatewayFrozen:
+      return fleet.processes().Freeze(gateway);
+    case Trouble::kGatewayTurnedAway:
+      return fleet.LinkOf(gateway).SetFault(LinkFault::kRefused);
+    case Trouble::kGatewayLinkSilent:
+      return fleet.LinkOf(gateway).SetFault(LinkFault::kSilent);
+    case Trouble::kGatewayLinkReset:
+      return fleet.LinkOf(gateway).ResetAll();
+    case Trouble::kCount:
+      return;
+  }
+}
+
+void End(PlatformFleet& fleet, Trouble trouble, int number) {
+  const std::string gateway = "gateway-" + std::to_string(number);
+  if (trouble == Trouble::kStoreFrozen) fleet.processes().Thaw("store");
+  if (trouble == Trouble::kGatewayFrozen) fleet.processes().Thaw(gateway);
+  if (AcceptsWrites(trouble) || trouble == Trouble::kStoreDown)
+    fleet.SetFaults("store",
+                    R"({"down":false,"hang_watches":false,"cut_watch_ms":0})");
+  fleet.LinkOf(gateway).SetFault(LinkFault::kNone);
+}
+
+int64_t EnvNumber(const char* name, int64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::atoll(text);
+}
+
 }  // namespace
 
 // Guards against each watch that the store breaks off being taken for an
@@ -193,4 +260,58 @@
   }
 }
 
+// Random trouble with the store and the gateways' way to it, one after another,
+// during or just after which an upstream leaves in one way or another.
+TEST_CASE("upstreams are let go in time in random trouble") {
+  constexpr int kRounds = 4;
+  const int64_t first = EnvNumber("PIMENTO_DRAIN_FIRST", 100);
+  const int64_t seeds = EnvNumber("PIMENTO_DRAIN_SEEDS", 1);
+  for (int64_t seed = first; seed < first + seeds; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(static_cast<uint64_t>(seed));
+    auto fleet = PlatformFleet("build/bin", "build/platform/drain_random",
+                               {.gateways = 4, .zones = 2, .proxied = true});
+    const std::string address = AddressOf(fleet, kLeaverId);
+    PreferLeaver(fleet);
+    const SteadyLoad load(fleet);
+    Pause(kCalmMs);
+    for (int round = 0; round < kRounds; ++round) {
+      CAPTURE(round);
+      const auto trouble = static_cast<Trouble>(
+          random() % static_cast<uint64_t>(Trouble::kCount));
+      const auto how = random() % 2 == 0 ? Leave::kRemoved : Leave::kDraining;
+      const auto lasts_ms = 200 + static_cast<int64_t>(random() % 5'000);
+      const bool meanwhile = random() % 2 == 0 && AcceptsWrites(trouble);
+      const int gateway = static_cast<int>(random() % 4);
+      CAPTURE(static_cast<int>(trouble));
+      CAPTURE(static_cast<int>(how));
+      CAPTURE(lasts_ms);
+      CAPTURE(meanwhile);
+      CAPTURE(gateway);
+      REQUIRE(!RunsAfter(fleet, kLeaver, SteadyMs() - 900).empty());
+      Begin(fleet, trouble, gateway, lasts_ms);
+      Pause(meanwhile ? lasts_ms / 2 : lasts_ms);
+      int64_t left_ms = 0;
+      if (meanwhile) {
+        Leaves(fleet, how, address, round + 1);
+        left_ms = SteadyMs();
+        Pause(lasts_ms - lasts_ms / 2);
+      }
+      End(fleet, trouble, gateway);
+      const int64_t over_ms = SteadyMs();
+      if (!meanwhile) {
+        Pause(static_cast<int64_t>(random() % 300));
+        Leaves(fleet, how, address, round + 1);
+        left_ms = SteadyMs();
+      }
+      Pause(kCalmMs + 2'500);
+      const auto late = RunsAfter(
+          fleet, kLeaver, std::max(left_ms + kDrainMs, over_ms + kCalmMs));
+      CHECK(late.size() == 0);
+      Return(fleet, address, round + 2);
+      Pause(1'000);
+    }
+  }
+}
+
 }  // namespace pimento::testbed
