--- a/src/store_contact.cc
+++ b/src/store_contact.cc
@@ -23,16 +23,18 @@
 }
 
 void StoreContact::AddRelayed(int64_t overdue_ms, int64_t now_ms) {
-  if (overdue_ms > 0)
+  if (overdue_ms > 0) {
     NoteMissing(now_ms - overdue_ms);
-  else
+  } else {
     NoteServed(now_ms);
+  }
 }
 
 int64_t StoreContact::OverdueMs(int64_t now_ms) const {
   int64_t since_ms = missing_since_ms_.value_or(now_ms);
-  for (const auto& [ticket, due_ms] : due_ms_)
+  for (const auto& [ticket, due_ms] : due_ms_) {
     since_ms = std::min(since_ms, std::max(due_ms, served_at_ms_));
+  }
   return std::max<int64_t>(0, now_ms - since_ms);
 }
 
