call_offered tells which requests are the same one, sent again

Whether a request that crashes an upstream comes again by a retry inside a gateway or by its caller's at another gateway could not be read from the logs: each client attempt has an id of its own. call_offered now has a hash of the path, the caller and the body, and one of the path, the caller and the body's first KB.

--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -68,6 +68,13 @@
   if (team_->priority >= 0) priority_ = team_->priority;
 }
 
+RequestFingerprints GatewayCall::Fingerprints() const {
+  const auto target = request_.header.target();
+  return FingerprintsOf(head_.host + std::string(target),
+                        team_ == nullptr ? head_.key : team_->name,
+                        request_.body);
+}
+
 void GatewayCall::StartDeadline() {
   const int64_t requested_ms = head_.deadline_ms.value_or(kDefaultDeadlineMs);
   deadline_ = request_.arrived +
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -25,6 +25,7 @@
 #include "src/event_splitter.h"
 #include "src/gateway_call.h"
 #include "src/reason.h"
+#include "src/request_fingerprint.h"
 
 namespace pimento::Internal {
 
@@ -114,6 +115,7 @@
   std::chrono::milliseconds PoolIdleTimeout() const;
   int64_t RemainingMs() const;
   int64_t ElapsedMs() const;
+  RequestFingerprints Fingerprints() const;
   bool IsTurn() const {
     return route_->kind == RouteKind::kStreaming && head_.token_budget &&
            !head_.program.empty();
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -117,10 +117,13 @@
     ++attempts_;
     if (state_.table().named_limit(upstream.id))
       state_.metrics().Add(Counter::kLimitedSends);
+    const RequestFingerprints fingerprints = Fingerprints();
     EventLine(Event::kCallOffered)
         .Text("request", head_.request_id)
         .Text("upstream", upstream.id)
         .Text("address", upstream.address)
+        .Text("fingerprint", HexOf(fingerprints.exact))
+        .Text("leading", HexOf(fingerprints.leading))
         .Number("attempt", attempts_)
         .Number("left_ms", RemainingMs())
         .Number("state_version", desired_->version())
--- a/src/name_hash.h
+++ b/src/name_hash.h
@@ -9,4 +9,7 @@
 // XXH3, 64 bits. All hosts must use the same hash, since it is sent to peers.
 uint64_t HashName(const std::string& name);
 
+// Sixteen hexadecimal digits, for logs.
+std::string HexOf(uint64_t hash);
+
 }  // namespace pimento
