A request that crashes the upstreams that run it is refused after two of them

Cause: nothing knew that a request was in flight on an upstream that crashed. A gateway resumed it at the next upstream within milliseconds, and other gateways took it from its caller again. The class: a retry that is safe for the request and not for what runs it.

Evidence: logs of all gateways. At nearly every crash exactly one request had its response header and no event, and it never ended well anywhere; what ran beside it had no header yet or had events, and was answered by the next upstream. The guilty ones have one path, one caller and one beginning of the body, with lengths from 4,684 to 14,750 bytes.

Change: when a connection breaks off in an exchange, the gateway opens a new one; if that is refused, the upstream crashed, and the request is recorded as in flight on that process, with how far it had got, by its whole body and by the body's beginning. Gateways tell each other at once by gossip, and again in the next messages; reports only grow, so that loss and repeats do no harm. From a weight of four (begun to run twice) or three crashes on the request is refused on arrival and right before a send: 503 with reason crashes_upstreams, not run, Retry-After the rest of the hold (a minute, four times as long with each further crash, an hour at most). A request that runs to its end clears itself and all that begin alike.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -33,8 +33,9 @@
   storeSilentMs @12 :Int64;
   # Hashes of programs whose first request this gateway admitted recently.
   programs @13 :List(UInt64);
-  # True for a message that only carries `teams` and is sent between two regular
-  # ones; the other fields then keep their last values.
+  # True for a message that only carries `teams`, `rateAsks`, `rateReplies` and
+  # `crashes` and is sent between two regular ones; the other fields then keep
+  # their last values.
   teamsOnly @14 :Bool;
   # Requests to the receiver, and replies to its requests, about rate limits
   # that it decides on. Sent in messages of their own, with teamsOnly.
@@ -45,6 +46,20 @@
   leavingUpstreams @17 :List(UInt64);
   # How long an answer of the store to the gateway has been overdue; 0 if none is.
   storeOverdueMs @18 :Int64;
+  # Requests that were in flight on upstreams when those crashed.
+  crashes @19 :List(CrashNews);
+}
+
+struct CrashNews {
+  # Hash of the request's path, caller and body.
+  request @0 :UInt64;
+  # Hash of the upstream's id and start.
+  process @1 :UInt64;
+  # How much the crash counts against the request; 255 when the request has run
+  # to its end since.
+  weight @2 :UInt8;
+  # Time since the request's last crash.
+  ageMs @3 :UInt32;
 }
 
 struct RateAsk {
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(e64487dd69e51339);
+CAPNP_DECLARE_SCHEMA(bd0318c555d6673e);
 CAPNP_DECLARE_SCHEMA(e8d147c4259e36c4);
 CAPNP_DECLARE_SCHEMA(f3a4240d554c55e9);
 CAPNP_DECLARE_SCHEMA(c0d5bb8739d052f5);
@@ -49,7 +50,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 7, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 7, 11)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashNews {
+  CrashNews() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bd0318c555d6673e, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -270,6 +286,9 @@
 
   inline  ::int64_t getStoreOverdueMs() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -398,6 +417,13 @@
   inline  ::int64_t getStoreOverdueMs();
   inline void setStoreOverdueMs( ::int64_t value);
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -424,6 +450,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashNews::Reader {
+public:
+  typedef CrashNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint64_t getProcess() const;
+
+  inline  ::uint8_t getWeight() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashNews::Builder {
+public:
+  typedef CrashNews Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
+  inline  ::uint8_t getWeight();
+  inline void setWeight( ::uint8_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashNews::Pipeline {
+public:
+  typedef CrashNews Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RateAsk::Reader {
 public:
   typedef RateAsk Reads;
@@ -1906,6 +2023,96 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GatewayNews::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayNews::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>::Reader GatewayNews::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void GatewayNews::Builder::setCrashes( ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void GatewayNews::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>> GatewayNews::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CrashNews::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashNews::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashNews::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashNews::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashNews::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashNews::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t CrashNews::Reader::getWeight() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t CrashNews::Builder::getWeight() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void CrashNews::Builder::setWeight( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashNews::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashNews::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void CrashNews::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RateAsk::Reader::getLimit() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -175,6 +175,11 @@
     if (connection->idle_until_ > now && connection->IsOpenAndSilent())
       co_return connection;
   }
+  co_return co_await Open(std::move(address), connect_limit);
+}
+
+asio::awaitable<std::unique_ptr<PooledConnection>> ConnectionPool::Open(
+    std::string address, milliseconds connect_limit) {
   const auto endpoint = ParseEndpoint(address);
   auto connection = std::make_unique<PooledConnection>(executor_);
   connection->address_ = address;
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -87,6 +87,9 @@
   // `connect_limit`.
   boost::asio::awaitable<std::unique_ptr<PooledConnection>> Acquire(
       std::string address, std::chrono::milliseconds connect_limit);
+  // Opens a connection to `address`. Throws TransportError, as Acquire() does.
+  boost::asio::awaitable<std::unique_ptr<PooledConnection>> Open(
+      std::string address, std::chrono::milliseconds connect_limit);
   // Keeps `connection` for up to `idle` if it is reusable; closes it otherwise.
   void Release(std::unique_ptr<PooledConnection> connection,
                std::chrono::milliseconds idle);
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -37,6 +37,8 @@
                    "upstream_avoided",
                    "upstream_limit_named",
                    "upstream_leaving",
+                   "crash_suspect",
+                   "crash_suspect_cleared",
                    "zones_drained",
                    "peer_seen",
                    "peer_lost",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -34,6 +34,8 @@
   kUpstreamAvoided,
   kUpstreamLimitNamed,
   kUpstreamLeaving,
+  kCrashSuspect,
+  kCrashSuspectCleared,
   kZonesDrained,
   kPeerSeen,
   kPeerLost,
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -75,6 +75,23 @@
                         request_.body);
 }
 
+int64_t GatewayCall::RefusedForMs() const {
+  if (state_.suspects().empty()) return 0;
+  return state_.suspects().RefusedForMs(Fingerprints(), SteadyMs());
+}
+
+void GatewayCall::RefuseSuspect() const {
+  const int64_t refused_ms = RefusedForMs();
+  if (refused_ms == 0) return;
+  const RequestFingerprints fingerprints = Fingerprints();
+  throw Refusal(Reason::kCrashesUpstreams, RunState::kNotRun,
+                "The request " + HexOf(fingerprints.exact) +
+                    " was in flight on " +
+                    std::to_string(state_.suspects().Crashes(fingerprints)) +
+                    " upstreams when they crashed.",
+                refused_ms);
+}
+
 void GatewayCall::StartDeadline() {
   const int64_t requested_ms = head_.deadline_ms.value_or(kDefaultDeadlineMs);
   deadline_ = request_.arrived +
@@ -159,6 +176,7 @@
     ParseRequest();
     Authenticate();
     StartDeadline();
+    RefuseSuspect();
     co_await Admit();
     co_await BeginTurn();
     co_await TryUpstreams();
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -4,6 +4,7 @@
 //   Authenticate    key, team, priority                   gateway_call.cc
 //   StartDeadline   deadline timer                        gateway_call.cc
 //   Admit           rate limit of the team                gateway_admission.cc
+//   RefuseSuspect   request that crashes upstreams        gateway_call.cc
 //   BeginTurn       turn history, token budget            gateway_admission.cc
 //   TryUpstreams    upstream choice, exchange, retries    gateway_exchange.cc
 //   ReportFailure   outcome when no attempt completed     gateway_call.cc
@@ -21,11 +22,11 @@
 #include <vector>
 
 #include "platform/call_codec.h"
+#include "src/crash_suspects.h"
 #include "src/event_log.h"
 #include "src/event_splitter.h"
 #include "src/gateway_call.h"
 #include "src/reason.h"
-#include "src/request_fingerprint.h"
 
 namespace pimento::Internal {
 
@@ -60,6 +61,10 @@
   // The stages listed above and their helpers; they may throw Refusal.
   void ParseRequest();
   void Authenticate();
+  // Throws Refusal while the request is refused for crashing upstreams.
+  void RefuseSuspect() const;
+  // For how long it is; 0 when it may be sent.
+  int64_t RefusedForMs() const;
   boost::asio::awaitable<void> Admit();
   ProgramStatus ClassifyProgram() const;
   // Logs what was charged to or refunded to the team's rate.
@@ -76,6 +81,10 @@
       DispatchRequest request);
   boost::asio::awaitable<AttemptResult> TryUpstream(
       const UpstreamEntry& upstream);
+  // Called after TryUpstream(): records that the upstream crashed under the
+  // request, or ran it to its end.
+  boost::asio::awaitable<void> NoteRun(const UpstreamEntry& upstream,
+                                       AttemptResult attempt);
   boost::asio::awaitable<AttemptResult> Exchange(const UpstreamEntry& upstream,
                                                  PooledConnection& connection);
   boost::asio::awaitable<const PooledConnection::ResponseHeader*>
@@ -88,8 +97,11 @@
   // Keeps that the upstream states in its answer that it is about to stop.
   void NoteLeaving(const UpstreamEntry& upstream,
                    const platform::ResponseHead& head);
-  // Gives back what was reserved at an upstream that went out of service before
-  // the request was sent.
+  // Why the request must not be sent to the upstream that it was assigned to;
+  // empty when it may be.
+  std::string WithholdReason(const UpstreamEntry& upstream) const;
+  // Gives back what was reserved at an upstream that the request is not sent
+  // to.
   void WithholdFrom(const UpstreamEntry& upstream,
                     std::unique_ptr<PooledConnection> connection);
   boost::asio::awaitable<AttemptResult> RelayBuffered(
@@ -167,6 +179,10 @@
   // Idle time announced by the upstream's Keep-Alive header; 0 when absent.
   int64_t keep_alive_ms_ = 0;
   std::string last_failure_;
+  // How far the running attempt has got, and whether its connection ended
+  // without a timeout.
+  RunStage stage_ = RunStage::kSent;
+  bool broken_off_ = false;
 
   // Events with data forwarded to the caller, over all attempts.
   int64_t events_ = 0;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -38,6 +38,8 @@
 asio::awaitable<void> GatewayCall::TryUpstreams() {
   for (;;) {
     if (token_.stopped()) co_return;
+    if (attempts_ == 0) RefuseSuspect();
+    if (RefusedForMs() > 0) co_return;
     DispatchRequest dispatch_request{
         .request_id = head_.request_id,
         .team = team_ == nullptr ? "" : team_->name,
@@ -63,6 +65,7 @@
       co_return;
     }
     const AttemptResult attempt = co_await TryUpstream(upstream);
+    co_await NoteRun(upstream, attempt);
     done_ = attempt == AttemptResult::kDone;
     if (done_) co_return;
     if (attempt != AttemptResult::kNotRun) may_have_run_ = true;
@@ -101,6 +104,10 @@
   const auto started = steady_clock::now();
   const int64_t events_before = events_;
   tried_.insert(upstream.id);
+  // Of an answer that comes as a whole, nothing is seen before its end.
+  stage_ = route_->kind == RouteKind::kStreaming ? RunStage::kSent
+                                                 : RunStage::kBegun;
+  broken_off_ = false;
   AttemptResult attempt = AttemptResult::kNotRun;
   std::string failure;
   bool refused = false;
@@ -110,7 +117,7 @@
         upstream.address,
         std::min(kConnectTimeout,
                  milliseconds(std::max<int64_t>(1, RemainingMs()))));
-    if (!state_.table().MayReceive(upstream)) {
+    if (!WithholdReason(upstream).empty()) {
       WithholdFrom(upstream, std::move(connection));
       co_return AttemptResult::kNotRun;
     }
@@ -141,6 +148,8 @@
     failure = e.what();
     if (attempt == AttemptResult::kLost && events_ > events_before)
       attempt = AttemptResult::kBroken;
+    broken_off_ = attempt != AttemptResult::kNotRun && !e.silent() &&
+                  !token_.stopped() && !archive_failed_;
   }
   token_.clear_on_stop();
   CallResult result{.outcome = CallOutcome::kServed};
@@ -168,10 +177,26 @@
   co_return attempt;
 }
 
+asio::awaitable<void> GatewayCall::NoteRun(const UpstreamEntry& upstream,
+                                           AttemptResult attempt) {
+  if (attempt == AttemptResult::kDone && !state_.suspects().empty())
+    state_.OnRunCompleted(Fingerprints());
+  if (broken_off_)
+    co_await state_.OnBrokenOff(upstream, Fingerprints(), stage_);
+}
+
+std::string GatewayCall::WithholdReason(const UpstreamEntry& upstream) const {
+  if (!state_.table().MayReceive(upstream))
+    return "The upstream " + upstream.id +
+           " went out of service before the request was sent.";
+  if (RefusedForMs() > 0)
+    return "The request turned out to crash upstreams before it was sent.";
+  return {};
+}
+
 void GatewayCall::WithholdFrom(const UpstreamEntry& upstream,
                                std::unique_ptr<PooledConnection> connection) {
-  last_failure_ = "The upstream " + upstream.id +
-                  " went out of service before the request was sent.";
+  last_failure_ = WithholdReason(upstream);
   state_.pool().Release(std::move(connection), PoolIdleTimeout());
   state_.dispatcher().Withdraw(upstream.id);
   state_.metrics().Add(Counter::kSendsWithheld);
@@ -268,6 +293,7 @@
         "The response has no server stamp: it does not come from the "
         "upstream.");
   } else if (head.event_stream && Successful(head.status)) {
+    stage_ = RunStage::kBegun;
     attempt = co_await RelayEvents(connection, *header, upstream);
   } else if (events_ > 0) {
     throw TransportError("The stream could not be resumed: status " +
@@ -298,6 +324,7 @@
   for (StreamEvent& event : events) {
     bytes += event.raw;
     if (event.has_data) {
+      stage_ = RunStage::kProducing;
       output_ += event.data;
       output_ += '\n';
       ++events_;
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -108,6 +108,15 @@
     replies[i].setWaitMs(static_cast<int32_t>(reply.wait_ms));
     replies[i].setTokensMilli(static_cast<int32_t>(reply.tokens_milli));
   }
+  auto crashes = out.initCrashes(
+      static_cast<unsigned>(std::min(gossip.crashes.size(), kMaxEntries)));
+  for (unsigned i = 0; i < crashes.size(); ++i) {
+    const CrashReport& crash = gossip.crashes[i];
+    crashes[i].setRequest(crash.request);
+    crashes[i].setProcess(crash.process);
+    crashes[i].setWeight(crash.weight);
+    crashes[i].setAgeMs(static_cast<uint32_t>(crash.age_ms));
+  }
   const auto words = capnp::messageToFlatArray(message);
   const auto bytes = words.asBytes();
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
@@ -154,6 +163,11 @@
       gossip.rate_replies.push_back({.id = reply.getId(),
                                      .wait_ms = reply.getWaitMs(),
                                      .tokens_milli = reply.getTokensMilli()});
+    for (const auto crash : in.getCrashes())
+      gossip.crashes.push_back({.request = crash.getRequest(),
+                                .process = crash.getProcess(),
+                                .weight = crash.getWeight(),
+                                .age_ms = crash.getAgeMs()});
     return gossip;
   } catch (const kj::Exception& e) {
     throw StateError(
@@ -269,6 +283,10 @@
                   ignored);
 }
 
+void GatewayPeers::SendToAll(const GatewayGossip& gossip) {
+  SendToAll(EncodeGossip(gossip));
+}
+
 void GatewayPeers::SendToAll(const std::string& bytes) {
   for (const udp::endpoint& peer : peers_) {
     boost::system::error_code ignored;  // gossip tolerates loss
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "src/boot_clock.h"
+#include "src/crash_suspects.h"
 #include "src/rate_server.h"
 #include "src/usage_gossip.h"
 
@@ -67,8 +68,10 @@
   // Hashes of upstream processes that told the sender that they are about to
   // stop.
   std::vector<uint64_t> leaving_upstreams = {};
-  // True for a message that only carries `teams`, `rate_asks` and
-  // `rate_replies` and is sent between two regular ones; the other fields then
+  // Requests that were in flight on upstreams when those crashed.
+  std::vector<CrashReport> crashes = {};
+  // True for a message that only carries `teams`, `rate_asks`, `rate_replies`
+  // and `crashes` and is sent between two regular ones; the other fields then
   // keep their last values.
   bool teams_only = false;
 };
@@ -135,6 +138,8 @@
   void Announce();
   // Sends a message to one peer, immediately.
   void SendTo(const std::string& address, const GatewayGossip& gossip);
+  // Sends a message to all peers, immediately.
+  void SendToAll(const GatewayGossip& gossip);
   // When this gateway sent the message whose sequence number ends in these
   // bits; empty unless it is one of the newest 64.
   std::optional<BootClock::time_point> SentAt(uint16_t sequence) const;
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -131,7 +131,8 @@
              {.host = settings.host, .boot = boot_, .sender = sender_hash_},
              [this](const std::string& host, const GatewayGossip& message) {
                SendToPeer(host, message);
-             }) {}
+             }),
+      crash_detector_(io, pool_) {}
 
 void GatewayState::SendToPeer(const std::string& host,
                               const GatewayGossip& message) {
@@ -332,6 +333,8 @@
     programs_.OnPeerAdmitted(program, now_ms);
   for (const uint64_t process : gossip.leaving_upstreams)
     OnPeerReportsLeaving(gossip.host, process);
+  for (const CrashReport& report : gossip.crashes)
+    OnPeerCrashReport(gossip.host, report);
   newest_peer_version_ = std::max(newest_peer_version_, gossip.state_version);
   // The peer wrote the message after the echoed one was sent, so that send time
   // is a safe time for its reports, however long the message was buffered.
@@ -354,6 +357,57 @@
   EventLine(Event::kUpstreamLeaving).Text("upstream", id).Text("peer", host);
 }
 
+asio::awaitable<void> GatewayState::OnBrokenOff(UpstreamEntry upstream,
+                                                RequestFingerprints request,
+                                                RunStage stage) {
+  if (!table_.ExpectedToRun(upstream)) co_return;
+  if (!co_await crash_detector_.HasCrashed(upstream)) co_return;
+  const uint64_t process = LeavingProcesses::HashOf(upstream);
+  const int64_t now_ms = SteadyMs();
+  if (!suspects_.OnCrash(request, process, stage, now_ms)) co_return;
+  metrics_.Add(Counter::kCrashSuspects);
+  EventLine(Event::kCrashSuspect)
+      .Text("fingerprint", HexOf(request.exact))
+      .Text("leading", HexOf(request.leading))
+      .Text("upstream", upstream.id)
+      .Text("stage", Name(stage))
+      .Number("crashes", suspects_.Crashes(request))
+      .Number("refused_ms", suspects_.RefusedForMs(request, now_ms));
+  SendCrashNews();
+}
+
+void GatewayState::OnRunCompleted(const RequestFingerprints& request) {
+  if (!suspects_.OnServed(request)) return;
+  metrics_.Add(Counter::kCrashSuspectsCleared);
+  EventLine(Event::kCrashSuspectCleared)
+      .Text("fingerprint", HexOf(request.exact))
+      .Text("leading", HexOf(request.leading));
+  SendCrashNews();
+}
+
+void GatewayState::OnPeerCrashReport(const std::string& host,
+                                     const CrashReport& report) {
+  if (!suspects_.OnPeerReport(report, SteadyMs())) return;
+  metrics_.Add(Counter::kCrashSuspectsReported);
+  EventLine(report.weight == kClearedWeight ? Event::kCrashSuspectCleared
+                                            : Event::kCrashSuspect)
+      .Text("fingerprint", HexOf(report.request))
+      .Text("peer", host)
+      .Number("weight", report.weight);
+}
+
+void GatewayState::SendCrashNews() {
+  if (crash_news_posted_) return;
+  crash_news_posted_ = true;
+  asio::post(io_, [this] {
+    crash_news_posted_ = false;
+    peers_.SendToAll({.host = settings_.host,
+                      .boot = boot_,
+                      .crashes = suspects_.NextGossipBatch(SteadyMs()),
+                      .teams_only = true});
+  });
+}
+
 void GatewayState::ChargePeerUsage(const std::string& host,
                                    const PeerUsage::Increase& increase) {
   for (const auto& [team, use] : increase.charged) {
@@ -403,6 +457,7 @@
   gossip.teams = usage_gossip_.NextEntries(rates_.quota().local_usage());
   rates_.quota().OnUsageReported();
   gossip.programs = programs_.NextGossipBatch();
+  gossip.crashes = suspects_.NextGossipBatch(SteadyMs());
   return gossip;
 }
 
@@ -549,6 +604,8 @@
       pool_.Sweep();
       programs_.Sweep(now_ms);
       table_.SweepLeaving(now_ms);
+      suspects_.Sweep(now_ms);
+      crash_detector_.Sweep(now_ms);
     }
     LogOutage();
     const bool usable = UsableState() != nullptr;
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -13,6 +13,8 @@
 #include "platform/boot_settings.h"
 #include "platform/store_client.h"
 #include "src/archive_client.h"
+#include "src/crash_detector.h"
+#include "src/crash_suspects.h"
 #include "src/desired_state.h"
 #include "src/dispatcher.h"
 #include "src/gateway_peers.h"
@@ -54,6 +56,15 @@
   SharedRates& rates() { return rates_; }
   RecentPrograms& programs() { return programs_; }
   ArchiveClient& archive() { return archive_; }
+  const CrashSuspects& suspects() const { return suspects_; }
+  // The connection to `upstream` ended while the request was in flight on it,
+  // at `stage`. Finds out whether the upstream crashed; if so, the request is
+  // recorded and the peers are told.
+  boost::asio::awaitable<void> OnBrokenOff(UpstreamEntry upstream,
+                                           RequestFingerprints request,
+                                           RunStage stage);
+  // The request ran to its end on an upstream.
+  void OnRunCompleted(const RequestFingerprints& request);
   ConnectionPool& pool() { return pool_; }
   // Number of gateways that exchange gossip with this one, itself included.
   int64_t reachable_gateways() const { return reachable_gateways_; }
@@ -79,6 +90,10 @@
   // The gateways in contact that serve requests, this one included.
   std::vector<std::string> ReadyHosts() const;
   void OnPeerReportsLeaving(const std::string& host, uint64_t process);
+  void OnPeerCrashReport(const std::string& host, const CrashReport& report);
+  // Sends what is new about crashes to the peers, once for all requests that
+  // broke off together.
+  void SendCrashNews();
   void ChargePeerUsage(const std::string& host,
                        const PeerUsage::Increase& increase);
   // Logs each team's rate limit once, and again when it has changed.
@@ -136,6 +151,10 @@
   uint64_t sender_hash_ = 0;
   SharedRates rates_;
   UsageGossip usage_gossip_;
+  CrashSuspects suspects_{{}};
+  CrashDetector crash_detector_;
+  // True while SendCrashNews() is posted.
+  bool crash_news_posted_ = false;
   // Requests a second by team, as last logged.
   std::unordered_map<std::string, double> logged_rates_;
   bool draining_ = false;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -45,7 +45,10 @@
                      "limited_delays",
                      "leaving_stated",
                      "leaving_reported",
-                     "sends_withheld"};
+                     "sends_withheld",
+                     "crash_suspects",
+                     "crash_suspects_cleared",
+                     "crash_suspects_reported"};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Latency::kCount)>
     kLatencyNames = {"program", "call", "first_token", "queue_wait", "commit"};
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -73,6 +73,11 @@
   // Calls that were not sent to the upstream that they were assigned to,
   // because it went out of service meanwhile.
   kSendsWithheld,
+  // Requests of this gateway that were in flight on an upstream when it
+  // crashed, those that ran to their end later, and reports of peers.
+  kCrashSuspects,
+  kCrashSuspectsCleared,
+  kCrashSuspectsReported,
   kCount,
 };
 
--- a/src/reason.h
+++ b/src/reason.h
@@ -54,6 +54,8 @@
   kRingFull,
   kNoConfiguration,
   kConnectionLimit,
+  // The request was in flight on several upstreams when those crashed.
+  kCrashesUpstreams,
   kInternal,
   kCount,
 };
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -132,6 +132,12 @@
          InService(it->second);
 }
 
+bool UpstreamTable::ExpectedToRun(const UpstreamEntry& entry) const {
+  const auto it = upstreams_.find(entry.id);
+  return it != upstreams_.end() && !IsLeaving(it->second) &&
+         !leaving_.Contains(LeavingProcesses::HashOf(entry));
+}
+
 bool UpstreamTable::Usable(const Upstream& upstream,
                            const PlacementInput& input, int64_t now_ms) const {
   const UpstreamEntry& entry = upstream.entry;
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -108,6 +108,9 @@
   // True while new calls may be sent to the upstream: its entry is present and
   // unchanged, and it is neither leaving nor misdirected nor in a drained zone.
   bool MayReceive(const UpstreamEntry& entry) const;
+  // True while the upstream has an entry and is not about to stop, so that the
+  // end of its process is not a planned one.
+  bool ExpectedToRun(const UpstreamEntry& entry) const;
 
   enum class Verdict : uint8_t {
     kChosen,
