A crash is seen though the upstream is back before it is asked

What callers saw: 502 after 502 for a request whose upstream crashes under it and restarts within milliseconds: the new connection that asks whether the upstream is there reaches the new process, and the crash was taken for a reset connection. Cause: evidence only from refused connections. A run on an upstream that is expected to stop is not kept.

--- a/src/crash_detector.h
+++ b/src/crash_detector.h
@@ -5,21 +5,31 @@
 // new connections. The detector asks by opening one, once for all requests that
 // broke off at the same upstream at the same time.
 //
-// An upstream that refuses connections for another reason, such as a firewall,
-// is taken for crashed; one that is cut off silently, or that is back before
-// the detector asks, is not.
+// One that is back before the detector asks does not refuse: its new entry,
+// which follows, shows that the process was replaced. An upstream that refuses
+// connections for another reason, such as a firewall, is taken for crashed; one
+// that is cut off silently is not.
 #pragma once
 
 #include <boost/asio.hpp>
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "src/connection_pool.h"
+#include "src/crash_suspects.h"
 #include "src/upstream_entry.h"
 
 namespace pimento {
 
+// A request whose connection to an upstream ended within an exchange.
+struct BrokenRun {
+  UpstreamEntry upstream = {};
+  RequestFingerprints request = {};
+  RunStage stage = RunStage::kSent;
+};
+
 class CrashDetector {
  public:
   CrashDetector(boost::asio::io_context& io, ConnectionPool& pool)
@@ -28,7 +38,13 @@
   // A connection to the upstream ended within an exchange. Returns whether the
   // upstream process has crashed. Does not throw.
   boost::asio::awaitable<bool> HasCrashed(const UpstreamEntry& upstream);
-  // Forgets old answers.
+  // The upstream has not been found to have crashed. Keeps the run for a while,
+  // in case an entry shows it later.
+  void KeepUnresolved(BrokenRun run);
+  // An upstream has a new or changed entry. Returns the runs that were in
+  // flight on the process that it replaces.
+  std::vector<BrokenRun> TakeReplaced(const UpstreamEntry& entry);
+  // Forgets old answers and runs.
   void Sweep(int64_t now_ms);
 
  private:
@@ -41,12 +57,17 @@
     bool crashed = false;
     int64_t asked_ms = 0;
   };
+  struct Unresolved {
+    BrokenRun run;
+    int64_t at_ms = 0;
+  };
   boost::asio::awaitable<bool> RefusesConnections(std::string address);
 
   boost::asio::io_context& io_;
   ConnectionPool& pool_;
   // By LeavingProcesses::HashOf() the upstream's entry.
   std::unordered_map<uint64_t, std::shared_ptr<Probe>> probes_;
+  std::vector<Unresolved> unresolved_;
 };
 
 }  // namespace pimento
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -181,8 +181,10 @@
                                            AttemptResult attempt) {
   if (attempt == AttemptResult::kDone && !state_.suspects().empty())
     state_.OnRunCompleted(Fingerprints());
-  if (broken_off_)
-    co_await state_.OnBrokenOff(upstream, Fingerprints(), stage_);
+  if (!broken_off_) co_return;
+  const BrokenRun run{
+      .upstream = upstream, .request = Fingerprints(), .stage = stage_};
+  co_await state_.OnBrokenOff(run);
 }
 
 std::string GatewayCall::WithholdReason(const UpstreamEntry& upstream) const {
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -261,6 +261,8 @@
     if (!entry) continue;
     present.insert(id);
     if (!table_.Put(*entry, now_ms)) continue;
+    for (const BrokenRun& run : crash_detector_.TakeReplaced(*entry))
+      OnCrash(run);
     EventLine(Event::kUpstreamChanged)
         .Text("upstream", id)
         .Text("service", entry->service)
@@ -357,22 +359,25 @@
   EventLine(Event::kUpstreamLeaving).Text("upstream", id).Text("peer", host);
 }
 
-asio::awaitable<void> GatewayState::OnBrokenOff(UpstreamEntry upstream,
-                                                RequestFingerprints request,
-                                                RunStage stage) {
-  if (!table_.ExpectedToRun(upstream)) co_return;
-  if (!co_await crash_detector_.HasCrashed(upstream)) co_return;
-  const uint64_t process = LeavingProcesses::HashOf(upstream);
+asio::awaitable<void> GatewayState::OnBrokenOff(const BrokenRun& run) {
+  if (!table_.ExpectedToRun(run.upstream)) co_return;
+  const bool crashed = co_await crash_detector_.HasCrashed(run.upstream);
+  if (crashed) OnCrash(run);
+  if (!crashed) crash_detector_.KeepUnresolved(run);
+}
+
+void GatewayState::OnCrash(const BrokenRun& run) {
   const int64_t now_ms = SteadyMs();
-  if (!suspects_.OnCrash(request, process, stage, now_ms)) co_return;
+  const uint64_t process = LeavingProcesses::HashOf(run.upstream);
+  if (!suspects_.OnCrash(run.request, process, run.stage, now_ms)) return;
   metrics_.Add(Counter::kCrashSuspects);
   EventLine(Event::kCrashSuspect)
-      .Text("fingerprint", HexOf(request.exact))
-      .Text("leading", HexOf(request.leading))
-      .Text("upstream", upstream.id)
-      .Text("stage", Name(stage))
-      .Number("crashes", suspects_.Crashes(request))
-      .Number("refused_ms", suspects_.RefusedForMs(request, now_ms));
+      .Text("fingerprint", HexOf(run.request.exact))
+      .Text("leading", HexOf(run.request.leading))
+      .Text("upstream", run.upstream.id)
+      .Text("stage", Name(run.stage))
+      .Number("crashes", suspects_.Crashes(run.request))
+      .Number("refused_ms", suspects_.RefusedForMs(run.request, now_ms));
   SendCrashNews();
 }
 
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -57,12 +57,9 @@
   RecentPrograms& programs() { return programs_; }
   ArchiveClient& archive() { return archive_; }
   const CrashSuspects& suspects() const { return suspects_; }
-  // The connection to `upstream` ended while the request was in flight on it,
-  // at `stage`. Finds out whether the upstream crashed; if so, the request is
-  // recorded and the peers are told.
-  boost::asio::awaitable<void> OnBrokenOff(UpstreamEntry upstream,
-                                           RequestFingerprints request,
-                                           RunStage stage);
+  // Finds out whether the upstream crashed under the request; if so, the
+  // request is recorded and the peers are told.
+  boost::asio::awaitable<void> OnBrokenOff(const BrokenRun& run);
   // The request ran to its end on an upstream.
   void OnRunCompleted(const RequestFingerprints& request);
   ConnectionPool& pool() { return pool_; }
@@ -90,6 +87,7 @@
   // The gateways in contact that serve requests, this one included.
   std::vector<std::string> ReadyHosts() const;
   void OnPeerReportsLeaving(const std::string& host, uint64_t process);
+  void OnCrash(const BrokenRun& run);
   void OnPeerCrashReport(const std::string& host, const CrashReport& report);
   // Sends what is new about crashes to the peers, once for all requests that
   // broke off together.
