--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -148,6 +148,16 @@
   RegisterUpstream(id, service, registered);
 }
 
+std::string PlatformFleet::UpstreamAddress(const std::string& name) const {
+  return HostAddress(name, kUpstreamPort);
+}
+
+bool PlatformFleet::Answers(const std::string& address) {
+  return SendTo(address,
+                {.method = "GET", .target = "/healthz", .limit_ms = 500})
+             .status == 200;
+}
+
 void PlatformFleet::RegisterUpstream(int id, const std::string& service,
                                      const std::string& address, int64_t slots,
                                      int64_t born) {
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -102,6 +102,10 @@
   void RegisterUpstream(int id, const std::string& service,
                         const std::string& address, int64_t slots = 8,
                         int64_t born = 1);
+  // An address of loopback for upstream `name` ("talk-5"), the same each time.
+  std::string UpstreamAddress(const std::string& name) const;
+  // Whether the stand-in that listens on `address` answers.
+  bool Answers(const std::string& address);
   // An object of the store, as JSON.
   std::string Object(const std::string& kind, const std::string& name);
   // Restarts the store: what waits is broken off, and all calls for `down_ms`;
--- a/standins/model_server.cc
+++ b/standins/model_server.cc
@@ -9,7 +9,17 @@
 // two events), lose_answers (count of requests run without an answer),
 // limit_per_s (names this limit, and half a request more, in its answers). GET
 // /runs lists what ran: id, path, team, key, body, at_ms (steady clock).
+//
+// A request whose body contains "crash-the-upstream" ends the process, if
+// crash_stage is set: 1 before the response header (also of a plain request), 2
+// after the header of a stream, 3 after crash_events of its events; in each
+// case crash_ms later. With log_runs, each request that begins to run is a line
+// of standard output, which outlives the process:
+// {"born":1,"id":"r1","path":..., "deadly":true,"at_ms":...}, with the switch
+// `born` of this start.
 #include <algorithm>
+#include <cstdlib>
+#include <iostream>
 
 #include "src/boot_clock.h"
 #include "src/worker_thread.h"
@@ -22,6 +32,17 @@
 using namespace pimento;
 
 constexpr const char* kRequestId = "x-pimentopulley-request-id";
+constexpr const char* kDeadlyMarker = "crash-the-upstream";
+// Exit code of a process that a deadly request ended.
+constexpr int kCrashed = 70;
+
+// Values of the switch crash_stage.
+enum class CrashStage : uint8_t {
+  kNever,
+  kBeforeHeader,
+  kBeforeFirstEvent,
+  kAfterEvents,
+};
 
 class ModelServer {
  public:
@@ -54,6 +75,8 @@
                      {"key", request.Header("authorization")},
                      {"at_ms", SteadyMs()},
                      {"body", request.body}});
+    LogRun(request);
+    co_await CrashAt(CrashStage::kBeforeHeader, request);
     if (switches_.Take("lose_answers")) {
       responder.Abort();
       co_return;
@@ -76,10 +99,13 @@
                                HttpResponder& responder, HttpResponse answer) {
     answer.content_type = "text/event-stream";
     co_await responder.Begin(answer);
+    co_await CrashAt(CrashStage::kBeforeFirstEvent, request);
     const std::string resumed = request.Header("last-event-id");
     const int64_t first = resumed.empty() ? 1 : std::stoll(resumed) + 1;
     const bool cut = switches_.Take("cut_after");
     for (int64_t i = first; i <= switches_.Number("tokens"); ++i) {
+      if (i == first + switches_.Number("crash_events"))
+        co_await CrashAt(CrashStage::kAfterEvents, request);
       co_await Sleep(switches_.Number("event_ms"));
       if (cut && i == first + 2) {
         co_await responder.Write("id: " + std::to_string(i) + "\nda");
@@ -94,6 +120,30 @@
     co_await responder.End();
   }
 
+  static bool IsDeadly(const HttpRequest& request) {
+    return request.body.find(kDeadlyMarker) != std::string::npos;
+  }
+
+  // Ends the process without any farewell if a deadly request is to do so at
+  // `stage`.
+  asio::awaitable<void> CrashAt(CrashStage stage, const HttpRequest& request) {
+    if (switches_.Number("crash_stage") != static_cast<int64_t>(stage) ||
+        !IsDeadly(request))
+      co_return;
+    co_await Sleep(switches_.Number("crash_ms"));
+    std::_Exit(kCrashed);
+  }
+
+  void LogRun(const HttpRequest& request) const {
+    if (!switches_.On("log_runs")) return;
+    const json::object run = {{"born", switches_.Number("born")},
+                              {"id", request.Header(kRequestId)},
+                              {"path", request.path},
+                              {"deadly", IsDeadly(request)},
+                              {"at_ms", SteadyMs()}};
+    std::cout << json::serialize(run) << std::endl;
+  }
+
   standin::Switches& switches_;
   json::array runs_;
 };
