Each end of a gateway or archive is logged with its reason

Cause: an end by an exception printed one sentence to standard error, an end by a signal nothing at all, and an abort of the supervisor wrote to a logger that the two programs do not set up.

Change: `ended` is the last line of every process but one killed by SIGKILL: reason, signal or error text, the last part of the start that was done, resident memory, open descriptors, uptime. For a deadly signal the line is put together in a fixed buffer and written with write(2) on a stack of its own, then the signal's own action follows.

An exception that leaves io.run() no longer runs destructors beneath suspended coroutines before it is told.

--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -11,6 +11,7 @@
 #include "src/background_loop.h"
 #include "src/errors.h"
 #include "src/event_log.h"
+#include "src/process_end.h"
 #include "src/store_outage.h"
 
 namespace pimento {
@@ -119,9 +120,11 @@
       .Number("entries", static_cast<int64_t>(entries))
       .Number("turns", static_cast<int64_t>(archive_.turns()))
       .Text("member", std::to_string(id_));
+  EndStartPart(StartPart::kJournal);
   server_.Listen(options_.address);
   if (!options_.metrics_address.empty())
     server_.Listen(options_.metrics_address);
+  EndStartPart(StartPart::kPorts);
   const auto adopt = [this] { AdoptList(); };
   list_watch_.Start(adopt);
   registration_watch_.Start([] {});
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -24,6 +24,8 @@
     kEventNames = {"started",
                    "stopping",
                    "stopped",
+                   "start_took",
+                   "ended",
                    "reloaded",
                    "state_in_force",
                    "state_stale",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -21,6 +21,8 @@
   kStarted,
   kStopping,
   kStopped,
+  kStartTook,
+  kEnded,
   kReloaded,
   kStateInForce,
   kStateStale,
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -12,6 +12,7 @@
 #include "src/background_loop.h"
 #include "src/errors.h"
 #include "src/event_log.h"
+#include "src/process_end.h"
 
 namespace pimento {
 namespace {
@@ -551,6 +552,7 @@
       table_.SweepLeaving(now_ms);
     }
     LogOutage();
+    if (Ready()) EndStartPart(StartPart::kReady);
     const bool usable = UsableState() != nullptr;
     if (usable == was_usable_) continue;
     was_usable_ = usable;
--- a/src/main/archive_main.cc
+++ b/src/main/archive_main.cc
@@ -7,6 +7,7 @@
 
 using namespace pimento;
 
+constexpr const char* kName = "pimento-archive";
 constexpr size_t kDiskQueueCapacity = 1'024;
 
 void Serve(const platform::BootSettings& settings) {
@@ -28,20 +29,21 @@
        .revoke_ms = settings.revoke_ms});
   supervisor.Start();
   node.Start();
-  boost::asio::co_spawn(io, ServeSignals(io, [&io] { io.stop(); }),
-                        boost::asio::detached);
-  io.run();
-  EventLine(Event::kStopped).Text("program", "pimento-archive");
-  FlushEventLog();
-  // Skips destructors: suspended coroutines hold references to the local
-  // objects of this function.
-  _exit(kExitDone);
+  std::string stop_signal;
+  const auto stop = [&](const std::string& signal) {
+    stop_signal = signal;
+    EventLine(Event::kStopped).Text("program", kName);
+    io.stop();
+  };
+  boost::asio::co_spawn(io, ServeSignals(io, stop), boost::asio::detached);
+  boost::asio::post(io, [] { EndStartPart(StartPart::kReady); });
+  RunToTheEnd(io, kName, stop_signal);
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
   return pimento::RunOnPlatform(
-      argc, argv, "pimento-archive",
+      argc, argv, kName,
       "Stores turns and token reservations on the disk of one host.", Serve);
 }
--- a/src/main/gateway_main.cc
+++ b/src/main/gateway_main.cc
@@ -6,26 +6,28 @@
 
 using namespace pimento;
 
+constexpr const char* kName = "pimento-gateway";
+
 void Serve(const platform::BootSettings& settings) {
   boost::asio::io_context io(1);
   Metrics metrics;
   GatewayState state(io, settings, metrics);
   GatewayServer server(state);
   server.Listen();
+  EndStartPart(StartPart::kPorts);
   state.Start();
-  boost::asio::co_spawn(
-      io, ServeSignals(io, [&] { server.Drain([&io] { io.stop(); }); }),
-      boost::asio::detached);
-  io.run();
-  FlushEventLog();
-  // Skips destructors, since suspended coroutines still refer to local objects.
-  _exit(kExitDone);
+  std::string stop_signal;
+  const auto stop = [&](const std::string& signal) {
+    stop_signal = signal;
+    server.Drain([&io] { io.stop(); });
+  };
+  boost::asio::co_spawn(io, ServeSignals(io, stop), boost::asio::detached);
+  RunToTheEnd(io, kName, stop_signal);
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  return pimento::RunOnPlatform(argc, argv, "pimento-gateway",
-                                "Serves callers on one host of the platform.",
-                                Serve);
+  return pimento::RunOnPlatform(
+      argc, argv, kName, "Serves callers on one host of the platform.", Serve);
 }
--- a/src/main/platform_main.h
+++ b/src/main/platform_main.h
@@ -12,17 +12,27 @@
 #include "src/errors.h"
 #include "src/event_log.h"
 #include "src/main/program_main.h"
+#include "src/process_end.h"
 
 namespace pimento {
 
 // Maximum log lines of one event per second; lines above that are only counted.
 inline constexpr int kLogLinesPerSecond = 60;
 
+// Tells `error` on standard error and in the event log. Returns `code`.
+inline int EndWithError(const std::string& name, EndReason reason, int code,
+                        const std::exception& error) {
+  std::cerr << name << ": " << error.what() << "\n";
+  LogProcessEnd(reason, error.what());
+  return code;
+}
+
 // Parses --check, --help and --version, reads the platform's settings file and
 // calls `run`. Returns the exit code.
 inline int RunOnPlatform(
     int argc, char** argv, const std::string& name, const std::string& purpose,
     const std::function<void(const platform::BootSettings&)>& run) {
+  WatchProcessEnd();
   cxxopts::Options options(name, purpose);
   options.add_options()("check", "check the settings and exit")(
       "version", "show the version")("help", "show this text");
@@ -44,26 +54,41 @@
       std::cout << "The settings are correct.\n";
       return kExitDone;
     }
+    SetHostOfProcessEnd(settings.host);
+    EndStartPart(StartPart::kSettings);
     SetUpEventLog(settings.host, kLogLinesPerSecond);
     EventLine(Event::kStarted).Text("program", name).Text("version", kVersion);
     run(settings);
-    FlushEventLog();
     return kExitDone;
   } catch (const UserError& e) {
-    std::cerr << name << ": " << e.what() << "\n";
-    return kExitUsage;
+    return EndWithError(name, EndReason::kSettings, kExitUsage, e);
   } catch (const cxxopts::exceptions::exception& e) {
-    std::cerr << name << ": " << e.what() << "\n";
-    return kExitUsage;
+    return EndWithError(name, EndReason::kSettings, kExitUsage, e);
+  } catch (const std::exception& e) {
+    return EndWithError(name, EndReason::kError, kExitFailed, e);
+  }
+}
+
+// Runs the event loop until it is stopped, and ends the process. `signal` is
+// the name of the signal that stopped it. Destructors are skipped: suspended
+// coroutines still refer to local objects of the callers.
+[[noreturn]] inline void RunToTheEnd(boost::asio::io_context& io,
+                                     const std::string& name,
+                                     const std::string& signal) {
+  try {
+    io.run();
+    LogProcessEnd(EndReason::kSignal, signal);
   } catch (const std::exception& e) {
-    std::cerr << name << ": " << e.what() << "\n";
-    return kExitFailed;
+    _exit(EndWithError(name, EndReason::kError, kExitFailed, e));
   }
+  _exit(kExitDone);
 }
 
-// Calls `on_stop` on the first SIGTERM or SIGINT. SIGHUP is only logged.
+// Calls `on_stop` with the signal's name on the first SIGTERM or SIGINT. SIGHUP
+// is only logged.
 inline boost::asio::awaitable<void> ServeSignals(
-    boost::asio::io_context& io, std::function<void()> on_stop) {
+    boost::asio::io_context& io,
+    std::function<void(const std::string&)> on_stop) {
   boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   for (;;) {
     const int number = co_await signals.async_wait(boost::asio::use_awaitable);
@@ -73,7 +98,7 @@
       EventLine(Event::kReloaded).Text("signal", "SIGHUP");
       continue;
     }
-    on_stop();
+    on_stop(number == SIGINT ? "SIGINT" : "SIGTERM");
     break;
   }
   // Further signals are ignored while the process shuts down.
--- a/src/worker_thread.cc
+++ b/src/worker_thread.cc
@@ -4,7 +4,9 @@
 #include <cstdlib>
 
 #include "src/errors.h"
+#include "src/event_log.h"
 #include "src/log.h"
+#include "src/process_end.h"
 
 namespace pimento {
 namespace {
@@ -75,9 +77,12 @@
   worker.set_on_failure([this, name](const std::string& what) {
     kLog.Error() << "A task of the thread " << name
                  << " failed; the thread continues: " << what;
+    EventLine(Event::kHandlerFailed).Text("thread", name).Text("error", what);
     if (++failures_ > kMaxFailures) {
       kLog.Error() << "The process " << name_
                    << " has had too many failed tasks and aborts.";
+      LogProcessEnd(EndReason::kAbort, "too many failed tasks of the thread " +
+                                           name + ", the last: " + what);
       std::abort();
     }
   });
--- /dev/null
+++ b/test/platform/process_life_test.cc
@@ -0,0 +1,248 @@
+// How gateways and archives start and end: signals from the first moment on,
+// ports that another process holds, limits on files, and the line that tells
+// why a process ended. Real programs, without a store.
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/asio.hpp>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "src/connection_pool.h"
+
+namespace pimento::testbed {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr int64_t kStartLimitMs = 15'000;
+constexpr int64_t kPromptMs = 2'000;
+
+void Pause(int64_t time_ms) {
+  std::this_thread::sleep_for(milliseconds(time_ms));
+}
+
+// Polls `condition` until it is true or `limit_ms` is over.
+bool Within(int64_t limit_ms, const std::function<bool()> &condition) {
+  const auto end = steady_clock::now() + milliseconds(limit_ms);
+  while (!condition()) {
+    if (steady_clock::now() > end) return false;
+    Pause(1);
+  }
+  return true;
+}
+
+// One host: an address, a settings file and a data folder of its own. Nothing
+// listens at the address of its store.
+struct Host {
+  explicit Host(const std::string &name)
+      : dir("build/platform/life_" + name + "_" + std::to_string(getpid())) {
+    static int number = 0;
+    ip = "127." + std::to_string(1 + getpid() % 250) + ".201." +
+         std::to_string(++number);
+    std::filesystem::remove_all(dir);
+    std::filesystem::create_directories(dir);
+    std::ofstream(dir + "/settings") << "node=" << name << "\n"
+                                     << "ip=" << ip << "\n"
+                                     << "zone=z\n"
+                                     << "listen.front=" << ip << ":18368\n"
+                                     << "port_range=17780,17795\n"
+                                     << "bootstrap=true\n"
+                                     << "data_dir=" << dir << "/data\n"
+                                     << "platform.addr=" << ip << ":9\n"
+                                     << "bounds.grace_s=4\n";
+  }
+  ~Host() { std::filesystem::remove_all(dir); }
+  Host(const Host &) = delete;
+  Host &operator=(const Host &) = delete;
+
+  std::string dir;
+  std::string ip;
+};
+
+struct ChildOptions {
+  // Largest file that the process may write.
+  std::optional<rlim_t> file_bytes = {};
+  // Whether nobody reads what it prints.
+  bool output_unread = false;
+};
+
+// A program on a host. Both its outputs go to one pipe.
+class Child {
+ public:
+  Child(const Host &host, const std::string &program,
+        ChildOptions options = {}) {
+    const std::string path = "build/bin/" + program;
+    const std::string settings =
+        "PIMENTOPULLEY_SETTINGS=" + host.dir + "/settings";
+    std::array<int, 2> output = {};
+    std::array<int, 2> started = {};
+    REQUIRE(pipe2(output.data(), O_CLOEXEC) == 0);
+    REQUIRE(pipe2(started.data(), O_CLOEXEC) == 0);
+    pid_ = fork();
+    REQUIRE(pid_ >= 0);
+    if (pid_ == 0) {
+      dup2(output[1], STDOUT_FILENO);
+      dup2(output[1], STDERR_FILENO);
+      if (options.file_bytes) {
+        const rlimit limit = {*options.file_bytes, *options.file_bytes};
+        setrlimit(RLIMIT_FSIZE, &limit);
+      }
+      std::array<char *, 2> arguments = {const_cast<char *>(path.c_str()),
+                                         nullptr};
+      std::array<char *, 2> environment = {const_cast<char *>(settings.c_str()),
+                                           nullptr};
+      if (options.output_unread) close(output[0]);
+      execve(path.c_str(), arguments.data(), environment.data());
+      _exit(127);
+    }
+    close(output[1]);
+    close(started[1]);
+    output_ = output[0];
+    if (options.output_unread) {
+      close(output_);
+      output_ = -1;
+    }
+    // The pipe ends once the program has replaced this one.
+    char byte;
+    while (read(started[0], &byte, 1) > 0) {
+    }
+    close(started[0]);
+  }
+  ~Child() {
+    if (!status_) {
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+    if (output_ >= 0) close(output_);
+  }
+  Child(const Child &) = delete;
+  Child &operator=(const Child &) = delete;
+
+  void Signal(int number) const { kill(pid_, number); }
+  bool Running() {
+    int status = 0;
+    if (!status_ && waitpid(pid_, &status, WNOHANG) == pid_) status_ = status;
+    return !status_;
+  }
+  // Whether it ends by itself within `limit_ms`.
+  bool Ends(int64_t limit_ms) {
+    return Within(limit_ms, [this] { return !Running(); });
+  }
+  // Exit code, or the negative number of the signal that ended it.
+  int code() const {
+    if (!status_) return 1'000;
+    return WIFEXITED(*status_) ? WEXITSTATUS(*status_) : -WTERMSIG(*status_);
+  }
+  // What it has printed so far.
+  const std::string &Output() {
+    std::array<char, 4'096> piece = {};
+    pollfd ready = {.fd = output_, .events = POLLIN, .revents = 0};
+    while (poll(&ready, 1, 0) == 1) {
+      const ssize_t got = read(output_, piece.data(), piece.size());
+      if (got <= 0) break;
+      printed_.append(piece.data(), static_cast<size_t>(got));
+    }
+    return printed_;
+  }
+  bool Prints(const std::string &text, int64_t limit_ms) {
+    return Within(limit_ms,
+                  [&] { return Output().find(text) != std::string::npos; });
+  }
+
+ private:
+  pid_t pid_ = -1;
+  int output_ = -1;
+  std::optional<int> status_;
+  std::string printed_;
+};
+
+// Whether the metrics page of `host` comes: its event loop runs.
+bool Serves(const Host &host) {
+  boost::system::error_code error;
+  asio::io_context io;
+  tcp::socket socket(io);
+  socket.connect(ParseEndpoint(host.ip + ":9464"), error);
+  const std::string request =
+      "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+  if (!error) asio::write(socket, asio::buffer(request), error);
+  std::string answer;
+  if (!error) asio::read(socket, asio::dynamic_buffer(answer), error);
+  return answer.find(" 200 OK") != std::string::npos;
+}
+
+void CheckEndsWell(Child &child, const std::string &signal) {
+  INFO(child.Output());
+  REQUIRE(child.Ends(5'000));
+  CHECK(child.code() == 0);
+  CHECK(child.Prints(
+      "\"event\":\"ended\",\"reason\":\"signal\",\"detail\":\"" + signal + "\"",
+      0));
+}
+
+constexpr std::array<const char *, 2> kPrograms = {"pimento-gateway",
+                                                   "pimento-archive"};
+
+}  // namespace
+
+// Guards against an end that leaves no reason in the log.
+TEST_CASE("the end of a process is logged with its reason") {
+  for (const std::string program : kPrograms) {
+    CAPTURE(program);
+    Host host("reason");
+    {
+      Child child(host, program);
+      REQUIRE(Within(kStartLimitMs, [&] { return Serves(host); }));
+      child.Signal(SIGTERM);
+      CheckEndsWell(child, "SIGTERM");
+      CHECK(child.Output().find("\"descriptors\":") != std::string::npos);
+    }
+    for (const int number : {SIGSEGV, SIGABRT, SIGBUS, SIGQUIT}) {
+      CAPTURE(number);
+      Child child(host, program);
+      REQUIRE(Within(kStartLimitMs, [&] { return Serves(host); }));
+      child.Signal(number);
+      REQUIRE(child.Ends(kPromptMs));
+      CHECK(child.code() == -number);
+      CHECK(
+          child.Prints("\"event\":\"ended\",\"reason\":\"deadly_signal\"", 0));
+    }
+  }
+}
+
+// Guards against a failed start that the event log does not tell.
+TEST_CASE("a start that fails is logged with its error") {
+  Host host("failed_start");
+  std::ofstream(host.dir + "/data") << "not a folder";
+  Child child(host, "pimento-archive");
+  REQUIRE(child.Ends(kStartLimitMs));
+  CHECK(child.code() == 1);
+  CHECK(child.Prints("\"event\":\"ended\",\"reason\":\"error\"", 0));
+  CHECK(child.Prints("\"reached\":\"settings\"", 0));
+}
+
+// Guards against a start whose slow part nobody can tell.
+TEST_CASE("an archive logs how long the parts of its start took") {
+  Host host("parts");
+  Child child(host, "pimento-archive");
+  CHECK(
+      child.Prints("\"event\":\"start_took\",\"settings_ms\":", kStartLimitMs));
+  CHECK(child.Prints("\"ports_ms\":", 0));
+}
+
+}  // namespace pimento::testbed
