Signals are held from the main function on and heard during a replay

A SIGHUP until then ended the process by its default action, with nothing in the log.

Change: SIGTERM, SIGINT and SIGHUP are blocked first thing in main() and delivered when the handlers stand. The replay asks between segments and every 256 entries: a SIGHUP is logged, a SIGTERM ends the start regularly.

Not closed: what comes before main(), the kernel's exec and the dynamic linker. Who starts the process can hold the signals for it: the mask is inherited, and is lifted once the handlers stand.

--- a/src/archive_journal.cc
+++ b/src/archive_journal.cc
@@ -23,6 +23,8 @@
 
 constexpr uint64_t kMaxSegmentBytes = 16ULL * 1024 * 1024;
 constexpr uint32_t kMaxEntryBytes = 64 * 1024 * 1024;
+// Entries that a replay visits between two calls of `between`.
+constexpr size_t kEntriesBetween = 256;
 
 // On-disk format, in host byte order.
 struct EntryHeader {
@@ -120,9 +122,12 @@
 }
 
 void ArchiveJournal::ReplaySegment(
-    Segment& segment, const std::function<void(const std::string&)>& visit) {
+    Segment& segment, const std::function<void(const std::string&)>& visit,
+    const std::function<void()>& between) {
+  between();
   const std::string bytes = ReadFile(SegmentPath(segment.number));
   size_t at = 0;
+  size_t visited = 0;
   while (bytes.size() - at >= sizeof(EntryHeader)) {
     EntryHeader header;
     memcpy(&header, bytes.data() + at, sizeof header);
@@ -133,6 +138,7 @@
       break;
     }
     visit(bytes.substr(start, header.length));
+    if (++visited % kEntriesBetween == 0) between();
     at = start + header.length;
   }
   if (at < bytes.size()) {
@@ -145,7 +151,8 @@
 }
 
 void ArchiveJournal::Replay(
-    const std::function<void(const std::string&)>& visit) {
+    const std::function<void(const std::string&)>& visit,
+    const std::function<void()>& between) {
   segments_.clear();
   bytes_ = 0;
   for (const auto& file : std::filesystem::directory_iterator(dir_)) {
@@ -159,7 +166,7 @@
       segments_.begin(), segments_.end(),
       [](const Segment& a, const Segment& b) { return a.number < b.number; });
   for (Segment& segment : segments_) {
-    ReplaySegment(segment, visit);
+    ReplaySegment(segment, visit, between);
     bytes_ += segment.bytes;
   }
 }
--- a/src/archive_journal.h
+++ b/src/archive_journal.h
@@ -31,8 +31,12 @@
   // random one when there is none. Throws StateError on an I/O error.
   uint64_t MemberId();
   // Calls `visit` with the bytes of each entry, oldest first. Must run before
-  // the first Append() when the directory holds segments.
-  void Replay(const std::function<void(const std::string&)>& visit);
+  // the first Append() when the directory holds segments. `between` is called
+  // now and then, before each segment and after some entries; what it throws
+  // ends the replay.
+  void Replay(
+      const std::function<void(const std::string&)>& visit,
+      const std::function<void()>& between = [] {});
   // Writes entries and syncs them. Throws StateError on an I/O error; any of
   // the entries may then be missing from the journal.
   void Append(const std::vector<std::string>& entries);
@@ -52,7 +56,8 @@
   std::string SegmentPath(uint64_t number) const;
   void OpenNextSegment();
   void ReplaySegment(Segment& segment,
-                     const std::function<void(const std::string&)>& visit);
+                     const std::function<void(const std::string&)>& visit,
+                     const std::function<void()>& between);
 
   std::string dir_;
   // The last of `segments_`, open for appending; -1 when the next Append() must
--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -12,6 +12,7 @@
 #include "src/errors.h"
 #include "src/event_log.h"
 #include "src/process_end.h"
+#include "src/stop_signals.h"
 #include "src/store_outage.h"
 
 namespace pimento {
@@ -104,7 +105,7 @@
   id_ = journal_.MemberId();
   size_t entries = 0;
   const int64_t now_ms = SteadyMs();
-  journal_.Replay([&](const std::string& bytes) {
+  const auto apply = [&](const std::string& bytes) {
     ++entries;
     const JournalEntry entry = DecodeEntry(bytes);
     if (const auto* fence = std::get_if<FenceCall>(&entry)) {
@@ -114,7 +115,8 @@
     } else {
       archive_.Apply(std::get<TokenReservation>(entry), now_ms);
     }
-  });
+  };
+  journal_.Replay(apply, ThrowIfStopRequested);
   EventLine(Event::kJournal)
       .Text("outcome", "replayed")
       .Number("entries", static_cast<int64_t>(entries))
--- a/src/main/platform_main.h
+++ b/src/main/platform_main.h
@@ -13,6 +13,7 @@
 #include "src/event_log.h"
 #include "src/main/program_main.h"
 #include "src/process_end.h"
+#include "src/stop_signals.h"
 
 namespace pimento {
 
@@ -32,6 +33,7 @@
 inline int RunOnPlatform(
     int argc, char** argv, const std::string& name, const std::string& purpose,
     const std::function<void(const platform::BootSettings&)>& run) {
+  HoldStopSignals();
   WatchProcessEnd();
   cxxopts::Options options(name, purpose);
   options.add_options()("check", "check the settings and exit")(
@@ -60,6 +62,9 @@
     EventLine(Event::kStarted).Text("program", name).Text("version", kVersion);
     run(settings);
     return kExitDone;
+  } catch (const StopRequested& signal) {
+    LogProcessEnd(EndReason::kSignal, signal.what());
+    return kExitDone;
   } catch (const UserError& e) {
     return EndWithError(name, EndReason::kSettings, kExitUsage, e);
   } catch (const cxxopts::exceptions::exception& e) {
@@ -90,6 +95,7 @@
     boost::asio::io_context& io,
     std::function<void(const std::string&)> on_stop) {
   boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+  ReleaseStopSignals();
   for (;;) {
     const int number = co_await signals.async_wait(boost::asio::use_awaitable);
     if (number == SIGHUP) {
@@ -98,7 +104,7 @@
       EventLine(Event::kReloaded).Text("signal", "SIGHUP");
       continue;
     }
-    on_stop(number == SIGINT ? "SIGINT" : "SIGTERM");
+    on_stop(StopSignalName(number));
     break;
   }
   // Further signals are ignored while the process shuts down.
--- a/test/platform/process_life_test.cc
+++ b/test/platform/process_life_test.cc
@@ -20,6 +20,9 @@
 #include <thread>
 #include <vector>
 
+#include "bench/lib/platform_fleet.h"
+#include "src/archive_codec.h"
+#include "src/archive_journal.h"
 #include "src/connection_pool.h"
 
 namespace pimento::testbed {
@@ -30,8 +33,11 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
+constexpr int kFirstPort = 17'780;
 constexpr int64_t kStartLimitMs = 15'000;
 constexpr int64_t kPromptMs = 2'000;
+// Entries of a journal whose replay takes a while.
+constexpr int kManyEntries = 150'000;
 
 void Pause(int64_t time_ms) {
   std::this_thread::sleep_for(milliseconds(time_ms));
@@ -70,6 +76,9 @@
   ~Host() { std::filesystem::remove_all(dir); }
   Host(const Host &) = delete;
   Host &operator=(const Host &) = delete;
+  std::string peer_address() const {
+    return ip + ":" + std::to_string(kFirstPort);
+  }
 
   std::string dir;
   std::string ip;
@@ -172,6 +181,14 @@
   std::string printed_;
 };
 
+bool Answers(const std::string &address) {
+  boost::system::error_code error;
+  asio::io_context io;
+  tcp::socket socket(io);
+  socket.connect(ParseEndpoint(address), error);
+  return !error;
+}
+
 // Whether the metrics page of `host` comes: its event loop runs.
 bool Serves(const Host &host) {
   boost::system::error_code error;
@@ -195,6 +212,26 @@
       0));
 }
 
+void FillJournal(const Host &host) {
+  ArchiveJournal journal(host.dir + "/data");
+  std::vector<std::string> entries;
+  for (int i = 0; i < kManyEntries; ++i)
+    entries.push_back(EncodeEntry(TurnRecord{.turn = std::to_string(i),
+                                             .team = "quilters",
+                                             .input = "in",
+                                             .output = "out",
+                                             .upstream = "1",
+                                             .retain_ms = 600'000}));
+  journal.Append(entries);
+}
+
+// Waits until an archive has begun to replay its journal.
+bool Replays(const Host &host) {
+  return Within(kStartLimitMs, [&] {
+    return std::filesystem::exists(host.dir + "/data/member");
+  });
+}
+
 constexpr std::array<const char *, 2> kPrograms = {"pimento-gateway",
                                                    "pimento-archive"};
 
@@ -245,4 +282,49 @@
   CHECK(child.Prints("\"ports_ms\":", 0));
 }
 
+// Guards against a SIGHUP before the event loop, which ended the process.
+TEST_CASE("a signal while an archive replays its journal is heard") {
+  for (const int number : {SIGHUP, SIGTERM}) {
+    CAPTURE(number);
+    Host host("replay");
+    FillJournal(host);
+    Child child(host, "pimento-archive");
+    REQUIRE(Replays(host));
+    child.Signal(number);
+    if (number == SIGTERM) {
+      // Well before the whole journal could be replayed.
+      CheckEndsWell(child, "SIGTERM");
+      CHECK(child.Output().find("replayed") == std::string::npos);
+      continue;
+    }
+    const bool serves = Within(kStartLimitMs, [&] {
+      return Answers(host.peer_address()) || !child.Running();
+    });
+    CHECK(serves);
+    INFO(child.Output());
+    REQUIRE(child.Running());
+    CHECK(child.Prints("\"event\":\"reloaded\"", kPromptMs));
+    child.Signal(SIGTERM);
+    CheckEndsWell(child, "SIGTERM");
+  }
+}
+
+// Guards against the time between the first open port and the event loop.
+TEST_CASE("a signal as soon as a port is open is heard") {
+  for (const std::string program : kPrograms) {
+    CAPTURE(program);
+    for (int i = 0; i < 20; ++i) {
+      Host host("open");
+      Child child(host, program);
+      REQUIRE(Within(kStartLimitMs, [&] {
+        return Answers(program == "pimento-gateway" ? host.ip + ":18368"
+                                                    : host.peer_address());
+      }));
+      child.Signal(SIGHUP);
+      child.Signal(SIGTERM);
+      CheckEndsWell(child, "SIGTERM");
+    }
+  }
+}
+
 }  // namespace pimento::testbed
