--- a/src/process_end.cc
+++ b/src/process_end.cc
@@ -32,14 +32,13 @@
   const char* name;
 };
 // Signals whose default action ends a process and that nothing else handles.
-constexpr std::array<DeadlySignal, 12> kDeadlySignals = {
+constexpr std::array<DeadlySignal, 11> kDeadlySignals = {
     {{SIGSEGV, "SIGSEGV"},
      {SIGABRT, "SIGABRT"},
      {SIGBUS, "SIGBUS"},
      {SIGFPE, "SIGFPE"},
      {SIGILL, "SIGILL"},
      {SIGSYS, "SIGSYS"},
-     {SIGXFSZ, "SIGXFSZ"},
      {SIGXCPU, "SIGXCPU"},
      {SIGQUIT, "SIGQUIT"},
      {SIGALRM, "SIGALRM"},
@@ -222,6 +221,10 @@
   state.statm = open("/proc/self/statm", O_RDONLY | O_CLOEXEC);
   state.descriptors = open("/proc/self/fd", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   std::set_terminate(OnTerminate);
+  // A write beyond the file size limit fails with EFBIG, one to a reader that
+  // has gone with EPIPE: both are failed writes, not ends.
+  signal(SIGXFSZ, SIG_IGN);
+  signal(SIGPIPE, SIG_IGN);
   InstallDeadlySignalHandlers();
 }
 
--- a/src/process_end.h
+++ b/src/process_end.h
@@ -45,8 +45,9 @@
 std::string_view Name(StartPart part);
 std::string_view Name(EndReason reason);
 
-// Starts the clock of the start and of the uptime, and installs the handlers of
-// deadly signals and of uncaught exceptions. Call it once, first thing.
+// Starts the clock of the start and of the uptime, installs the handlers of
+// deadly signals and of uncaught exceptions, and ignores SIGXFSZ and SIGPIPE,
+// so that the write fails instead. Call it once, first thing.
 void WatchProcessEnd();
 // The host that the line of the end names. Empty until this is called.
 void SetHostOfProcessEnd(const std::string& host);
--- a/test/platform/process_life_test.cc
+++ b/test/platform/process_life_test.cc
@@ -38,6 +38,7 @@
 constexpr int64_t kPromptMs = 2'000;
 // Entries of a journal whose replay takes a while.
 constexpr int kManyEntries = 150'000;
+constexpr rlim_t kSmallFileBytes = 4'096;
 
 void Pause(int64_t time_ms) {
   std::this_thread::sleep_for(milliseconds(time_ms));
@@ -232,6 +233,26 @@
   });
 }
 
+std::string PostOf(const std::string &body) {
+  return "POST /archive HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+         "Content-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// The verdict on a turn with `bytes` bytes that is sent to an archive.
+std::optional<ArchiveVerdict> Keep(const Host &host, size_t bytes) {
+  const std::string call =
+      EncodeCall({.body = TurnRecord{.turn = "t" + std::to_string(bytes),
+                                     .team = "quilters",
+                                     .input = std::string(bytes, 'x'),
+                                     .retain_ms = 600'000}});
+  const std::string answer =
+      PlatformFleet::SendRawTo(host.peer_address(), PostOf(call), 3'000);
+  const size_t at = answer.find("\r\n\r\n");
+  if (at == std::string::npos) return std::nullopt;
+  return DecodeReply(answer.substr(at + 4)).verdict;
+}
+
 constexpr std::array<const char *, 2> kPrograms = {"pimento-gateway",
                                                    "pimento-archive"};
 
@@ -327,4 +348,31 @@
   }
 }
 
+// Guards against the end by SIGXFSZ of an archive whose file is at its limit.
+TEST_CASE("an archive at its file size limit refuses and goes on") {
+  Host host("file_limit");
+  Child child(host, "pimento-archive", {.file_bytes = kSmallFileBytes});
+  REQUIRE(Within(kStartLimitMs, [&] { return Answers(host.peer_address()); }));
+  CHECK(Keep(host, 16) == ArchiveVerdict::kDone);
+  CHECK(Keep(host, 2 * kSmallFileBytes) == ArchiveVerdict::kFailed);
+  INFO(child.Output());
+  REQUIRE(child.Running());
+  CHECK(child.Prints("File too large", 0));
+  CHECK(Keep(host, 16) == ArchiveVerdict::kDone);
+}
+
+// Guards against an end by SIGPIPE when the reader of the log has gone.
+TEST_CASE("a process whose output nobody reads starts and stops") {
+  for (const std::string program : kPrograms) {
+    CAPTURE(program);
+    Host host("unread");
+    Child child(host, program, {.output_unread = true});
+    CHECK(Within(kStartLimitMs, [&] { return Answers(host.ip + ":9464"); }));
+    REQUIRE(child.Running());
+    child.Signal(SIGTERM);
+    CHECK(child.Ends(5'000));
+    CHECK(child.code() == 0);
+  }
+}
+
 }  // namespace pimento::testbed
