--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -11,6 +11,8 @@
 #include "src/background_loop.h"
 #include "src/errors.h"
 #include "src/event_log.h"
+#include "src/process_end.h"
+#include "src/stop_signals.h"
 #include "src/store_outage.h"
 
 namespace pimento {
@@ -103,7 +105,7 @@
   id_ = journal_.MemberId();
   size_t entries = 0;
   const int64_t now_ms = SteadyMs();
-  journal_.Replay([&](const std::string& bytes) {
+  const auto apply = [&](const std::string& bytes) {
     ++entries;
     const JournalEntry entry = DecodeEntry(bytes);
     if (const auto* fence = std::get_if<FenceCall>(&entry)) {
@@ -113,15 +115,18 @@
     } else {
       archive_.Apply(std::get<TokenReservation>(entry), now_ms);
     }
-  });
+  };
+  journal_.Replay(apply, ThrowIfStopRequested);
   EventLine(Event::kJournal)
       .Text("outcome", "replayed")
       .Number("entries", static_cast<int64_t>(entries))
       .Number("turns", static_cast<int64_t>(archive_.turns()))
       .Text("member", std::to_string(id_));
+  EndStartPart(StartPart::kJournal);
   server_.Listen(options_.address);
   if (!options_.metrics_address.empty())
     server_.Listen(options_.metrics_address);
+  EndStartPart(StartPart::kPorts);
   const auto adopt = [this] { AdoptList(); };
   list_watch_.Start(adopt);
   registration_watch_.Start([] {});
