Trailers and chunk extensions are bounded: they ended processes

What callers saw: a gateway or archive ends by signal 11 (once with exit code 1 and "field value too large") after one chunked message with a trailer field of 70,000 bytes, from a caller without a key, an upstream or another host; a chunk extension or trailer without end grows the process to 1 GB in a second. Cause: the parser limits neither extensions nor trailers, and the read buffers had no limit. A field above 65,533 bytes makes Beast's fields throw std::length_error in the middle of a read, which unwinds the coroutine that is being resumed. Change: read buffers hold at most 60 KB, for callers more only where the configuration allows a longer header. Not covered: with max_header_bytes above 60 KB a caller's field of 64 KB or more still throws; needs a header limit below that.

--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -181,7 +181,8 @@
       << "port_range=" << kFirstPort << "," << kFirstPort + 15 << "\n"
       << "bootstrap=" << (first_start ? "true" : "false") << "\n"
       << "data_dir=" << dir_ << "/" << name << ".data\n"
-      << "platform.addr=" << store << "\n"
+      << "platform.addr=" << (store_of_hosts_.empty() ? store : store_of_hosts_)
+      << "\n"
       << "bounds.grace_s=4\n"
       << "bounds.revoke_ms=" << options_.revoke_ms << "\n";
 }
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -107,6 +107,12 @@
   // Restarts the store: what waits is broken off, and all calls for `down_ms`;
   // its history is gone.
   void RestartStore(int64_t down_ms);
+  // Address of the stand-in store.
+  std::string StoreAddress() const { return addresses_.at("store"); }
+  // Hosts that are started from now on use the store at `address`.
+  void set_store_of_hosts(std::string address) {
+    store_of_hosts_ = std::move(address);
+  }
   // Number of calls that the store has received.
   int64_t StoreCalls();
 
@@ -148,6 +154,8 @@
   std::string key_ = "key-of-quilters";
   // Addresses of the stand-ins by name, without proxies.
   std::map<std::string, std::string> addresses_;
+  // Replaces the stand-in store for hosts when it is not empty.
+  std::string store_of_hosts_;
   // Second number of the hosts' addresses. It derives from the process id, to
   // keep fleets of concurrent test runs apart.
   int fleet_number_ = 0;
--- a/bench/lib/process_set.cc
+++ b/bench/lib/process_set.cc
@@ -2,6 +2,7 @@
 #include "bench/lib/process_set.h"
 
 #include <signal.h>
+#include <sys/wait.h>
 
 #include <boost/asio.hpp>
 #include <boost/process.hpp>
@@ -57,6 +58,13 @@
   return it != processes_.end() && it->second->child.running();
 }
 
+std::string ProcessSet::HowEnded(const std::string& name) {
+  if (!processes_.contains(name) || Running(name)) return {};
+  const int status = processes_[name]->child.native_exit_code();
+  if (WIFSIGNALED(status)) return "signal " + std::to_string(WTERMSIG(status));
+  return "exit code " + std::to_string(WEXITSTATUS(status));
+}
+
 void ProcessSet::Signal(const std::string& name, int signal_number) {
   if (Running(name)) kill(Pid(name), signal_number);
 }
--- a/bench/lib/process_set.h
+++ b/bench/lib/process_set.h
@@ -26,6 +26,9 @@
              const std::string& log_file,
              const std::map<std::string, std::string>& variables = {});
   bool Running(const std::string& name);
+  // How a process of the set ended by itself: "exit code 1", "signal 6"; empty
+  // while it runs, and when there is none.
+  std::string HowEnded(const std::string& name);
   // Sends a signal; does nothing when the process does not run.
   void Signal(const std::string& name, int signal_number);
   // Sends SIGKILL, waits for the end and removes the process from the set.
--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -27,6 +27,12 @@
 // Limit on unacknowledged data; see SetTcpTimeouts().
 constexpr milliseconds kUnackedTimeout{5'000};
 constexpr size_t kListenBacklog = 512;
+// Bytes that are read ahead of what the parser takes. Bounds what has no limit
+// of its own: chunk extensions and trailers. Below the longest field that Beast
+// holds, beyond which its parser throws in the middle of a read.
+constexpr size_t kReadAheadBytes = 60 * 1024;
+// Read beyond a header whose limit is longer than that.
+constexpr size_t kHeaderSlackBytes = 4 * 1024;
 // Longest stream that is collected for a caller without chunked coding.
 constexpr size_t kMaxCollectedBytes = 8 * 1024 * 1024;
 
@@ -143,6 +149,9 @@
   begun_ = false;
   ended_ = false;
   const auto limits = state_->options.limits();
+  // A buffer that holds more already, of a pipelined request, is not cut.
+  buffer_.max_size(std::max({buffer_.size(), kReadAheadBytes,
+                             size_t{limits.header_bytes} + kHeaderSlackBytes}));
   Parser parser;
   parser.header_limit(limits.header_bytes);
   parser.body_limit(limits.body_bytes);
--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -20,6 +20,10 @@
 // Longer bodies are written while the response is read.
 constexpr size_t kLongBodyBytes = 16 * 1024;
 constexpr size_t kReadBufferBytes = 8 * 1024;
+// Bounds what a response may hold besides its body: chunk extensions and
+// trailers, which have no limit of their own. Below the longest field that
+// Beast holds, beyond which its parser throws in the middle of a read.
+constexpr size_t kMaxBufferedBytes = 60 * 1024;
 constexpr milliseconds kUnackedTimeout{900};
 // Idle time before the first TCP keep-alive probe, and interval between probes.
 constexpr int kKeepAliveIntervalS = 1;
@@ -65,7 +69,9 @@
 }
 
 PooledConnection::PooledConnection(asio::any_io_executor executor)
-    : stream_(std::move(executor)), sending_(std::make_shared<bool>(false)) {}
+    : stream_(std::move(executor)),
+      buffer_(kMaxBufferedBytes),
+      sending_(std::make_shared<bool>(false)) {}
 
 asio::awaitable<void> PooledConnection::Connect(tcp::endpoint endpoint,
                                                 milliseconds limit) {
--- /dev/null
+++ b/test/platform/hostile_surroundings_test.cc
@@ -0,0 +1,185 @@
+// Surroundings that answer nonsense, send without end or name absurd values: no
+// process ends by itself, none grows without bound, and each serves on.
+#include <capnp/any.h>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <boost/json.hpp>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <limits>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+
+#include "bench/lib/platform_fleet.h"
+#include "bench/lib/scripted_upstream.h"
+#include "schema/fleet.capnp.h"
+#include "src/archive_codec.h"
+#include "src/connection_pool.h"
+#include "src/gateway_peers.h"
+
+namespace pimento::testbed {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using Random = std::mt19937_64;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+// Memory that a gateway and an archive may use on the smallest site.
+constexpr int64_t kGatewayMb = 260;
+constexpr int64_t kArchiveMb = 280;
+constexpr size_t kFloodBytes = 600ULL * 1024 * 1024;
+
+void Pause(int64_t time_ms) {
+  std::this_thread::sleep_for(milliseconds(time_ms));
+}
+
+// A figure of /proc/PID/status, "VmHWM" or "VmRSS", in megabytes.
+int64_t MemoryMb(PlatformFleet& fleet, const std::string& host,
+                 const std::string& figure) {
+  std::ifstream in("/proc/" + std::to_string(fleet.processes().Pid(host)) +
+                   "/status");
+  for (std::string line; std::getline(in, line);) {
+    if (line.starts_with(figure + ":"))
+      return std::strtoll(line.c_str() + figure.size() + 1, nullptr, 10) / 1024;
+  }
+  return -1;
+}
+
+int64_t PeakMb(PlatformFleet& fleet, const std::string& host) {
+  return MemoryMb(fleet, host, "VmHWM");
+}
+
+bool ServesWithin(PlatformFleet& fleet, int gateway, int64_t limit_ms) {
+  static std::atomic<int> next{0};
+  for (int64_t waited = 0; waited < limit_ms; waited += 50) {
+    const std::string id = "alive" + std::to_string(++next);
+    if (fleet.Call(gateway, fleet.PlainRequest(id, true)).status == 200)
+      return true;
+    Pause(50);
+  }
+  return false;
+}
+
+tcp::endpoint EndpointOf(const std::string& address) {
+  return ParseEndpoint(address);
+}
+
+// Sends `start` and then `piece` again and again, until the peer closes the
+// connection or kFloodBytes were sent.
+void Flood(const std::string& address, const std::string& start,
+           const std::string& piece) {
+  asio::io_context io;
+  tcp::socket socket(io);
+  boost::system::error_code error;
+  socket.connect(EndpointOf(address), error);
+  asio::write(socket, asio::buffer(start), error);
+  for (size_t sent = 0; !error && sent < kFloodBytes; sent += piece.size())
+    asio::write(socket, asio::buffer(piece), error);
+}
+
+std::string ChunkedRequest(const std::string& target) {
+  return "POST " + target +
+         " HTTP/1.1\r\nHost: x.example\r\n"
+         "X-Pimentopulley-Request-Id: flood\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+const std::string kPiece(256 * 1024, 'a');
+
+}  // namespace
+
+// A chunk's extension has no length; it was kept until its line ended.
+TEST_CASE("a chunk extension without end from a caller fills no memory") {
+  PlatformFleet fleet("build/bin", "build/platform/endless_extension", {});
+  REQUIRE(ServesWithin(fleet, 0, 3'000));
+  Flood(fleet.Listening("gateway-0").at(2), ChunkedRequest("/open/x") + "1;",
+        kPiece);
+  Flood(fleet.Listening("archive-0").front(), ChunkedRequest("/archive") + "1;",
+        kPiece);
+  // The fields after the last chunk.
+  Flood(fleet.Listening("gateway-1").at(2),
+        ChunkedRequest("/open/x") + "0\r\nx: ", kPiece);
+  CHECK(PeakMb(fleet, "gateway-0") < kGatewayMb);
+  CHECK(PeakMb(fleet, "gateway-1") < kGatewayMb);
+  CHECK(PeakMb(fleet, "archive-0") < kArchiveMb);
+  CHECK(ServesWithin(fleet, 0, 3'000));
+}
+
+// The same from an upstream.
+TEST_CASE("a chunk extension without end from an upstream fills no memory") {
+  PlatformFleet fleet("build/bin", "build/platform/endless_answer",
+                      {.plain_upstreams = 0});
+  ScriptedUpstream upstream([](const auto& request, auto& answer) {
+    answer.Write("HTTP/1.1 200 OK\r\n" +
+                 ScriptedUpstream::AnswerFields(request) +
+                 "Transfer-Encoding: chunked\r\n\r\n1;");
+    for (size_t sent = 0; answer.open() && sent < kFloodBytes;
+         sent += kPiece.size())
+      answer.Write(kPiece);
+    answer.Close();
+  });
+  fleet.RegisterUpstream(301, "desk", upstream.address());
+  Pause(500);
+  auto call = fleet.PlainRequest("endless", true);
+  call.headers["X-Pimentopulley-Deadline-Ms"] = "3000";
+  CHECK(fleet.Call(0, call).status != 200);
+  CHECK(upstream.CountRequests("endless") > 0);
+  CHECK(PeakMb(fleet, "gateway-0") < kGatewayMb);
+}
+
+// A field of a trailer that is longer than the parser holds: it threw in the
+// middle of a read, and the process ended.
+TEST_CASE("a trailer with a huge field ends no process") {
+  PlatformFleet fleet("build/bin", "build/platform/huge_trailer",
+                      {.plain_upstreams = 0});
+  const std::string trailer =
+      "2\r\nab\r\n0\r\nX: " + std::string(70'000, 'x') + "\r\n\r\n";
+  ScriptedUpstream upstream([&](const auto& request, auto& answer) {
+    answer.Write("HTTP/1.1 200 OK\r\n" +
+                 ScriptedUpstream::AnswerFields(request) +
+                 "Transfer-Encoding: chunked\r\n\r\n" + trailer);
+  });
+  fleet.RegisterUpstream(301, "desk", upstream.address());
+  Pause(500);
+  for (int i = 0; i < 10; ++i)
+    fleet.Call(0, fleet.PlainRequest("u" + std::to_string(i), true));
+  CHECK(!upstream.requests().empty());
+  const std::vector<std::pair<std::string, std::string>> requests = {
+      {fleet.Listening("gateway-1").at(2), "/open/x"},
+      {fleet.Listening("archive-0").front(), "/archive"}};
+  for (const auto& [address, target] : requests) {
+    try {
+      for (int i = 0; i < 10; ++i)
+        PlatformFleet::SendRawTo(address, ChunkedRequest(target) + trailer, 50);
+    } catch (const boost::system::system_error& e) {
+      FAIL_CHECK(address << ": " << e.what());
+    }
+  }
+  for (const std::string host : {"gateway-0", "gateway-1", "archive-0"}) {
+    CAPTURE(host);
+    CHECK(fleet.processes().HowEnded(host) == "");
+  }
+}
+
+}  // namespace pimento::testbed
