A history that leads back to itself ends

What callers saw: an archive that no longer answers and grows without bound, until the host ends it. Cause: the search for a turn's predecessors had no end where a turn is its own predecessor, as when a request id is used twice and a member lacks the first. The gateway's collector went round in the same way where two members hold one half each. The gateway's half is from reading.

--- a/src/archive_client.cc
+++ b/src/archive_client.cc
@@ -272,6 +272,9 @@
     collector.AddReply(member->id, std::move(reply.turns), reply.missing,
                        reply.intact);
   }
+  if (collector.circular())
+    throw ArchiveError("Turn " + collector.circular_turn() +
+                       " was found among its own predecessors.");
   if (collector.complete()) co_return std::move(collector).Turns();
   if (collector.proven_absent()) co_return std::nullopt;
   throw ArchiveError("Turn " + collector.wanted() +
--- a/src/chain_collector.cc
+++ b/src/chain_collector.cc
@@ -15,7 +15,7 @@
       wanted_(turn_) {}
 
 std::optional<ArchiveMember> ChainCollector::Next() {
-  if (complete()) return std::nullopt;
+  if (complete() || circular()) return std::nullopt;
   for (const ArchiveMember& member : members_) {
     if (queried_.insert(member.id).second) return member;
   }
@@ -24,6 +24,11 @@
 
 void ChainCollector::AddReply(uint64_t member, std::vector<TurnRecord> turns,
                               const std::string& missing, bool intact) {
+  for (const TurnRecord& turn : turns) {
+    if (!collected_.insert(turn.turn).second) circular_turn_ = turn.turn;
+  }
+  if (!missing.empty() && collected_.count(missing) > 0)
+    circular_turn_ = missing;
   std::move(turns.begin(), turns.end(), std::back_inserter(turns_));
   if (missing != wanted_) {
     wanted_ = missing;
@@ -34,7 +39,8 @@
 }
 
 bool ChainCollector::proven_absent() const {
-  return wanted_ == turn_ && !complete() && list_.IsReadQuorum(absent_on_);
+  return wanted_ == turn_ && !complete() && !circular() &&
+         list_.IsReadQuorum(absent_on_);
 }
 
 std::vector<TurnRecord> ChainCollector::Turns() && {
--- a/src/chain_collector.h
+++ b/src/chain_collector.h
@@ -41,6 +41,11 @@
                 const std::string& missing, bool intact);
 
   bool complete() const { return wanted_.empty(); }
+  // True when a turn was found a second time among its own predecessors, as
+  // where a request id was used twice.
+  bool circular() const { return !circular_turn_.empty(); }
+  // That turn; empty when there is none.
+  const std::string& circular_turn() const { return circular_turn_; }
   // True when enough intact members lack the requested turn itself to prove
   // that it was never committed.
   bool proven_absent() const;
@@ -54,6 +59,9 @@
   std::string wanted_;
   // Newest first.
   std::vector<TurnRecord> turns_;
+  // Ids of turns_.
+  std::set<std::string> collected_;
+  std::string circular_turn_;
   // Members queried for wanted_, and the intact ones among them that lack it.
   std::set<uint64_t> queried_;
   std::set<uint64_t> absent_on_;
--- a/src/turn_archive.cc
+++ b/src/turn_archive.cc
@@ -1,6 +1,7 @@
 #include "src/turn_archive.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace pimento {
 namespace {
@@ -77,10 +78,13 @@
 TurnArchive::History TurnArchive::HistoryOf(const std::string& turn,
                                             const std::string& team) const {
   History history;
+  std::unordered_set<std::string> found;
   std::string next = turn;
   while (!next.empty()) {
     const auto it = turns_.find(next);
-    if (it == turns_.end() || it->second.record.team != team) {
+    // A turn cannot come before itself: what leads there is not known.
+    const bool circular = !found.insert(next).second;
+    if (circular || it == turns_.end() || it->second.record.team != team) {
       history.missing = next;
       return history;
     }
--- a/test/platform/hostile_surroundings_test.cc
+++ b/test/platform/hostile_surroundings_test.cc
@@ -107,6 +107,30 @@
 
 const std::string kPiece(256 * 1024, 'a');
 
+// Sends one call to an archive and returns the answer's bytes.
+std::string CallArchive(PlatformFleet& fleet, const std::string& host,
+                        const ArchiveCall& call, int64_t limit_ms) {
+  const std::string body = EncodeCall(call);
+  return PlatformFleet::SendRawTo(
+      fleet.Listening(host).front(),
+      "POST /archive HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+      "Content-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body,
+      limit_ms);
+}
+
+ArchiveCall KeepCall(const std::string& turn, const std::string& previous) {
+  ArchiveCall call;
+  call.list_version = 1'000'000;
+  call.body = TurnRecord{.turn = turn,
+                         .previous = previous,
+                         .team = "quilters",
+                         .input = "in",
+                         .output = "out",
+                         .retain_ms = 60'000};
+  return call;
+}
+
 }  // namespace
 
 // A chunk's extension has no length; it was kept until its line ended.
@@ -182,4 +206,33 @@
   }
 }
 
+// A turn that names itself, or two that name each other: the search for its
+// predecessors did not end.
+TEST_CASE("a history that leads back to itself ends") {
+  PlatformFleet fleet("build/bin", "build/platform/circular_history", {});
+  const std::string host = "archive-0";
+  CallArchive(fleet, host, KeepCall("a", "b"), 1'000);
+  CallArchive(fleet, host, KeepCall("b", "a"), 1'000);
+  CallArchive(fleet, host, KeepCall("c", "c"), 1'000);
+  for (const std::string turn : {"a", "c"}) {
+    ArchiveCall call;
+    call.list_version = 1'000'000;
+    call.body = HistoryCall{turn, "quilters"};
+    std::thread caller([&] { CallArchive(fleet, host, call, 1'500); });
+    bool bounded = true;
+    for (int i = 0; i < 30 && bounded; ++i) {
+      Pause(50);
+      bounded = PeakMb(fleet, host) < kArchiveMb;
+    }
+    CAPTURE(turn);
+    CHECK(bounded);
+    // Not left to fill the machine.
+    if (!bounded) fleet.processes().Kill(host);
+    caller.join();
+    if (!bounded) return;
+  }
+  CHECK(CallArchive(fleet, host, KeepCall("d", ""), 1'000).find("200 OK") !=
+        std::string::npos);
+}
+
 }  // namespace pimento::testbed
