--- a/test/platform/hostile_surroundings_test.cc
+++ b/test/platform/hostile_surroundings_test.cc
@@ -107,6 +107,127 @@
 
 const std::string kPiece(256 * 1024, 'a');
 
+// Passes the calls of hosts on to the stand-in store, and lets a test replace
+// an answer's body, or all of its bytes.
+class LyingStore {
+ public:
+  struct Answer {
+    unsigned status = 200;
+    std::string body = {};
+    // Sent instead of the answer when it is not empty.
+    std::string raw = {};
+  };
+  using Lie = std::function<void(const std::string& target, Answer& answer)>;
+
+  explicit LyingStore(std::string store)
+      : store_(std::move(store)),
+        acceptor_(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        acceptor_thread_([this] { Accept(); }) {}
+  ~LyingStore() {
+    {
+      const std::lock_guard lock(mutex_);
+      stopping_ = true;
+      for (tcp::socket& socket : sockets_) {
+        boost::system::error_code ignored;  // closed already
+        socket.shutdown(tcp::socket::shutdown_both, ignored);
+      }
+    }
+    shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    acceptor_thread_.join();
+    for (std::thread& thread : threads_) thread.join();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  // Applies to calls whose answers come from now on; null: the truth.
+  void set_lie(Lie lie) {
+    const std::lock_guard lock(mutex_);
+    lie_ = std::move(lie);
+  }
+
+ private:
+  void Accept() {
+    for (;;) {
+      tcp::socket accepted(io_);
+      boost::system::error_code error;
+      acceptor_.accept(accepted, error);
+      const std::lock_guard lock(mutex_);
+      if (error || stopping_) return;
+      tcp::socket& socket = sockets_.emplace_back(std::move(accepted));
+      threads_.emplace_back([this, &socket] { Serve(socket); });
+    }
+  }
+
+  void Serve(tcp::socket& socket) {
+    boost::beast::flat_buffer buffer;
+    boost::system::error_code error;
+    for (;;) {
+      http::request<http::string_body> request;
+      http::read(socket, buffer, request, error);
+      if (error) break;
+      Answer answer;
+      if (!Ask(request, answer)) break;
+      Lie lie;
+      {
+        const std::lock_guard lock(mutex_);
+        lie = lie_;
+      }
+      if (lie) lie(std::string(request.target()), answer);
+      if (!answer.raw.empty()) {
+        asio::write(socket, asio::buffer(answer.raw), error);
+        break;
+      }
+      http::response<http::string_body> response;
+      response.result(answer.status);
+      response.set(http::field::content_type, "application/json");
+      response.body() = answer.body;
+      response.prepare_payload();
+      http::write(socket, response, error);
+      if (error) break;
+    }
+    socket.shutdown(tcp::socket::shutdown_both, error);
+  }
+
+  bool Ask(http::request<http::string_body>& request, Answer& answer) {
+    asio::io_context io;
+    tcp::socket socket(io);
+    boost::system::error_code error;
+    socket.connect(EndpointOf(store_), error);
+    if (!error) http::write(socket, request, error);
+    boost::beast::flat_buffer buffer;
+    http::response<http::string_body> response;
+    if (!error) http::read(socket, buffer, response, error);
+    answer.status = response.result_int();
+    answer.body = response.body();
+    return !error;
+  }
+
+  std::string store_;
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::mutex mutex_;
+  Lie lie_;
+  std::list<tcp::socket> sockets_;
+  std::list<std::thread> threads_;
+  bool stopping_ = false;
+  std::thread acceptor_thread_;
+};
+
+// Restarts all hosts with the store at `address`.
+void MoveToStore(PlatformFleet& fleet, const std::string& address) {
+  fleet.set_store_of_hosts(address);
+  std::vector<std::string> hosts;
+  for (int i = 0; i < fleet.options().archives; ++i)
+    hosts.push_back("archive-" + std::to_string(i));
+  for (int i = 0; i < fleet.options().gateways; ++i)
+    hosts.push_back("gateway-" + std::to_string(i));
+  for (const std::string& host : hosts) fleet.processes().Kill(host);
+  for (const std::string& host : hosts) fleet.StartHost(host, false);
+  constexpr int64_t kReadyMs = 15'000;
+  fleet.WaitUntilReady(kReadyMs);
+}
+
 // Sends one call to an archive and returns the answer's bytes.
 std::string CallArchive(PlatformFleet& fleet, const std::string& host,
                         const ArchiveCall& call, int64_t limit_ms) {
@@ -235,4 +356,34 @@
         std::string::npos);
 }
 
+// A store whose list says each time that more follows, after the same name.
+TEST_CASE("a list without end from the store fills no memory") {
+  PlatformFleet fleet("build/bin", "build/platform/endless_list", {});
+  LyingStore store(fleet.StoreAddress());
+  MoveToStore(fleet, store.address());
+  REQUIRE(ServesWithin(fleet, 0, 3'000));
+  std::string item =
+      R"({"metadata":{"name":"x","revision":1},"spec":{"text":")" +
+      std::string(1'000, 'x') + R"("}})";
+  std::string items = item;
+  for (int i = 0; i < 200; ++i) items += "," + item;
+  store.set_lie([&](const std::string& target, LyingStore::Answer& answer) {
+    const bool list = target.starts_with("/-/objects/") &&
+                      target.find("watch=") == std::string::npos;
+    if (list)
+      answer.body =
+          R"({"store_revision":5,"more":true,"items":[)" + items + "]}";
+    if (!list) answer.status = 410;  // makes hosts list again
+  });
+  std::string full;
+  for (int i = 0; i < 100 && full.empty(); ++i) {
+    Pause(50);
+    for (const std::string host : {"gateway-0", "archive-0"})
+      if (PeakMb(fleet, host) >= kGatewayMb) full = host;
+  }
+  CHECK(full == "");
+  store.set_lie(nullptr);
+  if (full.empty()) CHECK(ServesWithin(fleet, 0, 10'000));
+}
+
 }  // namespace pimento::testbed
