Messages name no more list entries than they can hold

A list of elements without size takes 16 bytes in a message and any amount of memory once decoded: one datagram of some 100 bytes took a gateway to 815 and 1,092 MB (260 allowed). Gossip now has at most 400 entries a list, as many as a gateway sends; a reply of an archive no more than its words. The test fails on the untouched programs and passes now.

--- a/src/archive_codec.cc
+++ b/src/archive_codec.cc
@@ -23,6 +23,8 @@
   explicit Reader(const std::string& bytes)
       : words_(kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word))),
         message_(CopyToWords(bytes, words_), Options()) {}
+  // Size of the message.
+  size_t words() const { return words_.size(); }
   template <class T>
   typename T::Reader Root() {
     return message_.getRoot<T>();
@@ -112,6 +114,17 @@
   void operator()(const CopyCall& call) { out.setCopy(call.from); }
 };
 
+// The list, unless it has more elements than fit into the message. Elements
+// without size take no bytes there.
+template <class List>
+List Checked(List list, const Reader& reader) {
+  if (list.size() > reader.words())
+    throw StateError("An archive message of " + std::to_string(reader.words()) +
+                     " words has a list of " + std::to_string(list.size()) +
+                     " elements.");
+  return list;
+}
+
 ArchiveCall ReadCall(wire::ArchiveCall::Reader in) {
   ArchiveCall call;
   call.list_version = in.getListVersion();
@@ -201,9 +214,10 @@
     reply.member = in.getMemberId();
     reply.list_version = in.getListVersion();
     reply.intact = in.getIntact();
-    for (const auto reservation : in.getReservations())
+    for (const auto reservation : Checked(in.getReservations(), reader))
       reply.reservations.push_back(Read(reservation));
-    for (const auto turn : in.getTurns()) reply.turns.push_back(Read(turn));
+    for (const auto turn : Checked(in.getTurns(), reader))
+      reply.turns.push_back(Read(turn));
     reply.missing = Text(in.getMissing());
     reply.next = in.getNext();
     reply.more = in.getMore();
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -34,6 +34,17 @@
 constexpr int kRateAskKinds = 4;
 constexpr int kProgramStatuses = 3;
 
+// The list, unless it has more elements than a message names. Elements without
+// size take no bytes in a message.
+template <class List>
+List Checked(List list) {
+  if (list.size() > kMaxEntries)
+    throw StateError("A gossip message of a gateway has a list of " +
+                     std::to_string(list.size()) + " entries; only " +
+                     std::to_string(kMaxEntries) + " are allowed.");
+  return list;
+}
+
 // Throws StateError when `value` is not one of the `count` values of Enum.
 template <class Enum>
 Enum CheckedEnum(uint8_t value, int count) {
@@ -130,19 +141,19 @@
                          .state_age_ms = in.getStateAgeMs(),
                          .store_overdue_ms = in.getStoreOverdueMs(),
                          .teams_only = in.getTeamsOnly()};
-    for (const auto load : in.getLoads())
+    for (const auto load : Checked(in.getLoads()))
       gossip.loads.emplace_back(load.getUpstream(), load.getInFlight());
-    for (const auto team : in.getTeams())
+    for (const auto team : Checked(in.getTeams()))
       gossip.teams.push_back(
           {team.getTeam(), {team.getAdmitted(), team.getStarted()}});
-    for (const uint64_t program : in.getPrograms())
+    for (const uint64_t program : Checked(in.getPrograms()))
       gossip.programs.push_back(program);
-    for (const uint64_t process : in.getLeavingUpstreams())
+    for (const uint64_t process : Checked(in.getLeavingUpstreams()))
       gossip.leaving_upstreams.push_back(process);
-    for (const uint64_t echo : in.getEchoes())
+    for (const uint64_t echo : Checked(in.getEchoes()))
       gossip.echoes.push_back(
           {echo >> kSequenceBits, static_cast<uint16_t>(echo)});
-    for (const auto ask : in.getRateAsks())
+    for (const auto ask : Checked(in.getRateAsks()))
       gossip.rate_asks.push_back(
           {.kind = CheckedEnum<RateAskKind>(ask.getKind(), kRateAskKinds),
            .limit = ask.getLimit(),
@@ -150,7 +161,7 @@
            .program =
                CheckedEnum<ProgramStatus>(ask.getProgram(), kProgramStatuses),
            .per_second = ask.getPerSecond()});
-    for (const auto reply : in.getRateReplies())
+    for (const auto reply : Checked(in.getRateReplies()))
       gossip.rate_replies.push_back({.id = reply.getId(),
                                      .wait_ms = reply.getWaitMs(),
                                      .tokens_milli = reply.getTokensMilli()});
--- a/test/platform/hostile_surroundings_test.cc
+++ b/test/platform/hostile_surroundings_test.cc
@@ -228,6 +228,25 @@
   fleet.WaitUntilReady(kReadyMs);
 }
 
+std::string BytesOf(capnp::MessageBuilder& message) {
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+void SendDatagrams(const std::string& address, const std::string& bytes,
+                   int count) {
+  asio::io_context io;
+  asio::ip::udp::socket socket(io, asio::ip::udp::v4());
+  const auto to = EndpointOf(address);
+  for (int i = 0; i < count; ++i) {
+    boost::system::error_code ignored;  // datagrams may be lost
+    socket.send_to(asio::buffer(bytes),
+                   asio::ip::udp::endpoint(to.address(), to.port()), 0,
+                   ignored);
+  }
+}
+
 // Sends one call to an archive and returns the answer's bytes.
 std::string CallArchive(PlatformFleet& fleet, const std::string& host,
                         const ArchiveCall& call, int64_t limit_ms) {
@@ -386,4 +405,28 @@
   if (full.empty()) CHECK(ServesWithin(fleet, 0, 10'000));
 }
 
+// A list of elements without size takes no bytes in a message and many in
+// memory.
+TEST_CASE("a gossip message with an absurd count fills no memory") {
+  PlatformFleet fleet("build/bin", "build/platform/absurd_count", {});
+  REQUIRE(ServesWithin(fleet, 0, 3'000));
+  constexpr uint32_t kAbsurdCount = 8'000'000;
+  constexpr std::array<unsigned, 4> kLists = {3, 4, 7, 8};
+  for (const unsigned list : kLists) {
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::GatewayNews>();
+    root.setHost("gateway-1");
+    root.setBoot(~0ULL);
+    root.setSequence(list);
+    auto any = message.getRoot<capnp::AnyPointer>().getAs<capnp::AnyStruct>();
+    any.getPointerSection()[list].initAsAnyList(capnp::ElementSize::VOID,
+                                                kAbsurdCount);
+    SendDatagrams(fleet.Listening("gateway-0").front(), BytesOf(message), 2);
+    Pause(400);
+  }
+  CHECK(fleet.processes().Running("gateway-0"));
+  CHECK(PeakMb(fleet, "gateway-0") < kGatewayMb);
+  CHECK(ServesWithin(fleet, 0, 5'000));
+}
+
 }  // namespace pimento::testbed
