Gossip of unknown hosts is bounded

Each host name in a gossip message was kept for good with its last message: 40,000 datagrams took a gateway to 454 and 502 MB (260 allowed). Now host names have up to 253 bytes, and silent peers make room once 2,048 are known. The test fails on the untouched programs and passes now.

--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -34,6 +34,12 @@
 constexpr int kRateAskKinds = 4;
 constexpr int kProgramStatuses = 3;
 
+// A host name is not longer than in the Domain Name System.
+constexpr size_t kMaxHostBytes = 253;
+// Twice the gateways that are planned for. Only silent peers are dropped for
+// others.
+constexpr size_t kMaxPeers = 2'048;
+
 // The list, unless it has more elements than a message names. Elements without
 // size take no bytes in a message.
 template <class List>
@@ -141,6 +147,9 @@
                          .state_age_ms = in.getStateAgeMs(),
                          .store_overdue_ms = in.getStoreOverdueMs(),
                          .teams_only = in.getTeamsOnly()};
+    if (gossip.host.size() > kMaxHostBytes)
+      throw StateError("A gossip message names a host with " +
+                       std::to_string(gossip.host.size()) + " bytes.");
     for (const auto load : Checked(in.getLoads()))
       gossip.loads.emplace_back(load.getUpstream(), load.getInFlight());
     for (const auto team : Checked(in.getTeams()))
@@ -175,6 +184,7 @@
 
 PeerUsage::Increase GatewayView::ApplyGossip(const GatewayGossip& gossip,
                                              int64_t now_ms) {
+  if (!MakeRoomFor(gossip.host, now_ms)) return {};
   Peer& peer = peers_[gossip.host];
   if (gossip.teams_only) {
     const bool known = peer.gossip.boot == gossip.boot;
@@ -189,6 +199,14 @@
   return peer.use.ApplyCounters(gossip.teams);
 }
 
+bool GatewayView::MakeRoomFor(const std::string& host, int64_t now_ms) {
+  if (peers_.size() < kMaxPeers || peers_.count(host) > 0) return true;
+  std::erase_if(peers_, [&](const auto& peer) {
+    return now_ms - peer.second.last_gossip_ms >= silent_after_ms_;
+  });
+  return peers_.size() < kMaxPeers;
+}
+
 bool GatewayView::IsSilent(const std::string& host, int64_t now_ms) const {
   return peers_.count(host) == 0 ||
          SinceLastGossipMs(host, now_ms) >= silent_after_ms_;
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -110,6 +110,9 @@
     int64_t last_gossip_ms = 0;
     PeerUsage use;
   };
+  // False when too many peers that are not silent are known to add `host`.
+  bool MakeRoomFor(const std::string& host, int64_t now_ms);
+
   int64_t silent_after_ms_;
   std::map<std::string, Peer> peers_;
 };
--- a/test/platform/hostile_surroundings_test.cc
+++ b/test/platform/hostile_surroundings_test.cc
@@ -429,4 +429,22 @@
   CHECK(ServesWithin(fleet, 0, 5'000));
 }
 
+// Each name in a gossip message was kept for good as that of a gateway.
+TEST_CASE("gossip messages of many unknown hosts fill no memory") {
+  PlatformFleet fleet("build/bin", "build/platform/unknown_hosts", {});
+  REQUIRE(ServesWithin(fleet, 0, 3'000));
+  constexpr int kHosts = 40'000;
+  for (int i = 0; i < kHosts; ++i) {
+    GatewayGossip gossip{.host = std::to_string(i) + std::string(15'000, 'h'),
+                         .boot = 1,
+                         .sequence = 1};
+    SendDatagrams(fleet.Listening("gateway-0").front(), EncodeGossip(gossip),
+                  1);
+    if (i % 100 == 0) Pause(1);
+  }
+  CHECK(fleet.processes().Running("gateway-0"));
+  CHECK(PeakMb(fleet, "gateway-0") < kGatewayMb);
+  CHECK(ServesWithin(fleet, 0, 5'000));
+}
+
 }  // namespace pimento::testbed
