Prompt parts kept for an upstream have a bound

Above 4,096 parts only those unused for a minute were dropped, with a scan of all at each request. With 8,192 as the most held, 8,000 requests of 600 new parts each keep a gateway below 260 MB.

--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -35,6 +35,8 @@
 // are dropped.
 constexpr size_t kMaxPrefixes = 4'096;
 constexpr int64_t kPrefixTtlMs = 60'000;
+// Bounds the memory: above this number, younger ones are dropped as well.
+constexpr size_t kPrefixesHeld = 8'192;
 
 uint64_t CombineHash(uint64_t hash, uint64_t value) {
   const uint64_t pair[2] = {hash, value};
@@ -45,6 +47,20 @@
   average = average == 0 ? value : average + kSampleWeight * (value - average);
 }
 
+// Drops what was unused for kPrefixTtlMs, and for ever shorter times while
+// there is more than kPrefixesHeld.
+template <class Prefixes>
+void DropOldPrefixes(Prefixes& prefixes, int64_t now_ms) {
+  for (int64_t unused_ms = kPrefixTtlMs;; unused_ms /= 2) {
+    std::erase_if(prefixes, [&](const auto& prefix) {
+      return prefix.second < now_ms - unused_ms;
+    });
+    if (prefixes.size() <= kPrefixesHeld) return;
+    if (unused_ms == 0) break;
+  }
+  prefixes.clear();
+}
+
 }  // namespace
 
 UpstreamTable::UpstreamTable(UpstreamTableOptions options)
@@ -260,9 +276,7 @@
   upstream.recent_sends.push_back(now_ms);
   if (input.prompt == nullptr) return;
   if (upstream.prefixes.size() > kMaxPrefixes) {
-    std::erase_if(upstream.prefixes, [now_ms](const auto& prefix) {
-      return prefix.second < now_ms - kPrefixTtlMs;
-    });
+    DropOldPrefixes(upstream.prefixes, now_ms);
   }
   uint64_t hash = 0;
   for (const PromptPart& part : *input.prompt) {
--- a/test/platform/hostile_surroundings_test.cc
+++ b/test/platform/hostile_surroundings_test.cc
@@ -447,4 +447,48 @@
   CHECK(ServesWithin(fleet, 0, 5'000));
 }
 
+// Prompts of ever new parts, as a caller may name them.
+TEST_CASE("prompts of ever new parts fill no memory") {
+  PlatformFleet fleet("build/bin", "build/platform/new_prompts", {});
+  REQUIRE(ServesWithin(fleet, 0, 3'000));
+  constexpr int kRequests = 8'000;
+  constexpr int kParts = 600;
+  std::vector<std::thread> callers;
+  std::atomic<int> left{kRequests};
+  for (int i = 0; i < 4; ++i) {
+    callers.emplace_back([&, i] {
+      Random random(static_cast<uint64_t>(i));
+      asio::io_context io;
+      while (left > 0) {
+        tcp::socket socket(io);
+        boost::system::error_code error;
+        socket.connect(EndpointOf(fleet.Listening("gateway-0").at(2)), error);
+        boost::beast::flat_buffer buffer;
+        while (!error && --left > 0) {
+          auto call = fleet.PlainRequest("p" + std::to_string(left), true);
+          std::string parts;
+          for (int part = 0; part < kParts; ++part) {
+            char text[16];
+            std::snprintf(text, sizeof text, "%s%x:1", part == 0 ? "" : ",",
+                          static_cast<unsigned>(random()));
+            parts += text;
+          }
+          http::request<http::string_body> request(http::verb::get, "/open/x",
+                                                   11);
+          request.set(http::field::host, "x.example");
+          for (const auto& [name, value] : call.headers)
+            request.set(name, value);
+          request.set("X-Pimentopulley-Prompt-Prefix", parts);
+          http::write(socket, request, error);
+          http::response<http::string_body> response;
+          if (!error) http::read(socket, buffer, response, error);
+        }
+      }
+    });
+  }
+  for (std::thread& caller : callers) caller.join();
+  CHECK(fleet.processes().HowEnded("gateway-0") == "");
+  CHECK(PeakMb(fleet, "gateway-0") < kGatewayMb);
+}
+
 }  // namespace pimento::testbed
