--- a/src/archive_journal.cc
+++ b/src/archive_journal.cc
@@ -22,6 +22,8 @@
 namespace {
 
 constexpr uint64_t kMaxSegmentBytes = 16ULL * 1024 * 1024;
+// Files with higher numbers are not the journal's own.
+constexpr uint64_t kMaxSegmentNumber = 1'000'000'000'000;
 constexpr uint32_t kMaxEntryBytes = 64 * 1024 * 1024;
 
 // On-disk format, in host byte order.
@@ -150,10 +152,19 @@
   bytes_ = 0;
   for (const auto& file : std::filesystem::directory_iterator(dir_)) {
     if (file.path().extension() != ".log") continue;
+    const uint64_t number =
+        std::strtoull(file.path().stem().c_str(), nullptr, 10);
+    const bool own = file.is_regular_file() && number <= kMaxSegmentNumber &&
+                     file.path().filename() ==
+                         std::filesystem::path(SegmentPath(number)).filename();
+    if (!own) {
+      EventLine(Event::kJournal)
+          .Text("outcome", "foreign_file")
+          .Text("file", file.path().string());
+      continue;
+    }
     segments_.push_back(
-        {.number = std::strtoull(file.path().stem().c_str(), nullptr, 10),
-         .bytes = 0,
-         .last_write_ms = UnixMs()});
+        {.number = number, .bytes = 0, .last_write_ms = UnixMs()});
   }
   std::sort(
       segments_.begin(), segments_.end(),
--- a/test/platform/hostile_surroundings_test.cc
+++ b/test/platform/hostile_surroundings_test.cc
@@ -491,4 +491,36 @@
   CHECK(PeakMb(fleet, "gateway-0") < kGatewayMb);
 }
 
+// What others leave in the folder of the journal.
+TEST_CASE("an archive serves with foreign files beside its journal") {
+  PlatformFleet fleet("build/bin", "build/platform/foreign_files", {});
+  const std::string host = "archive-1";
+  const std::string dir = "build/platform/foreign_files/" + host + ".data/";
+  for (const char* name :
+       {"abc.log", "18446744073709551615.log", "99999999999999999999.log",
+        "-1.log", "1.log", ".log", "00000001.log.swp"})
+    std::ofstream(dir + name) << "garbage";
+  std::filesystem::create_directories(dir + "00000007.log");
+  std::filesystem::create_directories(dir + "x.log");
+  for (int round = 0; round < 3; ++round) {
+    CAPTURE(round);
+    fleet.processes().Kill(host);
+    fleet.StartHost(host, false);
+    std::string answer;
+    for (int i = 0; i < 100 && answer.empty(); ++i) {
+      Pause(50);
+      try {
+        answer = CallArchive(fleet, host, KeepCall("t", ""), 1'000);
+      } catch (const boost::system::system_error&) {
+        // It does not listen yet.
+      }
+    }
+    CHECK(fleet.processes().HowEnded(host) == "");
+    const size_t body = answer.find("\r\n\r\n");
+    REQUIRE(body != std::string::npos);
+    CHECK(DecodeReply(answer.substr(body + 4)).verdict ==
+          ArchiveVerdict::kDone);
+  }
+}
+
 }  // namespace pimento::testbed
