Random hostile surroundings, starts in any order, a long replay: tests

The random trouble lets a store, upstreams, other hosts and callers send nonsense while hosts are killed, restarted and sent SIGHUP, and fails on each process that ends by itself or exceeds the memory of the smallest site. Also: the collector's half of circular histories and the decoding of absurd counts, without processes.

--- a/test/correctness/chain_collector_test.cc
+++ b/test/correctness/chain_collector_test.cc
@@ -82,3 +82,22 @@
   CHECK_FALSE(collector.complete());
   CHECK_FALSE(collector.proven_absent());
 }
+
+// Two members with one half each of a circle were asked in turns without end.
+TEST_CASE("a history that leads back to itself over two members is given up") {
+  Fixture fixture;
+  fixture.Store("3", "2", {1});
+  fixture.Store("2", "3", {2});
+  const ChainCollector collector = fixture.Collect({1, 2, 3});
+  CHECK(collector.circular());
+  CHECK_FALSE(collector.complete());
+  CHECK_FALSE(collector.proven_absent());
+}
+
+TEST_CASE("a turn that names itself is given up and not denied") {
+  Fixture fixture;
+  fixture.Store("3", "3", {1, 2, 3});
+  const ChainCollector collector = fixture.Collect({1, 2, 3});
+  CHECK(collector.circular_turn() == "3");
+  CHECK_FALSE(collector.proven_absent());
+}
--- a/test/platform/hostile_surroundings_test.cc
+++ b/test/platform/hostile_surroundings_test.cc
@@ -32,6 +32,7 @@
 #include "bench/lib/scripted_upstream.h"
 #include "schema/fleet.capnp.h"
 #include "src/archive_codec.h"
+#include "src/archive_journal.h"
 #include "src/connection_pool.h"
 #include "src/gateway_peers.h"
 
@@ -271,6 +272,553 @@
   return call;
 }
 
+// Headers of a caller near the limits of their types.
+std::string AbsurdNumber(Random& random) {
+  static const std::vector<std::string> kNumbers = {"0",
+                                                    "-1",
+                                                    "9223372036854775807",
+                                                    "9223372036854775808",
+                                                    "1e30",
+                                                    "nan",
+                                                    "18446744073709551615",
+                                                    "-9223372036854775808",
+                                                    "",
+                                                    "\xff",
+                                                    "1,1"};
+  return kNumbers[random() % kNumbers.size()];
+}
+
+json::value AbsurdValue(Random& random) {
+  switch (random() % 12) {
+    case 0:
+      return nullptr;
+    case 1:
+      return -1;
+    case 2:
+      return 1e308;
+    case 3:
+      return std::numeric_limits<uint64_t>::max();
+    case 4:
+      return std::numeric_limits<int64_t>::min();
+    case 5:
+      return "";
+    case 6:
+      return "\xff\xfe\x01";
+    case 7:
+      return json::string(20'000, 'x');
+    case 8:
+      return json::array(500, json::value(1.5));
+    case 9:
+      return json::object{};
+    case 10:
+      return 0;
+    default:
+      return true;
+  }
+}
+
+// Replaces, repeats or removes some values of `value`.
+void Distort(json::value& value, Random& random, unsigned one_in) {
+  if (random() % one_in == 0) {
+    value = AbsurdValue(random);
+    return;
+  }
+  if (auto* object = value.if_object()) {
+    for (auto& item : *object) Distort(item.value(), random, one_in);
+    if (!object->empty() && random() % one_in == 0)
+      object->erase(object->begin());
+  } else if (auto* array = value.if_array()) {
+    for (auto& item : *array) Distort(item, random, one_in);
+    if (!array->empty() && random() % one_in == 0)
+      array->resize(std::min<size_t>(200, array->size() * 20),
+                    json::value(array->front()));
+  }
+}
+
+std::string RandomText(Random& random, size_t most) {
+  std::string text(random() % most, '\0');
+  for (char& byte : text) byte = static_cast<char>(random());
+  return text;
+}
+
+uint64_t AbsurdInteger(Random& random) {
+  static constexpr std::array<uint64_t, 8> kIntegers = {
+      0,          1,          ~0ULL,      1ULL << 63,
+      1ULL << 62, 0xffffffff, 0x7fffffff, (1ULL << 63) - 1};
+  return random() % 3 == 0 ? random() : kIntegers[random() % kIntegers.size()];
+}
+
+std::string AbsurdGossip(Random& random) {
+  const auto number = [&] {
+    return static_cast<int64_t>(AbsurdInteger(random));
+  };
+  GatewayGossip gossip{
+      .host = random() % 3 == 0 ? RandomText(random, 300)
+                                : "gateway-" + std::to_string(random() % 7),
+      .boot = AbsurdInteger(random),
+      .sequence = AbsurdInteger(random),
+      .zone = random() % 2 == 0 ? "zone-1" : RandomText(random, 300),
+      .callers_address = RandomText(random, 100),
+      .ready = random() % 2 == 0,
+      .strained = random() % 2 == 0,
+      .state_version = random() % 2 == 0 ? 1 : number(),
+      .state_age_ms = number(),
+      .store_overdue_ms = number(),
+      .teams_only = random() % 2 == 0};
+  const size_t count = random() % 100;
+  constexpr int kAskKinds = 4;
+  constexpr int kStatuses = 3;
+  static constexpr std::array<double, 6> kRates = {
+      0,
+      -1,
+      1e308,
+      std::numeric_limits<double>::quiet_NaN(),
+      std::numeric_limits<double>::infinity(),
+      5};
+  for (size_t i = 0; i < count; ++i) {
+    gossip.loads.emplace_back(random() % 300, number());
+    gossip.teams.push_back({random(), {number(), number()}});
+    gossip.programs.push_back(random());
+    gossip.echoes.push_back(
+        {random(), static_cast<uint16_t>(AbsurdInteger(random))});
+    gossip.leaving_upstreams.push_back(random());
+    gossip.rate_asks.push_back(
+        {.kind = static_cast<RateAskKind>(random() % kAskKinds),
+         .limit = random(),
+         .id = AbsurdInteger(random),
+         .program = static_cast<ProgramStatus>(random() % kStatuses),
+         .per_second = kRates[random() % kRates.size()]});
+    gossip.rate_replies.push_back(
+        {.id = random() % 50, .wait_ms = number(), .tokens_milli = number()});
+  }
+  std::string bytes = EncodeGossip(gossip);
+  if (random() % 3 == 0)
+    for (int i = 0; i < 4; ++i)
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+  return bytes;
+}
+
+std::string AbsurdArchiveCall(Random& random) {
+  ArchiveCall call;
+  call.list_version = random() % 2 == 0 ? 1'000'000 : AbsurdInteger(random);
+  const auto turn = [&] { return "t" + std::to_string(random() % 20); };
+  switch (random() % 6) {
+    case 0:
+      call.body =
+          TurnRecord{.turn = turn(),
+                     .previous = turn(),
+                     .team = "quilters",
+                     .input = RandomText(random, 3'000),
+                     .output = RandomText(random, 3'000),
+                     .upstream = RandomText(random, 100),
+                     .retain_ms = static_cast<int64_t>(AbsurdInteger(random)),
+                     .program = RandomText(random, 100),
+                     .tokens = AbsurdInteger(random)};
+      break;
+    case 1:
+      call.body = TokenReservation{.program = turn(),
+                                   .turn = RandomText(random, 200),
+                                   .tokens = AbsurdInteger(random),
+                                   .settled = random() % 2 == 0};
+      break;
+    case 2:
+      call.body = CollectCall{turn()};
+      break;
+    case 3:
+      call.body = HistoryCall{turn(), "quilters"};
+      break;
+    case 4:
+      call.body = CopyCall{AbsurdInteger(random)};
+      break;
+    default:
+      call.body = PingCall{};
+  }
+  std::string bytes = EncodeCall(call);
+  if (random() % 3 == 0)
+    for (int i = 0; i < 4; ++i)
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+  return bytes;
+}
+
+ClientRequest AbsurdRequest(Random& random) {
+  static const std::vector<std::string> kTargets = {
+      "/kept/x", "/resumed/x", "/open/x", "/status/x", "/charge/x", "/%ff?"};
+  static const std::vector<std::string> kNames = {
+      "X-Pimentopulley-Deadline-Ms",
+      "X-Pimentopulley-Token-Budget",
+      "X-Pimentopulley-Finish-Ms",
+      "X-Pimentopulley-Token-Count",
+      "X-Pimentopulley-Previous-Turn",
+      "X-Pimentopulley-Program-Id",
+      "X-Pimentopulley-Session-Id",
+      "X-Pimentopulley-Affinity-Key",
+      "X-Pimentopulley-Expect-Instance",
+      "Last-Event-Id",
+      "Connection",
+      "Keep-Alive"};
+  const std::string id = "h" + std::to_string(random());
+  ClientRequest call{.method = random() % 3 == 0 ? "GET" : "POST",
+                     .target = kTargets[random() % kTargets.size()],
+                     .body = RandomText(random, 2'000),
+                     .limit_ms = 400};
+  call.headers = {{"X-Pimentopulley-Request-Id", id},
+                  {"X-Pimentopulley-Program-Id", id},
+                  {"X-Pimentopulley-Deadline-Ms", "300"},
+                  {"X-Pimentopulley-Token-Budget", "1000"},
+                  {"X-Pimentopulley-Token-Count", "100,60"},
+                  {"Authorization", "Token key-of-quilters"}};
+  for (int i = 0; i < 3; ++i)
+    call.headers[kNames[random() % kNames.size()]] = AbsurdNumber(random);
+  if (random() % 4 == 0) {
+    call.headers["X-Pimentopulley-Token-Count"] =
+        "9223372036854775807,9223372036854775807";
+    call.headers["X-Pimentopulley-Prompt-Prefix"] =
+        "ffffffffffffffff:9223372036854775807,1:9223372036854775807";
+  }
+  return call;
+}
+
+// What an upstream writes that follows no rule.
+void AnswerNonsense(const ScriptedUpstream::Request& request,
+                    ScriptedUpstream::Answer& answer, Random& random) {
+  const std::string fields = ScriptedUpstream::AnswerFields(request);
+  const std::string start = "HTTP/1.1 200 OK\r\n" + fields;
+  const std::string stream = start +
+                             "Content-Type: text/event-stream\r\n"
+                             "Transfer-Encoding: chunked\r\n";
+  switch (random() % 14) {
+    case 0:
+      for (int i = 0; i < 20; ++i)
+        answer.Write("HTTP/1.1 100 Continue\r\n\r\n");
+      break;
+    case 1:
+      answer.Write(start + "X: " + std::string(100'000, 'x') + "\r\n\r\n");
+      break;
+    case 2:
+      answer.Write(stream + "\r\nffffffffffffffff\r\nid: 1\ndata: x\n\n");
+      break;
+    case 3:
+      answer.Write(stream + "\r\nfffffffffffffffff0\r\nabc");
+      break;
+    case 4:
+      answer.Write(stream +
+                   "Keep-Alive: timeout=99999999999999999999999\r\n"
+                   "Connection: X-Pimentopulley-Request-Id, close, ,;,\r\n"
+                   "\r\n5\r\nid: 1\r\n0\r\n\r\n");
+      break;
+    case 5:
+      answer.Write(
+          "HTTP/1.1 429 x\r\n" + fields +
+          "Retry-After: -9223372036854775808\r\n"
+          "Keep-Alive: timeout=9223372036854775807\r\n"
+          "X-Pimentopulley-Server-Limit: 1e308\r\nContent-Length: 0\r\n\r\n");
+      break;
+    case 6:
+      answer.Write(stream + "\r\n20\r\nid: \xff\xfe\r\x01\ndata: " +
+                   RandomText(random, 40));
+      break;
+    case 7:
+      answer.Write("HTTP/1.1 204 x\r\n" + fields + "Content-Length: 5\r\n\r\n");
+      answer.Write("12345");
+      break;
+    case 8:
+      answer.Write("HTTP/1.1 304 x\r\n" + fields +
+                   "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n\r\n");
+      break;
+    case 9:
+      answer.Write("HTTP/1.1 000 x\r\n" + fields +
+                   "Content-Length: 2\r\n\r\nab");
+      break;
+    case 10:
+      answer.Write("HTTP/1.1 101 x\r\n" + fields + "Upgrade: x\r\n\r\n");
+      answer.Write(RandomText(random, 5'000));
+      break;
+    case 11:
+      answer.Write("HTTP/1.1 999 x\r\n" + fields +
+                   "X-Pimentopulley-Server-Leaving: 1\r\n"
+                   "Content-Length: 18446744073709551615\r\n\r\nab");
+      break;
+    case 12:
+      answer.Write(RandomText(random, 20'000));
+      break;
+    default:
+      answer.Write(stream + "\r\n8\r\ndata: x\n\r\n0\r\n" +
+                   "X: " + std::string(70'000, 'x') + "\r\n\r\n");
+  }
+  if (random() % 2 == 0) answer.Reset();
+  if (random() % 2 == 0) answer.Close();
+}
+
+// What a store answers that follows no rule.
+void AnswerNonsense(LyingStore::Answer& answer, Random& random) {
+  static const std::vector<std::string> kRaw = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 6\r\n\r\n"
+      "<html>",
+      "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"items\":[",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffffff",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n",
+      "HTTP/1.1 204 x\r\n\r\n",
+      "\r\n\r\n\r\n"};
+  switch (random() % 8) {
+    case 0:
+      answer.raw = kRaw[random() % kRaw.size()];
+      return;
+    case 1:
+      answer.body = RandomText(random, 4'000);
+      return;
+    case 2:
+      answer.body = std::string(200'000, '[');
+      return;
+    case 3:
+      answer.status = static_cast<unsigned>(200 + random() % 350);
+      // Without a body, as these have none.
+      if (answer.status == 204 || answer.status == 304) answer.body.clear();
+      return;
+    default: {
+      boost::system::error_code error;
+      json::value value = json::parse(answer.body, error);
+      if (error) return;
+      constexpr unsigned kOneIn = 25;
+      Distort(value, random, kOneIn);
+      answer.body = json::serialize(value);
+    }
+  }
+}
+
+// One seed of random trouble around a small site: 6 gateways and 3 archives in
+// 3 zones.
+class HostileSite {
+ public:
+  HostileSite(uint64_t seed, int64_t trouble_ms)
+      : seed_(seed),
+        random_(seed),
+        trouble_ms_(trouble_ms),
+        fleet_("build/bin", "build/platform/hostile/" + std::to_string(seed),
+               {.gateways = kGateways, .archives = kArchives}),
+        store_(fleet_.StoreAddress()),
+        upstream_([this](const auto& request, auto& answer) {
+          Random own(Draw());
+          AnswerNonsense(request, answer, own);
+        }) {
+    for (int i = 0; i < kGateways; ++i)
+      hosts_.push_back("gateway-" + std::to_string(i));
+    for (int i = 0; i < kArchives; ++i)
+      hosts_.push_back("archive-" + std::to_string(i));
+  }
+
+  void Run() {
+    MoveToStore(fleet_, store_.address());
+    for (const std::string& host : hosts_) started_[host] = Clock::now();
+    fleet_.RegisterUpstream(301, "desk", upstream_.address());
+    fleet_.RegisterUpstream(302, "talk", upstream_.address());
+    std::atomic<bool> over{false};
+    std::vector<std::thread> callers;
+    constexpr int kCallers = 3;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back([&, i] {
+        Random own(seed_ * 100 + static_cast<uint64_t>(i));
+        while (!over)
+          fleet_.Call(static_cast<int>(own() % kGateways), AbsurdRequest(own));
+      });
+    }
+    const auto end = Clock::now() + milliseconds(trouble_ms_);
+    while (Clock::now() < end && ended_.empty()) {
+      (this->*kTroubles[Draw() % kTroubles.size()])();
+      Pause(static_cast<int64_t>(Draw() % 60));
+      CheckHosts();
+    }
+    store_.set_lie(nullptr);
+    over = true;
+    for (std::thread& caller : callers) caller.join();
+    Pause(300);
+    CheckHosts();
+    CAPTURE(seed_);
+    CAPTURE(story_);
+    CHECK(ended_ == "");
+    for (const std::string& host : hosts_) {
+      CAPTURE(host);
+      CHECK(fleet_.Metrics(host) != "");
+    }
+  }
+
+ private:
+  using Clock = std::chrono::steady_clock;
+  using Trouble = void (HostileSite::*)();
+  static constexpr int kGateways = 6;
+  static constexpr int kArchives = 3;
+
+  uint64_t Draw() {
+    const std::lock_guard lock(mutex_);
+    return random_();
+  }
+  std::string AnyHost() { return hosts_[Draw() % hosts_.size()]; }
+  void Tell(const std::string& what) {
+    story_ += what + "; ";
+    std::ofstream(
+        "build/platform/hostile/" + std::to_string(seed_) + "/story.txt",
+        std::ios::app)
+        << what << "\n";
+  }
+
+  void CheckHosts() {
+    for (const std::string& host : hosts_) {
+      const std::string how = fleet_.processes().HowEnded(host);
+      if (!how.empty() && ended_.empty()) ended_ = host + " ended: " + how;
+      if (!how.empty()) continue;
+      const int64_t limit =
+          host.starts_with("gateway") ? kGatewayMb : kArchiveMb;
+      const int64_t used = MemoryMb(fleet_, host, "VmHWM");
+      if (used >= limit && ended_.empty())
+        ended_ = host + " used " + std::to_string(used) + " MB";
+    }
+    if (!ended_.empty() && !told_) Tell(ended_);
+    told_ = !ended_.empty();
+  }
+
+  void Restart() {
+    const std::string host = AnyHost();
+    Tell("restart " + host);
+    fleet_.processes().Kill(host);
+    fleet_.StartHost(host, false);
+    started_[host] = Clock::now();
+  }
+  void RestartAll() {
+    if (Draw() % 4 != 0) return;
+    Tell("restart all");
+    auto order = hosts_;
+    Random own(Draw());
+    std::shuffle(order.begin(), order.end(), own);
+    for (const std::string& host : order) fleet_.processes().Kill(host);
+    for (const std::string& host : order) {
+      fleet_.StartHost(host, false);
+      started_[host] = Clock::now();
+      Pause(static_cast<int64_t>(Draw() % 30));
+    }
+  }
+  // A signal before a host handles signals is a trouble of its own.
+  void HangUp() {
+    Tell("hup");
+    for (const std::string& host : hosts_)
+      if (Clock::now() - started_[host] > std::chrono::seconds(2))
+        fleet_.processes().Signal(host, SIGHUP);
+  }
+  void Lie() {
+    const uint64_t seed = Draw();
+    const uint64_t one_in = 1 + Draw() % 6;
+    Tell("lie 1 in " + std::to_string(one_in));
+    auto own = std::make_shared<Random>(seed);
+    auto lock = std::make_shared<std::mutex>();
+    store_.set_lie(
+        [own, lock, one_in](const std::string&, LyingStore::Answer& answer) {
+          const std::lock_guard guard(*lock);
+          if ((*own)() % one_in == 0) AnswerNonsense(answer, *own);
+        });
+  }
+  void TellTruth() { store_.set_lie(nullptr); }
+  void Gossip() {
+    Random own(Draw());
+    for (int i = 0; i < 100; ++i) {
+      const std::string host = "gateway-" + std::to_string(own() % kGateways);
+      SendDatagrams(fleet_.Listening(host).front(), AbsurdGossip(own), 1);
+    }
+  }
+  void CallArchives() {
+    Random own(Draw());
+    const std::string host = "archive-" + std::to_string(own() % kArchives);
+    std::string bytes;
+    for (int i = 0; i < 30; ++i) {
+      const std::string body = AbsurdArchiveCall(own);
+      bytes += "POST /archive HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+               std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    SendRawIfListening(fleet_.Listening(host).front(), bytes);
+  }
+  void SendRawIfListening(const std::string& address,
+                          const std::string& bytes) {
+    try {
+      PlatformFleet::SendRawTo(address, bytes, 30);
+    } catch (const boost::system::system_error&) {
+      // The host is just starting.
+    }
+  }
+  void PutNonsense() {
+    Random own(Draw());
+    static const std::vector<std::pair<std::string, std::string>> kObjects = {
+        {"servers", "301"},
+        {"servers", "200"},
+        {"servers", "0x"},
+        {"evacuations", "zone-1"},
+        {"retirements", "archive-9"},
+        {"pimento-gateways", "gateway-9"},
+        {"pimento-archives", "zz"}};
+    const auto& [kind, name] = kObjects[own() % kObjects.size()];
+    json::value spec = {{"service", "desk"},
+                        {"addr", upstream_.address()},
+                        {"zone", "zone-1"},
+                        {"version", "v1"},
+                        {"slots", 8},
+                        {"state", "ready"},
+                        {"cold_left_ms", 0},
+                        {"sequence", 1},
+                        {"born", 1},
+                        {"id", "77"},
+                        {"address", upstream_.address()},
+                        {"news_address", upstream_.address()}};
+    constexpr unsigned kOneIn = 6;
+    Distort(spec, own, kOneIn);
+    Tell("put " + kind + "/" + name);
+    Put(kind, name, spec);
+  }
+  void PutConfig() {
+    Random own(Draw());
+    json::value object = json::parse(fleet_.Object("config", "main"));
+    json::value spec = object.at("spec");
+    if (!config_) config_ = spec;
+    spec = *config_;
+    constexpr unsigned kOneIn = 30;
+    Distort(spec, own, kOneIn);
+    if (auto* fields = spec.if_object()) (*fields)["version"] = ++version_;
+    Tell("config");
+    Put("config", "main", spec);
+  }
+  void Put(const std::string& kind, const std::string& name,
+           const json::value& spec) {
+    try {
+      fleet_.PutObject(kind, name, json::serialize(spec));
+    } catch (const std::runtime_error&) {
+      // The stand-in store takes no text that is not UTF-8.
+    }
+  }
+
+  static constexpr std::array<Trouble, 9> kTroubles = {
+      &HostileSite::Restart,      &HostileSite::RestartAll,
+      &HostileSite::HangUp,       &HostileSite::Lie,
+      &HostileSite::TellTruth,    &HostileSite::Gossip,
+      &HostileSite::CallArchives, &HostileSite::PutNonsense,
+      &HostileSite::PutConfig};
+
+  uint64_t seed_;
+  std::mutex mutex_;
+  Random random_;
+  int64_t trouble_ms_;
+  PlatformFleet fleet_;
+  LyingStore store_;
+  ScriptedUpstream upstream_;
+  std::vector<std::string> hosts_;
+  std::map<std::string, Clock::time_point> started_;
+  std::optional<json::value> config_;
+  int64_t version_ = 1;
+  std::string story_;
+  std::string ended_;
+  bool told_ = false;
+};
+
+uint64_t FromEnvironment(const char* name, uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
 }  // namespace
 
 // A chunk's extension has no length; it was kept until its line ended.
@@ -447,14 +995,17 @@
   CHECK(ServesWithin(fleet, 0, 5'000));
 }
 
-// Prompts of ever new parts, as a caller may name them.
-TEST_CASE("prompts of ever new parts fill no memory") {
+// Prompts of ever new parts, as a caller may name them: all parts that an
+// upstream had seen within a minute were looked through at each request.
+TEST_CASE("prompts of ever new parts make a gateway neither big nor slow") {
   PlatformFleet fleet("build/bin", "build/platform/new_prompts", {});
   REQUIRE(ServesWithin(fleet, 0, 3'000));
   constexpr int kRequests = 8'000;
   constexpr int kParts = 600;
   std::vector<std::thread> callers;
   std::atomic<int> left{kRequests};
+  constexpr std::chrono::seconds kLimit{30};
+  const auto end = std::chrono::steady_clock::now() + kLimit;
   for (int i = 0; i < 4; ++i) {
     callers.emplace_back([&, i] {
       Random random(static_cast<uint64_t>(i));
@@ -465,6 +1016,7 @@
         socket.connect(EndpointOf(fleet.Listening("gateway-0").at(2)), error);
         boost::beast::flat_buffer buffer;
         while (!error && --left > 0) {
+          if (std::chrono::steady_clock::now() > end) return;
           auto call = fleet.PlainRequest("p" + std::to_string(left), true);
           std::string parts;
           for (int part = 0; part < kParts; ++part) {
@@ -487,10 +1039,73 @@
     });
   }
   for (std::thread& caller : callers) caller.join();
+  CHECK(left <= 0);
   CHECK(fleet.processes().HowEnded("gateway-0") == "");
   CHECK(PeakMb(fleet, "gateway-0") < kGatewayMb);
 }
 
+// PIMENTO_STARTS=50 plays as many rounds.
+TEST_CASE("hosts that start in any order and at once become ready") {
+  PlatformFleet fleet("build/bin", "build/platform/any_order",
+                      {.gateways = 6, .archives = 3});
+  std::vector<std::string> hosts;
+  for (int i = 0; i < 6; ++i) hosts.push_back("gateway-" + std::to_string(i));
+  for (int i = 0; i < 3; ++i) hosts.push_back("archive-" + std::to_string(i));
+  Random random(20261206);
+  const uint64_t rounds = FromEnvironment("PIMENTO_STARTS", 2);
+  for (uint64_t round = 0; round < rounds; ++round) {
+    CAPTURE(round);
+    for (const std::string& host : hosts) fleet.processes().Kill(host);
+    std::shuffle(hosts.begin(), hosts.end(), random);
+    for (const std::string& host : hosts) {
+      fleet.StartHost(host, false);
+      Pause(static_cast<int64_t>(random() % 34));
+    }
+    constexpr int64_t kReadyMs = 15'000;
+    CHECK_NOTHROW(fleet.WaitUntilReady(kReadyMs));
+    for (const std::string& host : hosts) {
+      CAPTURE(host);
+      CHECK(fleet.processes().HowEnded(host) == "");
+    }
+  }
+}
+
+// The records of six segments of the size at which the next one begins.
+TEST_CASE("the replay of a journal of 96 MB fits an archive's memory") {
+  PlatformFleet fleet("build/bin", "build/platform/long_replay", {});
+  const std::string host = "archive-1";
+  fleet.processes().Kill(host);
+  {
+    ArchiveJournal journal("build/platform/long_replay/" + host + ".data");
+    journal.Replay([](const std::string&) {});
+    constexpr int kBatches = 96;
+    constexpr int kTurns = 256;
+    constexpr size_t kTurnBytes = 4'000;
+    for (int batch = 0; batch < kBatches; ++batch) {
+      std::vector<std::string> entries;
+      for (int i = 0; i < kTurns; ++i)
+        entries.push_back(EncodeEntry(
+            TurnRecord{.turn = std::to_string(batch) + "-" + std::to_string(i),
+                       .team = "quilters",
+                       .output = std::string(kTurnBytes, 'o'),
+                       .retain_ms = 60'000}));
+      journal.Append(entries);
+    }
+  }
+  const auto start = std::chrono::steady_clock::now();
+  fleet.StartHost(host, false);
+  bool listens = false;
+  for (int i = 0; i < 200 && !listens; ++i) {
+    Pause(20);
+    listens = fleet.Metrics(host) != "";
+  }
+  const auto took = std::chrono::steady_clock::now() - start;
+  MESSAGE("ready after " << took / milliseconds(1) << " ms, peak "
+                         << PeakMb(fleet, host) << " MB");
+  CHECK(listens);
+  CHECK(PeakMb(fleet, host) < kArchiveMb);
+}
+
 // What others leave in the folder of the journal.
 TEST_CASE("an archive serves with foreign files beside its journal") {
   PlatformFleet fleet("build/bin", "build/platform/foreign_files", {});
@@ -523,4 +1138,15 @@
   }
 }
 
+// PIMENTO_HOSTILE_SEEDS=50 and PIMENTO_HOSTILE_FIRST=1000 run seeds 1000 to
+// 1049; logs stay in build/platform/hostile.
+TEST_CASE("no process ends by itself in random hostile surroundings") {
+  const uint64_t first = FromEnvironment("PIMENTO_HOSTILE_FIRST", 1);
+  const uint64_t seeds = FromEnvironment("PIMENTO_HOSTILE_SEEDS", 1);
+  const auto trouble_ms =
+      static_cast<int64_t>(FromEnvironment("PIMENTO_HOSTILE_MS", 8'000));
+  for (uint64_t seed = first; seed < first + seeds; ++seed)
+    HostileSite(seed, trouble_ms).Run();
+}
+
 }  // namespace pimento::testbed
