--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -35,6 +35,23 @@
 constexpr int kRateAskKinds = 4;
 constexpr int kProgramStatuses = 3;
 
+// A host name is not longer than in the Domain Name System.
+constexpr size_t kMaxHostBytes = 253;
+// Twice the gateways that are planned for. Only silent peers are dropped for
+// others.
+constexpr size_t kMaxPeers = 2'048;
+
+// The list, unless it has more elements than a message names. Elements without
+// size take no bytes in a message.
+template <class List>
+List Checked(List list) {
+  if (list.size() > kMaxEntries)
+    throw StateError("A gossip message of a gateway has a list of " +
+                     std::to_string(list.size()) + " entries; only " +
+                     std::to_string(kMaxEntries) + " are allowed.");
+  return list;
+}
+
 // Throws StateError when `value` is not one of the `count` values of Enum.
 template <class Enum>
 Enum CheckedEnum(uint8_t value, int count) {
@@ -140,19 +157,22 @@
                          .state_age_ms = in.getStateAgeMs(),
                          .store_overdue_ms = in.getStoreOverdueMs(),
                          .teams_only = in.getTeamsOnly()};
-    for (const auto load : in.getLoads())
+    if (gossip.host.size() > kMaxHostBytes)
+      throw StateError("A gossip message names a host with " +
+                       std::to_string(gossip.host.size()) + " bytes.");
+    for (const auto load : Checked(in.getLoads()))
       gossip.loads.emplace_back(load.getUpstream(), load.getInFlight());
-    for (const auto team : in.getTeams())
+    for (const auto team : Checked(in.getTeams()))
       gossip.teams.push_back(
           {team.getTeam(), {team.getAdmitted(), team.getStarted()}});
-    for (const uint64_t program : in.getPrograms())
+    for (const uint64_t program : Checked(in.getPrograms()))
       gossip.programs.push_back(program);
-    for (const uint64_t process : in.getLeavingUpstreams())
+    for (const uint64_t process : Checked(in.getLeavingUpstreams()))
       gossip.leaving_upstreams.push_back(process);
-    for (const uint64_t echo : in.getEchoes())
+    for (const uint64_t echo : Checked(in.getEchoes()))
       gossip.echoes.push_back(
           {echo >> kSequenceBits, static_cast<uint16_t>(echo)});
-    for (const auto ask : in.getRateAsks())
+    for (const auto ask : Checked(in.getRateAsks()))
       gossip.rate_asks.push_back(
           {.kind = CheckedEnum<RateAskKind>(ask.getKind(), kRateAskKinds),
            .limit = ask.getLimit(),
@@ -160,7 +180,7 @@
            .program =
                CheckedEnum<ProgramStatus>(ask.getProgram(), kProgramStatuses),
            .per_second = ask.getPerSecond()});
-    for (const auto reply : in.getRateReplies())
+    for (const auto reply : Checked(in.getRateReplies()))
       gossip.rate_replies.push_back({.id = reply.getId(),
                                      .wait_ms = reply.getWaitMs(),
                                      .tokens_milli = reply.getTokensMilli()});
@@ -179,6 +199,7 @@
 
 PeerUsage::Increase GatewayView::ApplyGossip(const GatewayGossip& gossip,
                                              int64_t now_ms) {
+  if (!MakeRoomFor(gossip.host, now_ms)) return {};
   Peer& peer = peers_[gossip.host];
   if (gossip.teams_only) {
     const bool known = peer.gossip.boot == gossip.boot;
@@ -193,6 +214,14 @@
   return peer.use.ApplyCounters(gossip.teams);
 }
 
+bool GatewayView::MakeRoomFor(const std::string& host, int64_t now_ms) {
+  if (peers_.size() < kMaxPeers || peers_.count(host) > 0) return true;
+  std::erase_if(peers_, [&](const auto& peer) {
+    return now_ms - peer.second.last_gossip_ms >= silent_after_ms_;
+  });
+  return peers_.size() < kMaxPeers;
+}
+
 bool GatewayView::IsSilent(const std::string& host, int64_t now_ms) const {
   return peers_.count(host) == 0 ||
          SinceLastGossipMs(host, now_ms) >= silent_after_ms_;
