A resumed stream whose second answer ends before an event is not complete

An answer with neither a length nor chunks that ends before its first event is taken for a broken one, but the check counted the events of all attempts: after a first attempt that forwarded events it never held, and the stream ended in order.

Two lines of GatewayCall::RelayEvents(): the events before this answer are subtracted. The stream then goes on elsewhere while the route allows an attempt, and is broken off otherwise. A stream whose first answer broke off behind its last event cannot be told apart and is broken off too; the caller may resume it.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -313,6 +313,7 @@
     const PooledConnection::ResponseHeader& header,
     const UpstreamEntry& upstream) {
   EventSplitter splitter;
+  const int64_t events_before = events_;
   for (;;) {
     const std::string piece = co_await connection.ReadSome(deadline_);
     if (piece.empty()) break;
@@ -328,7 +329,7 @@
   }
   if (splitter.partial())
     throw TransportError("The stream ended in the middle of an event.");
-  if (events_ == 0 && connection.ends_with_close())
+  if (events_ == events_before && connection.ends_with_close())
     throw TransportError("The connection closed before the first event.");
   if (!response_.begun() &&
       !co_await response_.Begin(platform::HeaderForCaller(header)))
--- a/test/platform/unframed_answer_test.cc
+++ b/test/platform/unframed_answer_test.cc
@@ -231,6 +231,31 @@
   CHECK(one.CountRequests("r1") + two.CountRequests("r1") == 2);
 }
 
+// It counted the events of the first answer, and ended the stream as complete.
+TEST_CASE("a resumed stream that breaks off before an event is not complete") {
+  auto fleet = FleetWithoutUpstreams("unframed_resumed_empty");
+  const auto script = [](const Request& request, Answer& answer) {
+    answer.Write(StreamHead(request));
+    if (request.id.starts_with("probe")) answer.Write(EventsUpTo(4));
+    const bool first = request.id == "r1" && request.last_event_id.empty();
+    if (first) answer.Write(EventsUpTo(2) + "id: 3\nda");
+    answer.Close();
+  };
+  ScriptedUpstream one(script);
+  ScriptedUpstream two(script);
+  fleet.RegisterUpstream(401, "talk", one.address());
+  fleet.RegisterUpstream(402, "talk", two.address());
+  WaitUntilListed(fleet, 401);
+  WaitUntilListed(fleet, 402);
+  WaitForUpstream(fleet, fleet.TurnRequest("p", "q", "", "x"));
+  const auto got = fleet.Call(0, ResumableRequest(fleet, "r1"));
+  CHECK(got.status == 200);
+  CHECK_FALSE(got.complete);
+  CHECK(got.body == EventsUpTo(2));
+  CHECK(one.CountRequests("r1") == 1);
+  CHECK(two.CountRequests("r1") == 1);
+}
+
 TEST_CASE("a broken stream never looks complete to an HTTP/1.0 caller") {
   auto fleet = FleetWithoutUpstreams("unframed_http10");
   ScriptedUpstream talk([](const Request& request, Answer& answer) {
