The signal of system-call filters is left to whoever set the filter

SIGSYS is raised by a system-call filter, and whoever sets one answers it; a handler of ours that logs the end and ends the process is not for it.

--- a/src/process_end.cc
+++ b/src/process_end.cc
@@ -32,13 +32,12 @@
   const char* name;
 };
 // Signals whose default action ends a process and that nothing else handles.
-constexpr std::array<DeadlySignal, 11> kDeadlySignals = {
+constexpr std::array<DeadlySignal, 10> kDeadlySignals = {
     {{SIGSEGV, "SIGSEGV"},
      {SIGABRT, "SIGABRT"},
      {SIGBUS, "SIGBUS"},
      {SIGFPE, "SIGFPE"},
      {SIGILL, "SIGILL"},
-     {SIGSYS, "SIGSYS"},
      {SIGXCPU, "SIGXCPU"},
      {SIGQUIT, "SIGQUIT"},
      {SIGALRM, "SIGALRM"},
