A request that has just run to its end is not suspected for a crash

Cause: a success cleared only what was already suspect; copies in flight on several upstreams then made several crashes at once, and while it was refused nothing could clear it. Change: what ran to its end in the last 5 to 10 s is not recorded, and a peer's report of it is answered as cleared. By the rule a request that crashes what runs it never runs to its end.

--- a/src/crash_suspects.cc
+++ b/src/crash_suspects.cc
@@ -13,6 +13,12 @@
 constexpr size_t kRefreshedPerMessage = 2;
 // Crashes after which a request is refused for the first hold.
 constexpr int kCrashesOfFirstHold = 2;
+// A request that ran to its end counts as harmless for one to two times this.
+constexpr int64_t kServedMs = 5'000;
+// Beyond this number fingerprints that ran to their end are not recorded.
+constexpr size_t kMaxServed = 16'384;
+// Reports of refused requests in a message to a gateway that has just started.
+constexpr size_t kMaxRefusedPerMessage = 300;
 // Crashes kept for one request; beyond it, those that do not count any more are
 // dropped.
 constexpr size_t kMaxCrashesKept = 16;
@@ -57,6 +63,7 @@
                             uint64_t process, RunStage stage, int64_t now_ms) {
   bool added = false;
   for (const uint64_t fingerprint : {request.exact, request.leading}) {
+    if (WasServed(fingerprint)) continue;
     const CrashReport report{.request = fingerprint,
                              .process = process,
                              .weight = Row(stage).weight};
@@ -71,7 +78,14 @@
   if (report.weight == 0 || report.age_ms < 0) return false;
   const bool known = requests_.count(report.request) > 0;
   if (!known && report.age_ms >= options_.max_hold_ms) return false;
-  return Raise(report, now_ms);
+  const bool innocent =
+      report.weight != kClearedWeight && WasServed(report.request);
+  if (!innocent) return Raise(report, now_ms);
+  CrashReport cleared = report;
+  cleared.weight = kClearedWeight;
+  if (!Raise(cleared, now_ms)) return false;
+  Announce(report.request, report.process);
+  return true;
 }
 
 bool CrashSuspects::Raise(const CrashReport& report, int64_t now_ms) {
@@ -95,11 +109,20 @@
 }
 
 bool CrashSuspects::OnServed(const RequestFingerprints& request) {
+  if (served_.size() < kMaxServed) {
+    served_.insert(request.exact);
+    served_.insert(request.leading);
+  }
   const bool exact = Clear(request.exact);
   const bool leading = Clear(request.leading);
   return exact || leading;
 }
 
+bool CrashSuspects::WasServed(uint64_t fingerprint) const {
+  return served_.count(fingerprint) > 0 ||
+         served_before_.count(fingerprint) > 0;
+}
+
 bool CrashSuspects::Clear(uint64_t fingerprint) {
   const auto it = requests_.find(fingerprint);
   if (it == requests_.end()) return false;
@@ -238,7 +261,22 @@
   Forget(places_.begin()->request);
 }
 
+std::vector<CrashReport> CrashSuspects::RefusedReports(int64_t now_ms) const {
+  std::vector<CrashReport> reports;
+  for (auto it = places_.rbegin(); it != places_.rend(); ++it) {
+    const bool full = reports.size() >= kMaxRefusedPerMessage;
+    if (full || it->standing != Standing::kRefused) break;
+    AddRequest(it->request, now_ms, reports);
+  }
+  return reports;
+}
+
 void CrashSuspects::Sweep(int64_t now_ms) {
+  if (now_ms - served_since_ms_ >= kServedMs) {
+    served_before_ = std::move(served_);
+    served_.clear();
+    served_since_ms_ = now_ms;
+  }
   std::vector<uint64_t> over;
   for (const Place& place : places_) {
     if (place.expiry_ms <= now_ms) over.push_back(place.request);
--- a/src/crash_suspects.h
+++ b/src/crash_suspects.h
@@ -8,7 +8,8 @@
 //   the guilty one    is in flight at one crash after the other, has begun to
 //                     run each time, and never runs to its end
 //   an innocent one   runs to its end on the next upstream, which clears it of
-//                     all crashes before
+//                     all crashes before; one that has just run to its end
+//                     elsewhere is not suspected at all
 //
 // Every crash adds to the weight of a request by how far it had got. It is
 // refused once its weight, or the number of its crashes, reaches a bound: for a
@@ -31,6 +32,7 @@
 #include <map>
 #include <set>
 #include <string_view>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -93,7 +95,7 @@
   bool OnCrash(const RequestFingerprints& request, uint64_t process,
                RunStage stage, int64_t now_ms);
   // The request ran to its end on an upstream. Returns true when that clears it
-  // of a suspicion.
+  // of a suspicion. For some seconds, no crash counts against it.
   bool OnServed(const RequestFingerprints& request);
   // A peer's report. Returns true when it was news.
   bool OnPeerReport(const CrashReport& report, int64_t now_ms);
@@ -111,6 +113,9 @@
   // each, since messages get lost, and a few of the others in round-robin
   // order, one that is refused in each, for gateways that were not there.
   std::vector<CrashReport> NextGossipBatch(int64_t now_ms);
+  // All that is known about requests that are refused, for a gateway that has
+  // just started; at most a message full.
+  std::vector<CrashReport> RefusedReports(int64_t now_ms) const;
   // Forgets requests whose hold, or whose suspicion, is over.
   void Sweep(int64_t now_ms);
 
@@ -133,6 +138,7 @@
     uint64_t process = 0;
     int sends_left = 0;
   };
+  bool WasServed(uint64_t fingerprint) const;
   int CrashesOf(uint64_t fingerprint) const;
   int64_t RefusedForMs(uint64_t fingerprint, int64_t now_ms) const;
   // Clears one fingerprint. Returns true when it was suspect.
@@ -157,6 +163,11 @@
   uint64_t NextRefused();
 
   CrashSuspectOptions options_;
+  // Fingerprints that ran to their end since `served_since_ms_`, and in the
+  // time before that.
+  std::unordered_set<uint64_t> served_;
+  std::unordered_set<uint64_t> served_before_;
+  int64_t served_since_ms_ = 0;
   // By fingerprint; ordered, so that the round robin covers every request.
   std::map<uint64_t, Request> requests_;
   std::set<Place> places_;
