Crashes that were asked about too early, or seen under an old entry, are recorded

Causes, one class: evidence of a crash that is taken once and for good. An answer "still there" served for 500 ms; the only question came before the ended process had closed its port; an upstream that came back under its old entry, as the store was down, had its next crash taken for the last; a gateway that had just started heard of what is refused 30 to 70 ms after it served.

Change: only the answer "gone" is kept; an upstream that does not refuse yet is asked twice more, in the background, so that a request that broke off by a reset waits no longer; a run that ends well elsewhere is forgotten; crashes under one entry are counted, 500 ms apart at least; a gateway that learns its peers' addresses announces itself at once, and they reply with what is refused.

--- a/src/crash_detector.cc
+++ b/src/crash_detector.cc
@@ -15,10 +15,13 @@
 
 // The requests that broke off wait for the answer, so it must come soon.
 constexpr milliseconds kConnectLimit{100};
-// An answer serves the requests that break off within this time.
+// The answer that an upstream is gone serves the requests that break off within
+// this time.
 constexpr int64_t kAnswerTtlMs = 500;
 // An upstream that is back registers within this time.
 constexpr int64_t kUnresolvedTtlMs = 10'000;
+// For how long crashes under one entry are counted.
+constexpr int64_t kSeenTtlMs = 3'600'000;
 // Beyond this number runs are not kept.
 constexpr size_t kMaxUnresolved = 1'024;
 
@@ -45,7 +48,9 @@
 asio::awaitable<bool> CrashDetector::HasCrashed(const UpstreamEntry& upstream) {
   const int64_t now_ms = SteadyMs();
   std::shared_ptr<Probe>& known = probes_[LeavingProcesses::HashOf(upstream)];
-  if (known && (!known->answered || now_ms - known->asked_ms < kAnswerTtlMs)) {
+  const bool gone = known && known->answered && known->crashed &&
+                    now_ms - known->asked_ms < kAnswerTtlMs;
+  if (known && (!known->answered || gone)) {
     const auto probe = known;
     boost::system::error_code ignored;  // woken by cancellation
     if (!probe->answered)
@@ -59,28 +64,66 @@
   probe->crashed = co_await RefusesConnections(upstream.address);
   probe->answered = true;
   probe->done.cancel();
+  if (probe->crashed) NoteSeen(LeavingProcesses::HashOf(upstream));
   co_return probe->crashed;
 }
 
+void CrashDetector::NoteSeen(uint64_t process) {
+  SeenCrash& seen = seen_[process];
+  const int64_t now_ms = SteadyMs();
+  // It was back in between, or nothing could have broken off on it.
+  if (now_ms - seen.last_ms >= kAnswerTtlMs) ++seen.count;
+  seen.last_ms = now_ms;
+}
+
 void CrashDetector::KeepUnresolved(BrokenRun run) {
   if (unresolved_.size() >= kMaxUnresolved) return;
   unresolved_.push_back({std::move(run), SteadyMs()});
 }
 
-std::vector<BrokenRun> CrashDetector::TakeReplaced(const UpstreamEntry& entry) {
+template <class Predicate>
+std::vector<BrokenRun> CrashDetector::Take(Predicate belongs) {
   const auto first = std::stable_partition(
-      unresolved_.begin(), unresolved_.end(), [&](const Unresolved& kept) {
-        return !Replaces(entry, kept.run.upstream);
-      });
-  std::vector<BrokenRun> replaced;
+      unresolved_.begin(), unresolved_.end(),
+      [&](const Unresolved& kept) { return !belongs(kept.run); });
+  std::vector<BrokenRun> taken;
   for (auto it = first; it != unresolved_.end(); ++it) {
-    replaced.push_back(std::move(it->run));
+    taken.push_back(std::move(it->run));
   }
   unresolved_.erase(first, unresolved_.end());
-  return replaced;
+  return taken;
+}
+
+std::vector<BrokenRun> CrashDetector::TakeReplaced(const UpstreamEntry& entry) {
+  return Take(
+      [&](const BrokenRun& run) { return Replaces(entry, run.upstream); });
+}
+
+std::vector<BrokenRun> CrashDetector::TakeRunsOn(
+    const UpstreamEntry& upstream) {
+  const uint64_t process = LeavingProcesses::HashOf(upstream);
+  return Take([&](const BrokenRun& run) {
+    return LeavingProcesses::HashOf(run.upstream) == process;
+  });
+}
+
+void CrashDetector::ForgetRunsOf(const RequestFingerprints& request) {
+  if (unresolved_.empty()) return;
+  Take(
+      [&](const BrokenRun& run) { return run.request.exact == request.exact; });
+}
+
+uint64_t CrashDetector::CrashOf(const UpstreamEntry& upstream) const {
+  const uint64_t process = LeavingProcesses::HashOf(upstream);
+  const auto it = seen_.find(process);
+  const bool first = it == seen_.end() || it->second.count <= 1;
+  return first ? process : process + static_cast<uint64_t>(it->second.count);
 }
 
 void CrashDetector::Sweep(int64_t now_ms) {
+  std::erase_if(seen_, [now_ms](const auto& item) {
+    return now_ms - item.second.last_ms >= kSeenTtlMs;
+  });
   std::erase_if(unresolved_, [now_ms](const Unresolved& unresolved) {
     return now_ms - unresolved.at_ms >= kUnresolvedTtlMs;
   });
--- a/src/crash_detector.h
+++ b/src/crash_detector.h
@@ -8,7 +8,8 @@
 // One that is back before the detector asks does not refuse: its new entry,
 // which follows, shows that the process was replaced. An upstream that refuses
 // connections for another reason, such as a firewall, is taken for crashed; one
-// that is cut off silently is not.
+// that is cut off silently is not. A process that ends closes its connections
+// one by one, so that one which does not refuse yet is worth asking again.
 #pragma once
 
 #include <boost/asio.hpp>
@@ -44,6 +45,13 @@
   // An upstream has a new or changed entry. Returns the runs that were in
   // flight on the process that it replaces.
   std::vector<BrokenRun> TakeReplaced(const UpstreamEntry& entry);
+  // Returns the kept runs on the process of `upstream`, which has crashed.
+  std::vector<BrokenRun> TakeRunsOn(const UpstreamEntry& upstream);
+  // The request ran to its end elsewhere: its kept runs are forgotten.
+  void ForgetRunsOf(const RequestFingerprints& request);
+  // Identifies the last crash of the process of `upstream` that was seen. An
+  // upstream may be back under the same entry, while the store is down.
+  uint64_t CrashOf(const UpstreamEntry& upstream) const;
   // Forgets old answers and runs.
   void Sweep(int64_t now_ms);
 
@@ -62,12 +70,22 @@
     int64_t at_ms = 0;
   };
   boost::asio::awaitable<bool> RefusesConnections(std::string address);
+  void NoteSeen(uint64_t process);
+  // Removes and returns the kept runs for which `belongs` is true.
+  template <class Predicate>
+  std::vector<BrokenRun> Take(Predicate belongs);
 
   boost::asio::io_context& io_;
   ConnectionPool& pool_;
   // By LeavingProcesses::HashOf() the upstream's entry.
   std::unordered_map<uint64_t, std::shared_ptr<Probe>> probes_;
   std::vector<Unresolved> unresolved_;
+  struct SeenCrash {
+    int count = 0;
+    int64_t last_ms = 0;
+  };
+  // Crashes seen under one entry, by process.
+  std::unordered_map<uint64_t, SeenCrash> seen_;
 };
 
 }  // namespace pimento
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -179,8 +179,7 @@
 
 asio::awaitable<void> GatewayCall::NoteRun(const UpstreamEntry& upstream,
                                            AttemptResult attempt) {
-  if (attempt == AttemptResult::kDone && !state_.suspects().empty())
-    state_.OnRunCompleted(Fingerprints());
+  if (attempt == AttemptResult::kDone) state_.OnRunCompleted(Fingerprints());
   if (!broken_off_) co_return;
   const BrokenRun run{
       .upstream = upstream, .request = Fingerprints(), .stage = stage_};
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -52,6 +52,9 @@
 // the last renewal may be one interval old when an outage begins: a shorter
 // outage removes none.
 constexpr int64_t kMinExpiryIntervals = 2;
+// Pauses before an upstream is asked again whether it refuses connections.
+constexpr std::array<milliseconds, 2> kAskAgainPauses = {milliseconds(15),
+                                                         milliseconds(25)};
 // Maximum age of the desired state that is used during an outage of the store.
 constexpr int64_t kMaxOutageUseMs = 60'000;
 
@@ -320,6 +323,11 @@
   table_.set_gateway_index(
       std::distance(all.begin(), all.lower_bound(settings_.host)));
   peers_.set_peers(addresses);
+  // The peers reply with what this gateway must not send to upstreams.
+  if (!announced_ && !addresses.empty()) {
+    announced_ = true;
+    peers_.Announce();
+  }
   view_.set_silent_after_ms(static_cast<int64_t>(
       kSilentIntervals * static_cast<double>(peers_.interval().count())));
   UpdateFleet();
@@ -330,6 +338,7 @@
   const bool was_silent = view_.IsSilent(gossip.host, now_ms);
   ChargePeerUsage(gossip.host, view_.ApplyGossip(gossip, now_ms));
   rates_.OnMessage(gossip);
+  TellStartedPeer(gossip);
   if (was_silent && !view_.IsSilent(gossip.host, now_ms))
     EventLine(Event::kPeerSeen).Text("peer", gossip.host);
   for (const uint64_t program : gossip.programs)
@@ -363,14 +372,31 @@
 asio::awaitable<void> GatewayState::OnBrokenOff(const BrokenRun& run) {
   if (!table_.ExpectedToRun(run.upstream)) co_return;
   const bool crashed = co_await crash_detector_.HasCrashed(run.upstream);
-  if (crashed) OnCrash(run);
-  if (!crashed) crash_detector_.KeepUnresolved(run);
+  if (crashed) {
+    OnCrash(run);
+    co_return;
+  }
+  crash_detector_.KeepUnresolved(run);
+  KeepRunning(io_, "crash detector",
+              [this, upstream = run.upstream] { return AskAgain(upstream); });
+}
+
+asio::awaitable<void> GatewayState::AskAgain(UpstreamEntry upstream) {
+  for (const milliseconds pause : kAskAgainPauses) {
+    asio::steady_timer timer(io_, pause);
+    co_await timer.async_wait(asio::use_awaitable);
+    const bool crashed = co_await crash_detector_.HasCrashed(upstream);
+    if (!crashed) continue;
+    for (const BrokenRun& run : crash_detector_.TakeRunsOn(upstream))
+      OnCrash(run);
+    co_return;
+  }
 }
 
 void GatewayState::OnCrash(const BrokenRun& run) {
   const int64_t now_ms = SteadyMs();
-  const uint64_t process = LeavingProcesses::HashOf(run.upstream);
-  if (!suspects_.OnCrash(run.request, process, run.stage, now_ms)) return;
+  const uint64_t crash = crash_detector_.CrashOf(run.upstream);
+  if (!suspects_.OnCrash(run.request, crash, run.stage, now_ms)) return;
   metrics_.Add(Counter::kCrashSuspects);
   EventLine(Event::kCrashSuspect)
       .Text("fingerprint", HexOf(run.request.exact))
@@ -383,6 +409,7 @@
 }
 
 void GatewayState::OnRunCompleted(const RequestFingerprints& request) {
+  crash_detector_.ForgetRunsOf(request);
   if (!suspects_.OnServed(request)) return;
   metrics_.Add(Counter::kCrashSuspectsCleared);
   EventLine(Event::kCrashSuspectCleared)
@@ -414,6 +441,19 @@
   });
 }
 
+void GatewayState::TellStartedPeer(const GatewayGossip& gossip) {
+  if (gateway_addresses_.count(gossip.host) == 0) return;
+  uint64_t& boot = peer_boots_[gossip.host];
+  if (boot == gossip.boot) return;
+  boot = gossip.boot;
+  auto reports = suspects_.RefusedReports(SteadyMs());
+  if (reports.empty()) return;
+  SendToPeer(gossip.host, {.host = settings_.host,
+                           .boot = boot_,
+                           .crashes = std::move(reports),
+                           .teams_only = true});
+}
+
 void GatewayState::ChargePeerUsage(const std::string& host,
                                    const PeerUsage::Increase& increase) {
   for (const auto& [team, use] : increase.charged) {
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -87,11 +87,15 @@
   // The gateways in contact that serve requests, this one included.
   std::vector<std::string> ReadyHosts() const;
   void OnPeerReportsLeaving(const std::string& host, uint64_t process);
+  // An upstream on which a run broke off does not refuse connections yet.
+  boost::asio::awaitable<void> AskAgain(UpstreamEntry upstream);
   void OnCrash(const BrokenRun& run);
   void OnPeerCrashReport(const std::string& host, const CrashReport& report);
   // Sends what is new about crashes to the peers, once for all requests that
   // broke off together.
   void SendCrashNews();
+  // A peer that has started anew knows of no crash: tells it what is refused.
+  void TellStartedPeer(const GatewayGossip& gossip);
   void ChargePeerUsage(const std::string& host,
                        const PeerUsage::Increase& increase);
   // Logs each team's rate limit once, and again when it has changed.
@@ -151,11 +155,15 @@
   UsageGossip usage_gossip_;
   CrashSuspects suspects_{{}};
   CrashDetector crash_detector_;
+  // Start of each peer's process, as last heard.
+  std::unordered_map<std::string, uint64_t> peer_boots_;
   // True while SendCrashNews() is posted.
   bool crash_news_posted_ = false;
   // Requests a second by team, as last logged.
   std::unordered_map<std::string, double> logged_rates_;
   bool draining_ = false;
+  // True once peers have been told that this process has started.
+  bool announced_ = false;
   bool was_usable_ = false;
   // Whether an outage was confirmed at the last log line about it.
   bool was_down_ = false;
