A port that another process holds is tried again for 10 s

Cause: the first bind that failed ended the start, so a process that came back while the one before it still ended did not start.

Change: held_port repeats the bind every 100 ms for up to 10 s, longer than the 8 s of a planned stop, logs `port_held` and hears signals meanwhile; then one sentence names the address, the error and how long it was tried.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -10,6 +10,7 @@
 #include "src/connection_pool.h"
 #include "src/errors.h"
 #include "src/event_log.h"
+#include "src/held_port.h"
 
 namespace pimento {
 
@@ -359,15 +360,18 @@
 
 void CallerServer::Listen(const std::string& address) {
   const auto endpoint = ParseEndpoint(address);
-  beast::error_code error;
   tcp::acceptor& acceptor = state_->acceptors.emplace_back(state_->io);
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor.bind(endpoint, error);
-  if (!error) acceptor.listen(kListenBacklog, error);
-  if (error)
-    throw TransportError("Cannot listen on " + address + ": " + error.message(),
-                         false);
+  BindWhenFree(address, [&] {
+    beast::error_code error;
+    beast::error_code ignored;  // not open before the first try
+    // With two processes that bind with reuse_address, only listen() fails.
+    acceptor.close(ignored);
+    acceptor.open(endpoint.protocol(), error);
+    if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error) acceptor.bind(endpoint, error);
+    if (!error) acceptor.listen(kListenBacklog, error);
+    return error;
+  });
   asio::co_spawn(state_->io, Accept(state_, acceptor), asio::detached);
 }
 
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -27,6 +27,7 @@
                    "start_took",
                    "ended",
                    "reloaded",
+                   "port_held",
                    "state_in_force",
                    "state_stale",
                    "state_fresh",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -24,6 +24,7 @@
   kStartTook,
   kEnded,
   kReloaded,
+  kPortHeld,
   kStateInForce,
   kStateStale,
   kStateFresh,
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -14,6 +14,7 @@
 #include "src/connection_pool.h"
 #include "src/errors.h"
 #include "src/event_log.h"
+#include "src/held_port.h"
 
 namespace pimento {
 namespace {
@@ -226,14 +227,14 @@
 GatewayPeers::GatewayPeers(asio::io_context& io, const std::string& ip,
                            uint16_t port)
     : io_(io), socket_(io) {
-  boost::system::error_code error;
-  const udp::endpoint endpoint(asio::ip::make_address_v4(ip, error), port);
-  if (!error) socket_.open(udp::v4(), error);
-  if (!error) socket_.bind(endpoint, error);
-  if (error)
-    throw TransportError("Cannot receive datagrams on " + ip + ":" +
-                             std::to_string(port) + ": " + error.message(),
-                         false);
+  const std::string address = ip + ":" + std::to_string(port);
+  BindWhenFree(address + " for datagrams", [&] {
+    boost::system::error_code error;
+    const udp::endpoint endpoint(asio::ip::make_address_v4(ip, error), port);
+    if (!error && !socket_.is_open()) socket_.open(udp::v4(), error);
+    if (!error) socket_.bind(endpoint, error);
+    return error;
+  });
 }
 
 void GatewayPeers::set_peers(const std::vector<std::string>& addresses) {
--- a/test/platform/process_life_test.cc
+++ b/test/platform/process_life_test.cc
@@ -30,6 +30,7 @@
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using asio::ip::udp;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
@@ -348,6 +349,66 @@
   }
 }
 
+// Guards against a start that gives up while the process before it still ends.
+TEST_CASE("a port that another process holds is waited for") {
+  for (const std::string program : kPrograms) {
+    for (const bool datagrams : {false, true}) {
+      if (datagrams && program == "pimento-archive") continue;
+      CAPTURE(program);
+      CAPTURE(datagrams);
+      Host host("held");
+      asio::io_context io;
+      const auto address = asio::ip::make_address(host.ip);
+      std::optional<udp::socket> udp_holder;
+      std::optional<tcp::acceptor> tcp_holder;
+      if (datagrams)
+        udp_holder.emplace(io, udp::endpoint(address, kFirstPort));
+      else
+        tcp_holder.emplace(io, tcp::endpoint(address, kFirstPort));
+      // Else the program inherits the port that it waits for.
+      fcntl(
+          datagrams ? udp_holder->native_handle() : tcp_holder->native_handle(),
+          F_SETFD, FD_CLOEXEC);
+      Child child(host, program);
+      child.Prints("\"event\":\"port_held\"", kPromptMs);
+      INFO(child.Output());
+      REQUIRE(child.Running());
+      // No signal ends it, or is lost, while it waits.
+      child.Signal(SIGHUP);
+      Pause(300);
+      REQUIRE(child.Running());
+      udp_holder.reset();
+      tcp_holder.reset();
+      CHECK(Within(kStartLimitMs, [&] { return Answers(host.ip + ":9464"); }));
+      CHECK(child.Prints("\"event\":\"reloaded\"", kPromptMs));
+      child.Signal(SIGTERM);
+      CheckEndsWell(child, "SIGTERM");
+    }
+  }
+}
+
+// Guards against a wait without an end, and one that no signal ends.
+TEST_CASE("a port that stays held ends the start with a sentence") {
+  Host host("kept");
+  asio::io_context io;
+  udp::socket holder(
+      io, udp::endpoint(asio::ip::make_address(host.ip), kFirstPort));
+  fcntl(holder.native_handle(), F_SETFD, FD_CLOEXEC);
+  {
+    Child child(host, "pimento-gateway");
+    REQUIRE(child.Prints("\"event\":\"port_held\"", kStartLimitMs));
+    child.Signal(SIGTERM);
+    CheckEndsWell(child, "SIGTERM");
+  }
+  Child child(host, "pimento-gateway");
+  REQUIRE(child.Ends(2 * kStartLimitMs));
+  CHECK(child.code() == 1);
+  INFO(child.Output());
+  CHECK(child.Prints("Cannot listen on " + host.peer_address() +
+                         " for datagrams: Address already in use, after ",
+                     0));
+}
+
 // Guards against the end by SIGXFSZ of an archive whose file is at its limit.
 TEST_CASE("an archive at its file size limit refuses and goes on") {
   Host host("file_limit");
