What escapes from a task is logged, and nobody waits for it for ever

An archive call, the pings of the membership and the disk's batch then waited for ever for what it should have counted; an acceptor stopped accepting; a settlement was given up when an archive named a member list that cannot be read.

Change: RunTask of background_loop runs a task, keeps its captures and logs what escapes; KeepRunning and Spawn use the same piece; no asio::detached is left in src/. The waiting places count a task as failed whatever it threw. Accepting is a loop that starts again.

--- a/src/archive_client.cc
+++ b/src/archive_client.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "src/background_loop.h"
 #include "src/chain_collector.h"
 #include "src/errors.h"
 #include "src/event_log.h"
@@ -60,6 +61,17 @@
       .Number("next", static_cast<int64_t>(list.next.size()));
 }
 
+void ArchiveClient::AdoptNewerList(const std::string& encoded) {
+  if (encoded.empty()) return;
+  try {
+    UpdateMembers(DecodeMemberList(encoded));
+  } catch (const StateError& e) {
+    EventLine(Event::kHandlerFailed)
+        .Text("task", "member list of an archive")
+        .Text("error", e.what());
+  }
+}
+
 std::vector<ArchiveMember> ArchiveClient::NearestFirst() const {
   auto members = list_->All();
   std::stable_partition(members.begin(), members.end(),
@@ -105,18 +117,15 @@
     if (!health_.IsSuspect(member.id) ||
         !health_.AllowCall(member.id, SteadyMs()))
       continue;
-    asio::co_spawn(
-        io_,
-        [this, member]() -> asio::awaitable<void> {
-          ArchiveCall ping;
-          ping.list_version = list_->version;
-          try {
-            co_await CallMember(member, ping);
-          } catch (const TransportError&) {
-            // Still suspect; CallMember() logged the first failure.
-          }
-        },
-        asio::detached);
+    RunTask(io_, "archive probe", [this, member]() -> asio::awaitable<void> {
+      ArchiveCall ping;
+      ping.list_version = list_->version;
+      try {
+        co_await CallMember(member, ping);
+      } catch (const TransportError&) {
+        // Still suspect; CallMember() logged the first failure.
+      }
+    });
   }
 }
 
@@ -124,28 +133,31 @@
                               const std::shared_ptr<const ArchiveCall>& call,
                               const ArchiveMember& member) {
   ++fan_out->in_flight;
-  asio::co_spawn(
-      io_,
-      [this, fan_out, call, member]() -> asio::awaitable<void> {
-        try {
-          ArchiveReply reply = co_await CallMember(member, *call);
-          if (reply.verdict == ArchiveVerdict::kStaleList) {
-            fan_out->stale_list = true;
-            fan_out->newer_list = reply.members;
-          } else if (reply.verdict == ArchiveVerdict::kDone &&
-                     reply.member == member.id) {
-            fan_out->replies.emplace(member.id, std::move(reply));
-          } else {
-            fan_out->member_failed = true;
-          }
-        } catch (const TransportError&) {
-          // CallMember() logged the failure; other members may make the quorum.
-          fan_out->member_failed = true;
-        }
-        --fan_out->in_flight;
-        fan_out->wakeup.cancel();
-      },
-      asio::detached);
+  RunTask(io_, "archive call",
+          [this, fan_out, call, member]() -> asio::awaitable<void> {
+            try {
+              ArchiveReply reply = co_await CallMember(member, *call);
+              if (reply.verdict == ArchiveVerdict::kStaleList) {
+                fan_out->stale_list = true;
+                fan_out->newer_list = reply.members;
+              } else if (reply.verdict == ArchiveVerdict::kDone &&
+                         reply.member == member.id) {
+                fan_out->replies.emplace(member.id, std::move(reply));
+              } else {
+                fan_out->member_failed = true;
+              }
+            } catch (const TransportError&) {
+              // CallMember() logged the failure; other members may make the
+              // quorum.
+              fan_out->member_failed = true;
+            } catch (...) {
+              // Of any type: the call waits until no member is left in flight.
+              LogEscaped("archive call", std::current_exception());
+              fan_out->member_failed = true;
+            }
+            --fan_out->in_flight;
+            fan_out->wakeup.cancel();
+          });
 }
 
 asio::awaitable<std::shared_ptr<ArchiveClient::FanOut>>
@@ -210,8 +222,7 @@
       for (auto& [id, reply] : fan_out->replies) replies.push_back(reply);
       co_return replies;
     }
-    if (!fan_out->newer_list.empty())
-      UpdateMembers(DecodeMemberList(fan_out->newer_list));
+    AdoptNewerList(fan_out->newer_list);
     if (list_ != list) continue;
     asio::steady_timer pause(io_, kListRetryDelay);
     co_await pause.async_wait(asio::use_awaitable);
@@ -263,8 +274,7 @@
       continue;  // ask the next member; the failure was logged
     }
     if (reply.verdict == ArchiveVerdict::kStaleList) {
-      if (!reply.members.empty())
-        UpdateMembers(DecodeMemberList(reply.members));
+      AdoptNewerList(reply.members);
       continue;
     }
     if (reply.verdict != ArchiveVerdict::kDone || reply.member != member->id)
--- a/src/archive_client.h
+++ b/src/archive_client.h
@@ -96,6 +96,9 @@
   void StartCall(const std::shared_ptr<FanOut>& fan_out,
                  const std::shared_ptr<const ArchiveCall>& call,
                  const ArchiveMember& member);
+  // Replaces the member list by the one that a member sent, if it is newer. One
+  // that cannot be read is logged and left out.
+  void AdoptNewerList(const std::string& encoded);
   // All members: those that are not suspect first, within each group those of
   // this gateway's zone first.
   std::vector<ArchiveMember> NearestFirst() const;
--- a/src/archive_membership.cc
+++ b/src/archive_membership.cc
@@ -9,6 +9,7 @@
 #include "platform/object_codec.h"
 #include "platform/wire_names.h"
 #include "src/archive_node.h"
+#include "src/background_loop.h"
 #include "src/errors.h"
 #include "src/event_log.h"
 
@@ -96,24 +97,25 @@
   for (const auto& peer : MakePlanInput().peers) {
     if (peer.member.id == id_) continue;
     ++*pending_replies;
-    asio::co_spawn(
-        io_,
-        [this, pending_replies, done_signal,
-         member = peer.member]() -> asio::awaitable<void> {
-          try {
-            ArchiveCall call;
-            call.list_version = list_.version;
-            const ArchiveReply reply = co_await rpc_.Call(
-                member.address, std::move(call), kPingTimeout);
-            last_reply_[reply.member] = steady_clock::now();
-            copied_versions_[reply.member] = reply.next;
-          } catch (const TransportError&) {
-            // Not logged: the plan uses the time since the last reply, and a
-            // resulting change of the list is logged.
-          }
-          if (--*pending_replies == 0) done_signal->cancel();
-        },
-        asio::detached);
+    RunTask(io_, "ping of " + peer.member.host,
+            [this, pending_replies, done_signal,
+             member = peer.member]() -> asio::awaitable<void> {
+              try {
+                ArchiveCall call;
+                call.list_version = list_.version;
+                const ArchiveReply reply = co_await rpc_.Call(
+                    member.address, std::move(call), kPingTimeout);
+                last_reply_[reply.member] = steady_clock::now();
+                copied_versions_[reply.member] = reply.next;
+              } catch (const TransportError&) {
+                // Not logged: the plan uses the time since the last reply, and
+                // a resulting change of the list is logged.
+              } catch (...) {
+                // Of any type: the membership waits for all pings to end.
+                LogEscaped("ping of " + member.host, std::current_exception());
+              }
+              if (--*pending_replies == 0) done_signal->cancel();
+            });
   }
   while (*pending_replies > 0) {
     boost::system::error_code ignored;  // cancelling the timer is the signal
--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -282,7 +282,8 @@
     try {
       journal_.Append(*entries);
       journal_.RemoveExpired(UnixMs(), kSegmentRetentionMs);
-    } catch (const StateError& e) {
+    } catch (const std::exception& e) {
+      // Of any type: the batch must end, or no later one starts.
       synced = false;
       EventLine(Event::kJournal)
           .Text("outcome", "failed")
--- a/src/background_loop.cc
+++ b/src/background_loop.cc
@@ -4,7 +4,9 @@
 #include <exception>
 #include <utility>
 
+#include "src/errors.h"
 #include "src/event_log.h"
+#include "src/log.h"
 
 namespace pimento {
 namespace {
@@ -19,21 +21,45 @@
     try {
       co_await loop();
       co_return;
-    } catch (const std::exception& e) {
+    } catch (...) {
       EventLine(Event::kHandlerFailed)
           .Text("loop", name)
-          .Text("error", e.what());
+          .Text("error", ExceptionMessage(std::current_exception()));
     }
     asio::steady_timer pause(co_await asio::this_coro::executor, kRestartPause);
     co_await pause.async_wait(asio::use_awaitable);
   }
 }
 
+// Holds the task, in which the captures of its coroutine live.
+asio::awaitable<void> RunHolding(std::function<asio::awaitable<void>()> task) {
+  co_await task();
+}
+
 }  // namespace
 
+void LogEscaped(const std::string& task, const std::exception_ptr& error) {
+  if (!EventLogIsOn()) {
+    Log(task).Error() << "A task ended with an error: "
+                      << ExceptionMessage(error);
+    return;
+  }
+  EventLine(Event::kHandlerFailed)
+      .Text("task", task)
+      .Text("error", ExceptionMessage(error));
+}
+
+void RunTask(asio::io_context& io, std::string name,
+             std::function<asio::awaitable<void>()> task) {
+  asio::co_spawn(io, RunHolding(std::move(task)),
+                 [name = std::move(name)](const std::exception_ptr& error) {
+                   if (error) LogEscaped(name, error);
+                 });
+}
+
 void KeepRunning(asio::io_context& io, std::string name,
                  std::function<asio::awaitable<void>()> loop) {
-  asio::co_spawn(io, Run(std::move(name), std::move(loop)), asio::detached);
+  RunTask(io, name, [name, loop = std::move(loop)] { return Run(name, loop); });
 }
 
 }  // namespace pimento
--- a/src/background_loop.h
+++ b/src/background_loop.h
@@ -1,19 +1,29 @@
-// Keeps a loop of a process running: an error that escapes from one pass is
-// logged, and the loop starts again after a pause.
+// Tasks and loops that run beside their caller: an error that escapes from one
+// is logged, whatever its type. A loop starts again after a pause.
 //
 // Load pattern: one malformed object or message makes a handler throw. Without
-// this, the loop that called the handler ends silently, and the process serves
-// on with what that loop last knew.
+// this, what called the handler ends silently, since asio::detached discards
+// the error, and the process serves on with what that loop last knew.
 //
 //   KeepRunning(io, "gossip receiver", [this] { return Receive(); });
 #pragma once
 
 #include <boost/asio.hpp>
+#include <exception>
 #include <functional>
 #include <string>
 
 namespace pimento {
 
+// Logs the error that `task` let escape: in the event log where that is set up,
+// else under the logger name `task`.
+void LogEscaped(const std::string& task, const std::exception_ptr& error);
+
+// Runs `task` once on `io`, without waiting for it. What it captures lives as
+// long as it runs; what it refers to must outlive `io`.
+void RunTask(boost::asio::io_context& io, std::string name,
+             std::function<boost::asio::awaitable<void>()> task);
+
 // Runs `loop` on `io` until it returns without an error. What it refers to must
 // outlive `io`.
 void KeepRunning(boost::asio::io_context& io, std::string name,
--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -7,6 +7,7 @@
 #include <list>
 #include <utility>
 
+#include "src/background_loop.h"
 #include "src/connection_pool.h"
 #include "src/errors.h"
 #include "src/event_log.h"
@@ -348,8 +349,7 @@
       continue;
     }
     auto session = std::make_shared<Session>(state, std::move(socket));
-    asio::co_spawn(
-        state->io, [session] { return session->Run(); }, asio::detached);
+    RunTask(state->io, "connection", [session] { return session->Run(); });
   }
 }
 
@@ -372,7 +372,8 @@
     if (!error) acceptor.listen(kListenBacklog, error);
     return error;
   });
-  asio::co_spawn(state_->io, Accept(state_, acceptor), asio::detached);
+  KeepRunning(state_->io, "accept on " + address,
+              [state = state_, &acceptor] { return Accept(state, acceptor); });
 }
 
 void CallerServer::Drain(milliseconds idle_grace) {
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -146,6 +146,12 @@
   writer.on = true;
 }
 
+bool EventLogIsOn() {
+  Writer& writer = TheWriter();
+  const std::lock_guard lock(writer.mutex);
+  return writer.on;
+}
+
 void FlushEventLog() {
   Writer& writer = TheWriter();
   {
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -72,6 +72,8 @@
 // Sets the host's name and starts the writer. `lines_per_second` limits each
 // event separately. Until this is called, nothing is written.
 void SetUpEventLog(const std::string& host, int lines_per_second);
+// Whether lines are written.
+bool EventLogIsOn();
 // Writes the buffered lines and stops the writer.
 void FlushEventLog();
 
--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "src/background_loop.h"
 #include "src/event_log.h"
 #include "src/gateway_call_state.h"
 
@@ -146,24 +147,23 @@
       .turn = head_.request_id,
       .tokens = static_cast<uint64_t>(events_ * per_event),
       .settled = true};
-  asio::co_spawn(
-      state_.io(),
-      [&state = state_, used]() -> asio::awaitable<void> {
-        for (int tries = 0; tries < kSettleAttempts; ++tries) {
-          try {
-            co_await state.archive().Settle(used);
-            co_return;
-          } catch (const ArchiveError& e) {
-            EventLine(Event::kArchiveFailed)
-                .Text("what", "settle")
-                .Text("request", used.turn)
-                .Text("error", e.what());
-          }
-          asio::steady_timer pause(state.io(), kSettleRetryDelay);
-          co_await pause.async_wait(asio::use_awaitable);
-        }
-      },
-      asio::detached);
+  RunTask(state_.io(), "settle",
+          [&state = state_, used]() -> asio::awaitable<void> {
+            for (int tries = 0; tries < kSettleAttempts; ++tries) {
+              try {
+                co_await state.archive().Settle(used);
+                co_return;
+              } catch (const std::exception& e) {
+                // Of any type: it is tried again as long as it may help.
+                EventLine(Event::kArchiveFailed)
+                    .Text("what", "settle")
+                    .Text("request", used.turn)
+                    .Text("error", e.what());
+              }
+              asio::steady_timer pause(state.io(), kSettleRetryDelay);
+              co_await pause.async_wait(asio::use_awaitable);
+            }
+          });
 }
 
 void GatewayCall::ReleaseUnused() {
--- a/src/gateway_server.cc
+++ b/src/gateway_server.cc
@@ -5,6 +5,7 @@
 
 #include "platform/object_codec.h"
 #include "platform/wire_names.h"
+#include "src/background_loop.h"
 #include "src/event_log.h"
 #include "src/gateway_call.h"
 
@@ -128,7 +129,9 @@
       .Number("connections", static_cast<int64_t>(callers_.connections()));
   state_.Drain();
   callers_.Drain(kIdleGrace);
-  asio::co_spawn(state_.io(), WaitForDrain(std::move(on_done)), asio::detached);
+  RunTask(state_.io(), "drain", [this, on_done = std::move(on_done)] {
+    return WaitForDrain(on_done);
+  });
 }
 
 asio::awaitable<void> GatewayServer::WaitForDrain(
--- a/src/main/archive_main.cc
+++ b/src/main/archive_main.cc
@@ -1,6 +1,7 @@
 // pimento-archive: stores turns and token reservations on the disk of one host.
 #include "platform/wire_names.h"
 #include "src/archive_node.h"
+#include "src/background_loop.h"
 #include "src/main/platform_main.h"
 
 namespace {
@@ -35,7 +36,7 @@
     EventLine(Event::kStopped).Text("program", kName);
     io.stop();
   };
-  boost::asio::co_spawn(io, ServeSignals(io, stop), boost::asio::detached);
+  KeepRunning(io, "signals", [&io, stop] { return ServeSignals(io, stop); });
   boost::asio::post(io, [] { EndStartPart(StartPart::kReady); });
   RunToTheEnd(io, kName, stop_signal);
 }
--- a/src/main/gateway_main.cc
+++ b/src/main/gateway_main.cc
@@ -1,4 +1,5 @@
 // pimento-gateway: serves callers on one host of the users' platform.
+#include "src/background_loop.h"
 #include "src/gateway_server.h"
 #include "src/main/platform_main.h"
 
@@ -21,7 +22,7 @@
     stop_signal = signal;
     server.Drain([&io] { io.stop(); });
   };
-  boost::asio::co_spawn(io, ServeSignals(io, stop), boost::asio::detached);
+  KeepRunning(io, "signals", [&io, stop] { return ServeSignals(io, stop); });
   RunToTheEnd(io, kName, stop_signal);
 }
 
--- a/src/worker_thread.cc
+++ b/src/worker_thread.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdlib>
 
+#include "src/background_loop.h"
 #include "src/errors.h"
 #include "src/event_log.h"
 #include "src/log.h"
@@ -117,11 +118,10 @@
 
 void Spawn(boost::asio::io_context& io, const std::string& part,
            boost::asio::awaitable<void> work) {
-  boost::asio::co_spawn(io, std::move(work), [part](std::exception_ptr error) {
-    if (error)
-      Log(part).Error() << "A task ended with an error: "
-                        << ExceptionMessage(error);
-  });
+  const auto log = [part](const std::exception_ptr& error) {
+    if (error) LogEscaped(part, error);
+  };
+  boost::asio::co_spawn(io, std::move(work), log);
 }
 
 }  // namespace pimento
