--- a/src/held_port.cc
+++ b/src/held_port.cc
@@ -34,24 +34,28 @@
   for (;;) {
     const error_code error = bind();
     const auto took = duration_cast<milliseconds>(steady_clock::now() - began);
-    if (error && (!MayPass(error) || took >= kHeldPortLimit))
+    const bool gives_up = error && (!MayPass(error) || took >= kHeldPortLimit);
+    if (gives_up) {
       throw TransportError("Cannot listen on " + address + ": " +
                                error.message() + ", after " +
                                std::to_string(took.count()) + " ms of trying.",
                            false);
+    }
     if (!error) {
-      if (logged)
+      if (logged) {
         EventLine(Event::kPortHeld)
             .Text("address", address)
             .Text("outcome", "free")
             .Number("took_ms", took.count());
+      }
       return;
     }
-    if (!logged)
+    if (!logged) {
       EventLine(Event::kPortHeld)
           .Text("address", address)
           .Text("outcome", "waiting")
           .Text("error", error.message());
+    }
     logged = true;
     ThrowIfStopRequested();
     std::this_thread::sleep_for(kHeldPortPause);
--- a/test/platform/process_life_test.cc
+++ b/test/platform/process_life_test.cc
@@ -365,6 +365,10 @@
         udp_holder.emplace(io, udp::endpoint(address, kFirstPort));
       else
         tcp_holder.emplace(io, tcp::endpoint(address, kFirstPort));
+      // Else the program inherits the port that it waits for.
+      fcntl(
+          datagrams ? udp_holder->native_handle() : tcp_holder->native_handle(),
+          F_SETFD, FD_CLOEXEC);
       Child child(host, program);
       child.Prints("\"event\":\"port_held\"", kPromptMs);
       INFO(child.Output());
@@ -387,8 +391,9 @@
 TEST_CASE("a port that stays held ends the start with a sentence") {
   Host host("kept");
   asio::io_context io;
-  const udp::socket holder(
+  udp::socket holder(
       io, udp::endpoint(asio::ip::make_address(host.ip), kFirstPort));
+  fcntl(holder.native_handle(), F_SETFD, FD_CLOEXEC);
   {
     Child child(host, "pimento-gateway");
     REQUIRE(child.Prints("\"event\":\"port_held\"", kStartLimitMs));
