--- a/test/platform/hostile_surroundings_test.cc
+++ b/test/platform/hostile_surroundings_test.cc
@@ -1106,6 +1106,62 @@
   CHECK(PeakMb(fleet, host) < kArchiveMb);
 }
 
+TEST_CASE("an archive starts with a damaged journal and member file") {
+  PlatformFleet fleet("build/bin", "build/platform/damaged_disk", {});
+  const std::string host = "archive-1";
+  const std::string dir = "build/platform/damaged_disk/" + host + ".data/";
+  Random random(20261206);
+  constexpr int kRounds = 12;
+  for (int round = 0; round < kRounds; ++round) {
+    CAPTURE(round);
+    for (int i = 0; i < 20; ++i)
+      CallArchive(fleet, host,
+                  KeepCall(std::to_string(round) + "-" + std::to_string(i), ""),
+                  200);
+    fleet.processes().Kill(host);
+    for (const auto& file : std::filesystem::directory_iterator(dir)) {
+      const auto size = std::filesystem::file_size(file.path());
+      if (size > 0 && random() % 2 == 0)
+        std::filesystem::resize_file(file.path(), random() % size);
+      if (random() % 2 == 0)
+        std::ofstream(file.path(), std::ios::app) << RandomText(random, 500);
+    }
+    fleet.StartHost(host, false);
+    bool listens = false;
+    for (int i = 0; i < 100 && !listens; ++i) {
+      Pause(20);
+      listens = fleet.Metrics(host) != "";
+    }
+    CHECK(listens);
+    CHECK(fleet.processes().HowEnded(host) == "");
+    if (!listens) return;
+  }
+}
+
+// Bodies of the longest allowed length that do not end, on PIMENTO_BODIES
+// connections.
+TEST_CASE("many bodies that do not end fit a gateway's memory") {
+  PlatformFleet fleet("build/bin", "build/platform/many_bodies", {});
+  const uint64_t connections = FromEnvironment("PIMENTO_BODIES", 900);
+  asio::io_context io;
+  std::list<tcp::socket> sockets;
+  const std::string request =
+      "POST /open/x HTTP/1.1\r\nHost: x.example\r\nContent-Length: 65536"
+      "\r\n\r\n" +
+      std::string(65'000, 'b');
+  for (uint64_t i = 0; i < connections; ++i) {
+    boost::system::error_code error;
+    tcp::socket& socket = sockets.emplace_back(io);
+    socket.connect(EndpointOf(fleet.Listening("gateway-0").at(2)), error);
+    asio::write(socket, asio::buffer(request), error);
+  }
+  Pause(300);
+  MESSAGE("peak " << PeakMb(fleet, "gateway-0") << " MB");
+  CHECK(PeakMb(fleet, "gateway-0") < kGatewayMb);
+  sockets.clear();
+  CHECK(ServesWithin(fleet, 0, 3'000));
+}
+
 // What others leave in the folder of the journal.
 TEST_CASE("an archive serves with foreign files beside its journal") {
   PlatformFleet fleet("build/bin", "build/platform/foreign_files", {});
