--- a/src/chain_collector.cc
+++ b/src/chain_collector.cc
@@ -27,8 +27,9 @@
   for (const TurnRecord& turn : turns) {
     if (!collected_.insert(turn.turn).second) circular_turn_ = turn.turn;
   }
-  if (!missing.empty() && collected_.count(missing) > 0)
+  if (!missing.empty() && collected_.count(missing) > 0) {
     circular_turn_ = missing;
+  }
   std::move(turns.begin(), turns.end(), std::back_inserter(turns_));
   if (missing != wanted_) {
     wanted_ = missing;
