A kept turn is not denied by one of two archive members

A gateway took a turn for absent when a read quorum lacked it: one of two members. A change of the list fences one read quorum; the other member neither rejects the old list nor has what was kept since. The gateway was told of the newer list meanwhile and went on with the old one.

A turn is proven absent by a quorum of intact members, of both lists during a change; any quorum has a member of any read quorum. History() asks again when a newer list has arrived. For an odd number of members without a change nothing differs.

--- a/src/archive_client.cc
+++ b/src/archive_client.cc
@@ -5,7 +5,6 @@
 #include <set>
 #include <utility>
 
-#include "src/chain_collector.h"
 #include "src/errors.h"
 #include "src/event_log.h"
 
@@ -246,15 +245,12 @@
   co_await CallQuorum(keep, Targets::kAll);
 }
 
-asio::awaitable<std::optional<std::vector<TurnRecord>>> ArchiveClient::History(
-    std::string turn, std::string team) {
-  if (!quorum_likely())
-    throw ArchiveError("Too few members of the archive respond.");
-  ChainCollector collector(*list_, NearestFirst(), turn);
-  const uint64_t version = list_->version;
+asio::awaitable<void> ArchiveClient::CollectChain(ChainCollector& collector,
+                                                  uint64_t list_version,
+                                                  std::string team) {
   while (const auto member = collector.Next()) {
     ArchiveCall call;
-    call.list_version = version;
+    call.list_version = list_version;
     call.body = HistoryCall{collector.wanted(), team};
     ArchiveReply reply;
     try {
@@ -272,9 +268,23 @@
     collector.AddReply(member->id, std::move(reply.turns), reply.missing,
                        reply.intact);
   }
-  if (collector.complete()) co_return std::move(collector).Turns();
-  if (collector.proven_absent()) co_return std::nullopt;
-  throw ArchiveError("Turn " + collector.wanted() +
+}
+
+asio::awaitable<std::optional<std::vector<TurnRecord>>> ArchiveClient::History(
+    std::string turn, std::string team) {
+  std::string missing;
+  for (int round = 0; round < kMaxListAttempts; ++round) {
+    if (!quorum_likely())
+      throw ArchiveError("Too few members of the archive respond.");
+    const auto list = list_;
+    ChainCollector collector(*list, NearestFirst(), turn);
+    co_await CollectChain(collector, list->version, team);
+    if (collector.complete()) co_return std::move(collector).Turns();
+    if (collector.proven_absent()) co_return std::nullopt;
+    missing = collector.wanted();
+    if (list_ == list) break;
+  }
+  throw ArchiveError("Turn " + missing +
                      " was not found, but too few members of the archive "
                      "responded to confirm that it does not exist.");
 }
--- a/src/archive_client.h
+++ b/src/archive_client.h
@@ -18,6 +18,7 @@
 #include "src/archive_rpc.h"
 #include "src/boot_clock.h"
 #include "src/budget_rule.h"
+#include "src/chain_collector.h"
 #include "src/member_health.h"
 #include "src/member_list.h"
 
@@ -71,9 +72,10 @@
   Async<void> Settle(TokenReservation reservation);
   // Stores a turn; it is committed once this returns. Throws ArchiveError.
   Async<void> SaveTurn(TurnRecord record);
-  // Returns a turn and its predecessors, oldest first, or nullopt if enough
-  // members confirm that the turn was never committed. Throws ArchiveError if
-  // neither can be established.
+  // Returns a turn and its predecessors, oldest first, or nullopt if a quorum
+  // of members confirms that the turn was never committed. Asks again with a
+  // newer member list if one arrives meanwhile. Throws ArchiveError if neither
+  // can be established.
   Async<std::optional<std::vector<TurnRecord>>> History(std::string turn,
                                                         std::string team);
 
@@ -92,6 +94,10 @@
   Async<std::shared_ptr<FanOut>> CallQuorumOnce(
       std::shared_ptr<const MemberList> list, const Body& body,
       Targets targets);
+  // Queries the members of `collector` under the list `list_version`, and takes
+  // over a newer list from a member that rejects that one as stale.
+  Async<void> CollectChain(ChainCollector& collector, uint64_t list_version,
+                           std::string team);
   // Calls `member` in the background and adds the result to `fan_out`.
   void StartCall(const std::shared_ptr<FanOut>& fan_out,
                  const std::shared_ptr<const ArchiveCall>& call,
--- a/src/chain_collector.cc
+++ b/src/chain_collector.cc
@@ -34,7 +34,7 @@
 }
 
 bool ChainCollector::proven_absent() const {
-  return wanted_ == turn_ && !complete() && list_.IsReadQuorum(absent_on_);
+  return wanted_ == turn_ && !complete() && list_.IsQuorum(absent_on_);
 }
 
 std::vector<TurnRecord> ChainCollector::Turns() && {
--- a/src/chain_collector.h
+++ b/src/chain_collector.h
@@ -41,8 +41,11 @@
                 const std::string& missing, bool intact);
 
   bool complete() const { return wanted_.empty(); }
-  // True when enough intact members lack the requested turn itself to prove
-  // that it was never committed.
+  // True when a quorum of intact members lacks the requested turn itself, which
+  // proves that it was never committed, not under a newer list either: each
+  // change of the list fences a read quorum, whose members reject older lists,
+  // and any quorum has one of them. A read quorum is not enough: of two
+  // members, one is fenced and the other lacks what was committed since.
   bool proven_absent() const;
   // The collected turns, oldest first.
   std::vector<TurnRecord> Turns() &&;
--- a/src/member_list.h
+++ b/src/member_list.h
@@ -50,6 +50,8 @@
   // two of three, three of five. Every record committed by a majority of
   // `members` is then held by at least one member in `answered`; and once all
   // of them are fenced, calls made under an older list cannot reach a quorum.
+  // Two read quorums need not intersect: where their number is even, half of
+  // the members is one.
   bool IsReadQuorum(const std::set<uint64_t>& answered) const;
 };
 
--- a/test/correctness/chain_collector_test.cc
+++ b/test/correctness/chain_collector_test.cc
@@ -75,6 +75,41 @@
   CHECK_FALSE(fixture.Collect({1, 2, 3}).proven_absent());
 }
 
+// A member of a newer list may have the turn. The change to that list fenced a
+// read quorum, whose members reject the reader's older list.
+TEST_CASE("members outside a fenced read quorum never prove a turn absent") {
+  for (uint64_t size = 1; size <= 5; ++size) {
+    Fixture fixture;
+    fixture.list.members.clear();
+    std::vector<uint64_t> order;
+    for (uint64_t id = 1; id <= size; ++id) {
+      fixture.list.members.push_back({.id = id});
+      order.push_back(id);
+    }
+    for (unsigned mask = 0; mask < 1U << size; ++mask) {
+      std::set<uint64_t> fenced;
+      for (const uint64_t id : order)
+        if ((mask & 1U << (id - 1)) != 0) fenced.insert(id);
+      if (!fixture.list.IsReadQuorum(fenced)) continue;
+      CAPTURE(size);
+      CAPTURE(mask);
+      fixture.unresponsive = fenced;
+      CHECK_FALSE(fixture.Collect(order).proven_absent());
+    }
+    fixture.unresponsive.clear();
+    CHECK(fixture.Collect(order).proven_absent());
+  }
+}
+
+TEST_CASE("during a change a majority of both lists proves a turn absent") {
+  Fixture fixture;
+  fixture.list.next = {{.id = 1}, {.id = 2}, {.id = 4}};
+  CHECK(fixture.Collect({1, 2}).proven_absent());
+  // A quorum of the next list, 2 and 4, may have it.
+  CHECK_FALSE(fixture.Collect({1, 3}).proven_absent());
+  CHECK(fixture.Collect({1, 3, 4}).proven_absent());
+}
+
 TEST_CASE("a chain with a gap is neither complete nor proven absent") {
   Fixture fixture;
   fixture.Store("3", "2", {1, 2});
