--- a/src/chain_collector.h
+++ b/src/chain_collector.h
@@ -46,8 +46,11 @@
   bool circular() const { return !circular_turn_.empty(); }
   // That turn; empty when there is none.
   const std::string& circular_turn() const { return circular_turn_; }
-  // True when enough intact members lack the requested turn itself to prove
-  // that it was never committed.
+  // True when a quorum of intact members lacks the requested turn itself, which
+  // proves that it was never committed, not under a newer list either: each
+  // change of the list fences a read quorum, whose members reject older lists,
+  // and any quorum has one of them. A read quorum is not enough: of two
+  // members, one is fenced and the other lacks what was committed since.
   bool proven_absent() const;
   // The collected turns, oldest first.
   std::vector<TurnRecord> Turns() &&;
