--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -32,8 +32,10 @@
 [[noreturn]] void ThrowTransportError(const std::string& what,
                                       const beast::error_code& error,
                                       bool sent) {
+  const bool refused = error == asio::error::connection_refused ||
+                       error == asio::error::connection_reset;
   throw TransportError(what + " failed: " + error.message(), sent,
-                       error == beast::error::timeout);
+                       error == beast::error::timeout, refused);
 }
 
 }  // namespace
--- a/src/crash_detector.cc
+++ b/src/crash_detector.cc
@@ -5,6 +5,7 @@
 
 #include "src/boot_clock.h"
 #include "src/errors.h"
+#include "src/event_log.h"
 #include "src/leaving_processes.h"
 
 namespace pimento {
@@ -19,7 +20,9 @@
 // this time.
 constexpr int64_t kAnswerTtlMs = 500;
 // An upstream that is back registers within this time.
-constexpr int64_t kUnresolvedTtlMs = 10'000;
+constexpr int64_t kUnresolvedTtlMs = 5'000;
+// A run that broke off longer before a crash was not broken off by it.
+constexpr int64_t kSameCrashMs = 1'000;
 // For how long crashes under one entry are counted.
 constexpr int64_t kSeenTtlMs = 3'600'000;
 // Beyond this number runs are not kept.
@@ -41,7 +44,13 @@
         co_await pool_.Open(std::move(address), kConnectLimit);
     co_return connection == nullptr;
   } catch (const TransportError& e) {
-    co_return !e.silent();
+    co_return e.refused();
+  } catch (const std::exception& e) {
+    // Of any type: requests wait for the answer.
+    EventLine(Event::kHandlerFailed)
+        .Text("task", "crash detector")
+        .Text("error", e.what());
+    co_return false;
   }
 }
 
@@ -85,7 +94,7 @@
 std::vector<BrokenRun> CrashDetector::Take(Predicate belongs) {
   const auto first = std::stable_partition(
       unresolved_.begin(), unresolved_.end(),
-      [&](const Unresolved& kept) { return !belongs(kept.run); });
+      [&](const Unresolved& kept) { return !belongs(kept); });
   std::vector<BrokenRun> taken;
   for (auto it = first; it != unresolved_.end(); ++it) {
     taken.push_back(std::move(it->run));
@@ -95,22 +104,26 @@
 }
 
 std::vector<BrokenRun> CrashDetector::TakeReplaced(const UpstreamEntry& entry) {
-  return Take(
-      [&](const BrokenRun& run) { return Replaces(entry, run.upstream); });
+  return Take([&](const Unresolved& kept) {
+    return Replaces(entry, kept.run.upstream);
+  });
 }
 
 std::vector<BrokenRun> CrashDetector::TakeRunsOn(
     const UpstreamEntry& upstream) {
   const uint64_t process = LeavingProcesses::HashOf(upstream);
-  return Take([&](const BrokenRun& run) {
-    return LeavingProcesses::HashOf(run.upstream) == process;
+  const int64_t now_ms = SteadyMs();
+  return Take([&](const Unresolved& kept) {
+    return LeavingProcesses::HashOf(kept.run.upstream) == process &&
+           now_ms - kept.at_ms < kSameCrashMs;
   });
 }
 
 void CrashDetector::ForgetRunsOf(const RequestFingerprints& request) {
   if (unresolved_.empty()) return;
-  Take(
-      [&](const BrokenRun& run) { return run.request.exact == request.exact; });
+  Take([&](const Unresolved& kept) {
+    return kept.run.request.exact == request.exact;
+  });
 }
 
 uint64_t CrashDetector::CrashOf(const UpstreamEntry& upstream) const {
--- a/src/crash_detector.h
+++ b/src/crash_detector.h
@@ -45,7 +45,8 @@
   // An upstream has a new or changed entry. Returns the runs that were in
   // flight on the process that it replaces.
   std::vector<BrokenRun> TakeReplaced(const UpstreamEntry& entry);
-  // Returns the kept runs on the process of `upstream`, which has crashed.
+  // Returns the runs on the process of `upstream`, which has just crashed, that
+  // were kept since shortly before.
   std::vector<BrokenRun> TakeRunsOn(const UpstreamEntry& upstream);
   // The request ran to its end elsewhere: its kept runs are forgotten.
   void ForgetRunsOf(const RequestFingerprints& request);
--- a/src/crash_suspects.cc
+++ b/src/crash_suspects.cc
@@ -19,9 +19,11 @@
 constexpr size_t kMaxServed = 16'384;
 // Reports of refused requests in a message to a gateway that has just started.
 constexpr size_t kMaxRefusedPerMessage = 300;
+// Beyond this number new reports are not announced.
+constexpr size_t kMaxNewReports = 4'096;
 // Crashes kept for one request; beyond it, those that do not count any more are
 // dropped.
-constexpr size_t kMaxCrashesKept = 16;
+constexpr size_t kMaxCrashesKept = 32;
 
 struct StageRow {
   RunStage stage;
@@ -75,7 +77,10 @@
 }
 
 bool CrashSuspects::OnPeerReport(const CrashReport& report, int64_t now_ms) {
-  if (report.weight == 0 || report.age_ms < 0) return false;
+  const bool valid =
+      report.weight == kClearedWeight ||
+      (report.weight > 0 && report.weight <= Row(RunStage::kBegun).weight);
+  if (!valid || report.age_ms < 0) return false;
   const bool known = requests_.count(report.request) > 0;
   if (!known && report.age_ms >= options_.max_hold_ms) return false;
   const bool innocent =
@@ -96,7 +101,8 @@
     return false;
   }
   places_.erase(PlaceOf(report.request, request));
-  request.crashes[report.process] = report.weight;
+  const bool added = known != request.crashes.end() || !IsFull(request);
+  if (added) request.crashes[report.process] = report.weight;
   request.last_crash_ms =
       std::max(request.last_crash_ms, now_ms - report.age_ms);
   if (request.crashes.size() > kMaxCrashesKept) {
@@ -105,7 +111,12 @@
     });
   }
   places_.insert(PlaceOf(report.request, request));
-  return true;
+  return added;
+}
+
+bool CrashSuspects::IsFull(const Request& request) {
+  const Score score = ScoreOf(request.crashes);
+  return static_cast<size_t>(score.crashes) >= kMaxCrashesKept;
 }
 
 bool CrashSuspects::OnServed(const RequestFingerprints& request) {
@@ -139,6 +150,8 @@
 }
 
 void CrashSuspects::Announce(uint64_t request, uint64_t process) {
+  // Beyond the bound, the round robin tells it.
+  if (new_reports_.size() >= kMaxNewReports) return;
   new_reports_.push_back({request, process, kGossipSends});
 }
 
--- a/src/crash_suspects.h
+++ b/src/crash_suspects.h
@@ -145,6 +145,8 @@
   bool Clear(uint64_t fingerprint);
   // Raises the weight of a report. Returns true when it was lower or unknown.
   bool Raise(const CrashReport& report, int64_t now_ms);
+  // True when no crash can be added: all that are kept count.
+  static bool IsFull(const Request& request);
   // For how long after its last crash the request is refused; 0 when it is not.
   int64_t HoldMs(const Request& request) const;
   // When the request is forgotten.
--- a/src/errors.h
+++ b/src/errors.h
@@ -36,18 +36,26 @@
 class TransportError : public std::runtime_error {
  public:
   // `sent` is false only if no byte of the request can have reached the peer.
-  // `silent` is true if the request timed out on an open connection.
+  // `silent` is true if the request timed out on an open connection, `refused`
+  // if the peer refused or reset the connection.
   explicit TransportError(const std::string& message, bool sent = true,
-                          bool silent = false)
-      : std::runtime_error(message), sent_(sent), silent_(silent) {}
+                          bool silent = false, bool refused = false)
+      : std::runtime_error(message),
+        sent_(sent),
+        silent_(silent),
+        refused_(refused) {}
   bool sent() const { return sent_; }
   // True if the request timed out: the connection stayed open, but the peer did
   // not answer.
   bool silent() const { return silent_; }
+  // True if the peer refused or reset the connection: not for a lack of
+  // descriptors, ports or routes on this host.
+  bool refused() const { return refused_; }
 
  private:
   bool sent_;
   bool silent_;
+  bool refused_;
 };
 
 // The platform's object API is temporarily unavailable.
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -3,8 +3,8 @@
 //   ParseRequest    headers, route, service               gateway_call.cc
 //   Authenticate    key, team, priority                   gateway_call.cc
 //   StartDeadline   deadline timer                        gateway_call.cc
-//   Admit           rate limit of the team                gateway_admission.cc
 //   RefuseSuspect   request that crashes upstreams        gateway_call.cc
+//   Admit           rate limit of the team                gateway_admission.cc
 //   BeginTurn       turn history, token budget            gateway_admission.cc
 //   TryUpstreams    upstream choice, exchange, retries    gateway_exchange.cc
 //   ReportFailure   outcome when no attempt completed     gateway_call.cc
@@ -183,6 +183,8 @@
   // without a timeout.
   RunStage stage_ = RunStage::kSent;
   bool broken_off_ = false;
+  // Whether the last response carried the header that only an upstream adds.
+  bool stamped_ = false;
 
   // Events with data forwarded to the caller, over all attempts.
   int64_t events_ = 0;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -38,7 +38,7 @@
 asio::awaitable<void> GatewayCall::TryUpstreams() {
   for (;;) {
     if (token_.stopped()) co_return;
-    if (attempts_ == 0) RefuseSuspect();
+    if (!may_have_run_) RefuseSuspect();
     if (RefusedForMs() > 0) co_return;
     DispatchRequest dispatch_request{
         .request_id = head_.request_id,
@@ -179,7 +179,9 @@
 
 asio::awaitable<void> GatewayCall::NoteRun(const UpstreamEntry& upstream,
                                            AttemptResult attempt) {
-  if (attempt == AttemptResult::kDone) state_.OnRunCompleted(Fingerprints());
+  // Without the stamp it is not the upstream that answered.
+  if (attempt == AttemptResult::kDone && stamped_)
+    state_.OnRunCompleted(Fingerprints());
   if (!broken_off_) co_return;
   const BrokenRun run{
       .upstream = upstream, .request = Fingerprints(), .stage = stage_};
@@ -275,6 +277,7 @@
   co_await connection.Send(BuildUpstreamRequest(upstream), deadline_);
   platform::ResponseHead head;
   const auto* header = co_await ReadMatchingHeader(connection, head);
+  stamped_ = head.has_server_stamp;
   constexpr int kMisdirected = 421;
   if (head.status == kMisdirected) {
     // Its other headers are those of another upstream.
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -184,7 +184,7 @@
       gossip.rate_replies.push_back({.id = reply.getId(),
                                      .wait_ms = reply.getWaitMs(),
                                      .tokens_milli = reply.getTokensMilli()});
-    for (const auto crash : in.getCrashes())
+    for (const auto crash : Checked(in.getCrashes()))
       gossip.crashes.push_back({.request = crash.getRequest(),
                                 .process = crash.getProcess(),
                                 .weight = crash.getWeight(),
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -345,8 +345,9 @@
     programs_.OnPeerAdmitted(program, now_ms);
   for (const uint64_t process : gossip.leaving_upstreams)
     OnPeerReportsLeaving(gossip.host, process);
+  const bool registered = gateway_addresses_.count(gossip.host) > 0;
   for (const CrashReport& report : gossip.crashes)
-    OnPeerCrashReport(gossip.host, report);
+    if (registered) OnPeerCrashReport(gossip.host, report);
   newest_peer_version_ = std::max(newest_peer_version_, gossip.state_version);
   // The peer wrote the message after the echoed one was sent, so that send time
   // is a safe time for its reports, however long the message was buffered.
@@ -374,6 +375,8 @@
   const bool crashed = co_await crash_detector_.HasCrashed(run.upstream);
   if (crashed) {
     OnCrash(run);
+    for (const BrokenRun& kept : crash_detector_.TakeRunsOn(run.upstream))
+      OnCrash(kept);
     co_return;
   }
   crash_detector_.KeepUnresolved(run);
--- a/src/held_port.cc
+++ b/src/held_port.cc
@@ -15,7 +15,7 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-// Chosen: longer than the 8 s in which a process that was told to stop ends.
+// Longer than a process that was told to stop takes to end.
 constexpr milliseconds kHeldPortLimit{10'000};
 constexpr milliseconds kHeldPortPause{100};
 
--- a/src/process_end.cc
+++ b/src/process_end.cc
@@ -172,8 +172,9 @@
 
 [[noreturn]] void OnTerminate() {
   const auto error = std::current_exception();
-  LogProcessEnd(EndReason::kTerminate,
-                error ? ExceptionMessage(error) : "no exception");
+  // Without the event log, whose locks this thread may hold.
+  WriteEndLine(EndReason::kTerminate,
+               error ? ExceptionMessage(error) : "no exception");
   std::abort();
 }
 
@@ -189,6 +190,9 @@
   sigemptyset(&action.sa_mask);
   for (size_t i = 0; i < kDeadlySignals.size(); ++i) {
     sigaction(kDeadlySignals[i].number, &action, &state.previous[i]);
+    if (state.previous[i].sa_handler == SIG_IGN) {
+      sigaction(kDeadlySignals[i].number, &state.previous[i], nullptr);
+    }
   }
 }
 
--- a/src/process_end.h
+++ b/src/process_end.h
@@ -8,8 +8,10 @@
 //
 // An end by a signal that nothing can go on from, such as SIGSEGV, writes the
 // line from the signal handler: it is put together in a fixed buffer with
-// system calls only, and the signal's own action follows. Only SIGKILL leaves
-// no line.
+// system calls only, and the signal's own action follows. No line is left by
+// SIGKILL, by signals that kDeadlySignals does not list, such as SIGSYS, by a
+// stack that overflows on another thread than the first, and on an output that
+// takes nothing.
 #pragma once
 
 #include <cstdint>
--- a/test/platform/hostile_surroundings_test.cc
+++ b/test/platform/hostile_surroundings_test.cc
@@ -959,7 +959,7 @@
   PlatformFleet fleet("build/bin", "build/platform/absurd_count", {});
   REQUIRE(ServesWithin(fleet, 0, 3'000));
   constexpr uint32_t kAbsurdCount = 8'000'000;
-  constexpr std::array<unsigned, 4> kLists = {3, 4, 7, 8};
+  constexpr std::array<unsigned, 5> kLists = {3, 4, 7, 8, 10};
   for (const unsigned list : kLists) {
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<wire::GatewayNews>();
