--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -48,6 +48,34 @@
   storeOverdueMs @18 :Int64;
   # Requests that were in flight on upstreams when those crashed.
   crashes @19 :List(CrashNews);
+  # What the sender saw of the versions of services that are being rolled out.
+  rollouts @20 :List(VersionSample);
+  # What the sender learned about upstreams that served it recently.
+  paces @21 :List(UpstreamPace);
+  # Callers that the host can carry in relation to others, 0 if not stated.
+  callerWeight @22 :UInt16;
+}
+
+# Counters of one version of a service on one route, since the sender started.
+struct VersionSample {
+  # Hashes of the names.
+  service @0 :UInt64;
+  version @1 :UInt64;
+  route @2 :UInt64;
+  answers @3 :UInt32;
+  failures @4 :UInt32;
+  # Sum of the answers' durations.
+  totalMs @5 :UInt64;
+}
+
+struct UpstreamPace {
+  # Hash of the upstream's id and start.
+  process @0 :UInt64;
+  # Prompt tokens read in a millisecond, hundredths; 0 if unknown.
+  readCenti @1 :UInt16;
+  # Time per event of a call that runs alone, hundredths of a millisecond; 0 if
+  # unknown.
+  eventCentiMs @2 :UInt16;
 }
 
 struct CrashNews {
@@ -87,6 +115,8 @@
   # Hash of the upstream's id.
   upstream @0 :UInt64;
   inFlight @1 :UInt32;
+  # Tokens that these calls hold there, prompt and output.
+  tokens @2 :UInt32;
 }
 
 struct TeamUse {
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -17,6 +17,8 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(e64487dd69e51339);
+CAPNP_DECLARE_SCHEMA(bad8036013973a65);
+CAPNP_DECLARE_SCHEMA(f771fe9e1b0ba459);
 CAPNP_DECLARE_SCHEMA(bd0318c555d6673e);
 CAPNP_DECLARE_SCHEMA(e8d147c4259e36c4);
 CAPNP_DECLARE_SCHEMA(f3a4240d554c55e9);
@@ -50,7 +52,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 7, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 7, 13)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct VersionSample {
+  VersionSample() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bad8036013973a65, 5, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UpstreamPace {
+  UpstreamPace() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f771fe9e1b0ba459, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -289,6 +321,14 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
+  inline bool hasRollouts() const;
+  inline  ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>::Reader getRollouts() const;
+
+  inline bool hasPaces() const;
+  inline  ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>::Reader getPaces() const;
+
+  inline  ::uint16_t getCallerWeight() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -424,6 +464,23 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::CrashNews,  ::capnp::Kind::STRUCT>> disownCrashes();
 
+  inline bool hasRollouts();
+  inline  ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>::Builder getRollouts();
+  inline void setRollouts( ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>::Builder initRollouts(unsigned int size);
+  inline void adoptRollouts(::capnp::Orphan< ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>> disownRollouts();
+
+  inline bool hasPaces();
+  inline  ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>::Builder getPaces();
+  inline void setPaces( ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>::Builder initPaces(unsigned int size);
+  inline void adoptPaces(::capnp::Orphan< ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>> disownPaces();
+
+  inline  ::uint16_t getCallerWeight();
+  inline void setCallerWeight( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -450,6 +507,193 @@
 };
 #endif  // !CAPNP_LITE
 
+class VersionSample::Reader {
+public:
+  typedef VersionSample Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getRoute() const;
+
+  inline  ::uint32_t getAnswers() const;
+
+  inline  ::uint32_t getFailures() const;
+
+  inline  ::uint64_t getTotalMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class VersionSample::Builder {
+public:
+  typedef VersionSample Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getRoute();
+  inline void setRoute( ::uint64_t value);
+
+  inline  ::uint32_t getAnswers();
+  inline void setAnswers( ::uint32_t value);
+
+  inline  ::uint32_t getFailures();
+  inline void setFailures( ::uint32_t value);
+
+  inline  ::uint64_t getTotalMs();
+  inline void setTotalMs( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class VersionSample::Pipeline {
+public:
+  typedef VersionSample Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UpstreamPace::Reader {
+public:
+  typedef UpstreamPace Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getProcess() const;
+
+  inline  ::uint16_t getReadCenti() const;
+
+  inline  ::uint16_t getEventCentiMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamPace::Builder {
+public:
+  typedef UpstreamPace Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
+  inline  ::uint16_t getReadCenti();
+  inline void setReadCenti( ::uint16_t value);
+
+  inline  ::uint16_t getEventCentiMs();
+  inline void setEventCentiMs( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamPace::Pipeline {
+public:
+  typedef UpstreamPace Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CrashNews::Reader {
 public:
   typedef CrashNews Reads;
@@ -744,6 +988,8 @@
 
   inline  ::uint32_t getInFlight() const;
 
+  inline  ::uint32_t getTokens() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -778,6 +1024,9 @@
   inline  ::uint32_t getInFlight();
   inline void setInFlight( ::uint32_t value);
 
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2057,6 +2306,214 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline bool GatewayNews::Reader::hasRollouts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayNews::Builder::hasRollouts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>::Reader GatewayNews::Reader::getRollouts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::getRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void GatewayNews::Builder::setRollouts( ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::initRollouts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void GatewayNews::Builder::adoptRollouts(
+    ::capnp::Orphan< ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>> GatewayNews::Builder::disownRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::VersionSample,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
+inline bool GatewayNews::Reader::hasPaces() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayNews::Builder::hasPaces() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>::Reader GatewayNews::Reader::getPaces() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::getPaces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void GatewayNews::Builder::setPaces( ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::initPaces(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void GatewayNews::Builder::adoptPaces(
+    ::capnp::Orphan< ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>> GatewayNews::Builder::disownPaces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::UpstreamPace,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t GatewayNews::Reader::getCallerWeight() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t GatewayNews::Builder::getCallerWeight() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void GatewayNews::Builder::setCallerWeight( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t VersionSample::Reader::getService() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionSample::Builder::getService() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void VersionSample::Builder::setService( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t VersionSample::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionSample::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void VersionSample::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t VersionSample::Reader::getRoute() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionSample::Builder::getRoute() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void VersionSample::Builder::setRoute( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t VersionSample::Reader::getAnswers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t VersionSample::Builder::getAnswers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void VersionSample::Builder::setAnswers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t VersionSample::Reader::getFailures() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t VersionSample::Builder::getFailures() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void VersionSample::Builder::setFailures( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t VersionSample::Reader::getTotalMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionSample::Builder::getTotalMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void VersionSample::Builder::setTotalMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UpstreamPace::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamPace::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamPace::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t UpstreamPace::Reader::getReadCenti() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t UpstreamPace::Builder::getReadCenti() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamPace::Builder::setReadCenti( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t UpstreamPace::Reader::getEventCentiMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t UpstreamPace::Builder::getEventCentiMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamPace::Builder::setEventCentiMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CrashNews::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2253,6 +2710,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t UpstreamUse::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamUse::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamUse::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TeamUse::Reader::getTeam() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -183,6 +184,9 @@
   // without a timeout.
   RunStage stage_ = RunStage::kSent;
   bool broken_off_ = false;
+  // Start of the running attempt, and the time until its first event with data.
+  SteadyTime attempt_started_{};
+  std::optional<int64_t> first_event_ms_ = {};
   // Whether the last response carried the header that only an upstream adds.
   bool stamped_ = false;
 
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -52,7 +52,9 @@
         .tokens_per_event =
             service_ == nullptr ? 1 : service_->tokens_per_event,
         .prompt_holder = previous_upstream_,
-        .tried = tried_};
+        .tried = tried_,
+        .prompt_tokens = head_.prompt_tokens.value_or(0),
+        .program_left_ms = head_.program_left_ms};
     dispatch_request.wait_deadline_ms = SteadyMs() + RemainingMs();
     UpstreamEntry upstream;
     try {
@@ -103,6 +105,8 @@
     const UpstreamEntry& upstream) {
   const auto started = steady_clock::now();
   const int64_t events_before = events_;
+  attempt_started_ = started;
+  first_event_ms_.reset();
   tried_.insert(upstream.id);
   // Of an answer that comes as a whole, nothing is seen before its end.
   stage_ = route_->kind == RouteKind::kStreaming ? RunStage::kSent
@@ -157,6 +161,7 @@
       std::chrono::duration_cast<milliseconds>(steady_clock::now() - started)
           .count();
   result.events = events_ - events_before;
+  if (result.events > 0) result.first_event_ms = first_event_ms_;
   if (refused) result.outcome = CallOutcome::kRefused;
   if (!refused && attempt != AttemptResult::kDone)
     result.outcome =
@@ -329,6 +334,11 @@
     bytes += event.raw;
     if (event.has_data) {
       stage_ = RunStage::kProducing;
+      if (!first_event_ms_) {
+        first_event_ms_ = std::chrono::duration_cast<milliseconds>(
+                              steady_clock::now() - attempt_started_)
+                              .count();
+      }
       output_ += event.data;
       output_ += '\n';
       ++events_;
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -34,6 +34,7 @@
 constexpr uint64_t kStartSequences = 3;
 constexpr int kRateAskKinds = 4;
 constexpr int kProgramStatuses = 3;
+constexpr double kHundredths = 100;
 
 // A host name is not longer than in the Domain Name System.
 constexpr size_t kMaxHostBytes = 253;
@@ -61,6 +62,36 @@
   return static_cast<Enum>(value);
 }
 
+uint16_t ToHundredths(double value) {
+  constexpr double kMost = 65'535;
+  return static_cast<uint16_t>(std::clamp(value * kHundredths, 0.0, kMost));
+}
+
+void EncodeVersionSamples(const std::vector<VersionSample>& samples,
+                          wire::GatewayNews::Builder& out) {
+  auto list = out.initRollouts(
+      static_cast<unsigned>(std::min(samples.size(), kMaxEntries)));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setService(samples[i].service);
+    list[i].setVersion(samples[i].version);
+    list[i].setRoute(samples[i].route);
+    list[i].setAnswers(static_cast<uint32_t>(samples[i].answers));
+    list[i].setFailures(static_cast<uint32_t>(samples[i].failures));
+    list[i].setTotalMs(static_cast<uint64_t>(samples[i].total_ms));
+  }
+}
+
+void EncodePaces(const std::vector<PaceSample>& paces,
+                 wire::GatewayNews::Builder& out) {
+  auto list =
+      out.initPaces(static_cast<unsigned>(std::min(paces.size(), kMaxEntries)));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setProcess(paces[i].process);
+    list[i].setReadCenti(ToHundredths(paces[i].read_tokens_per_ms));
+    list[i].setEventCentiMs(ToHundredths(paces[i].event_ms));
+  }
+}
+
 }  // namespace
 
 uint64_t SenderHash(const std::string& host, uint64_t boot) {
@@ -84,8 +115,10 @@
   auto loads = out.initLoads(
       static_cast<unsigned>(std::min(gossip.loads.size(), kMaxEntries)));
   for (unsigned i = 0; i < loads.size(); ++i) {
-    loads[i].setUpstream(gossip.loads[i].first);
-    loads[i].setInFlight(static_cast<uint32_t>(gossip.loads[i].second));
+    const UpstreamLoad& load = gossip.loads[i];
+    loads[i].setUpstream(load.upstream);
+    loads[i].setInFlight(static_cast<uint32_t>(load.in_flight));
+    loads[i].setTokens(static_cast<uint32_t>(load.tokens));
   }
   auto teams = out.initTeams(
       static_cast<unsigned>(std::min(gossip.teams.size(), kMaxEntries)));
@@ -135,6 +168,9 @@
     crashes[i].setWeight(crash.weight);
     crashes[i].setAgeMs(static_cast<uint32_t>(crash.age_ms));
   }
+  EncodeVersionSamples(gossip.version_samples, out);
+  EncodePaces(gossip.paces, out);
+  out.setCallerWeight(static_cast<uint16_t>(gossip.caller_weight));
   const auto words = capnp::messageToFlatArray(message);
   const auto bytes = words.asBytes();
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
@@ -161,7 +197,9 @@
       throw StateError("A gossip message names a host with " +
                        std::to_string(gossip.host.size()) + " bytes.");
     for (const auto load : Checked(in.getLoads()))
-      gossip.loads.emplace_back(load.getUpstream(), load.getInFlight());
+      gossip.loads.push_back({.upstream = load.getUpstream(),
+                              .in_flight = load.getInFlight(),
+                              .tokens = load.getTokens()});
     for (const auto team : Checked(in.getTeams()))
       gossip.teams.push_back(
           {team.getTeam(), {team.getAdmitted(), team.getStarted()}});
@@ -189,6 +227,20 @@
                                 .process = crash.getProcess(),
                                 .weight = crash.getWeight(),
                                 .age_ms = crash.getAgeMs()});
+    for (const auto sample : Checked(in.getRollouts()))
+      gossip.version_samples.push_back(
+          {.service = sample.getService(),
+           .version = sample.getVersion(),
+           .route = sample.getRoute(),
+           .answers = sample.getAnswers(),
+           .failures = sample.getFailures(),
+           .total_ms = static_cast<int64_t>(sample.getTotalMs())});
+    for (const auto pace : Checked(in.getPaces()))
+      gossip.paces.push_back(
+          {.process = pace.getProcess(),
+           .read_tokens_per_ms = pace.getReadCenti() / kHundredths,
+           .event_ms = pace.getEventCentiMs() / kHundredths});
+    gossip.caller_weight = in.getCallerWeight();
     return gossip;
   } catch (const kj::Exception& e) {
     throw StateError(
@@ -243,12 +295,16 @@
   });
 }
 
-std::unordered_map<uint64_t, int64_t> GatewayView::InFlightByUpstream(
+std::unordered_map<uint64_t, UpstreamLoad> GatewayView::LoadByUpstream(
     int64_t now_ms) const {
-  std::unordered_map<uint64_t, int64_t> loads;
+  std::unordered_map<uint64_t, UpstreamLoad> loads;
   for (const GatewayGossip* gossip : ReachablePeers(now_ms)) {
-    for (const auto& [upstream, count] : gossip->loads)
-      loads[upstream] += count;
+    for (const UpstreamLoad& load : gossip->loads) {
+      UpstreamLoad& sum = loads[load.upstream];
+      sum.upstream = load.upstream;
+      sum.in_flight += load.in_flight;
+      sum.tokens += load.tokens;
+    }
   }
   return loads;
 }
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -22,6 +22,7 @@
 #include "src/boot_clock.h"
 #include "src/crash_suspects.h"
 #include "src/rate_server.h"
+#include "src/upstream_entry.h"
 #include "src/usage_gossip.h"
 
 namespace pimento {
@@ -34,6 +35,28 @@
   uint16_t sequence = 0;
 };
 
+// Counters of one version of a service on one route, since the sender started.
+// Service, version and route are hashes of their names.
+struct VersionSample {
+  uint64_t service = 0;
+  uint64_t version = 0;
+  uint64_t route = 0;
+  int64_t answers = 0;
+  int64_t failures = 0;
+  // Sum of the answers' durations.
+  int64_t total_ms = 0;
+};
+
+// What a gateway learned about the pace of one process of an upstream; see
+// LeavingProcesses::HashOf(). 0 where it is unknown.
+struct PaceSample {
+  uint64_t process = 0;
+  // Prompt tokens read in a millisecond.
+  double read_tokens_per_ms = 0;
+  // Time per event of a call that runs alone.
+  double event_ms = 0;
+};
+
 // Identifies the messages of `host`, started at `boot`, in echoes.
 uint64_t SenderHash(const std::string& host, uint64_t boot);
 
@@ -55,8 +78,8 @@
   // How long an answer of the store to the sender, or to the gateway that it
   // follows, has been overdue, milliseconds; 0 if none is.
   int64_t store_overdue_ms = 0;
-  // Calls in flight, by upstream hash.
-  std::vector<std::pair<uint64_t, int64_t>> loads = {};
+  // Calls in flight, by upstream.
+  std::vector<UpstreamLoad> loads = {};
   // Cumulative usage since the process started.
   std::vector<UsageGossip::Entry> teams = {};
   // Hashes of programs whose first request this gateway admitted recently.
@@ -70,6 +93,12 @@
   std::vector<uint64_t> leaving_upstreams = {};
   // Requests that were in flight on upstreams when those crashed.
   std::vector<CrashReport> crashes = {};
+  // What the sender saw of services that are being rolled out.
+  std::vector<VersionSample> version_samples = {};
+  // What the sender learned about upstreams that served it recently.
+  std::vector<PaceSample> paces = {};
+  // Callers that the host can carry in relation to others; 0 if not stated.
+  int64_t caller_weight = 0;
   // True for a message that only carries `teams`, `rate_asks`, `rate_replies`
   // and `crashes` and is sent between two regular ones; the other fields then
   // keep their last values.
@@ -96,8 +125,8 @@
   std::vector<const GatewayGossip*> ReachablePeers(int64_t now_ms) const;
   // Number of peers whose last regular message is at most `age_ms` old.
   int64_t PeersHeardWithin(int64_t age_ms, int64_t now_ms) const;
-  // Calls in flight at the peers that are not silent, by upstream hash.
-  std::unordered_map<uint64_t, int64_t> InFlightByUpstream(
+  // Load by the peers that are not silent, by upstream hash.
+  std::unordered_map<uint64_t, UpstreamLoad> LoadByUpstream(
       int64_t now_ms) const;
   // Time since the last regular message of `host`; `now_ms` if there was none.
   int64_t SinceLastGossipMs(const std::string& host, int64_t now_ms) const;
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -584,7 +584,7 @@
       view_.PeersHeardWithin(heard_within_ms, now_ms) + 1, now_ms);
   rates_.set_reachable(reachable_gateways_);
   rates_.set_hosts(ReadyHosts());
-  table_.set_peer_load(view_.InFlightByUpstream(now_ms));
+  table_.set_peer_load(view_.LoadByUpstream(now_ms));
 }
 
 std::vector<std::string> GatewayState::ReadyHosts() const {
--- a/src/upstream_entry.h
+++ b/src/upstream_entry.h
@@ -13,6 +13,8 @@
   std::string service = {};
   std::string address = {};
   std::string zone = {};
+  // Version of the software that the upstream runs.
+  std::string version = {};
   // Calls that the upstream serves concurrently.
   int64_t slots = 1;
   // True when it is about to stop: no new calls may be sent.
@@ -23,4 +25,13 @@
   int64_t started_at_ms = 0;
 };
 
+// Calls of one gateway that are in flight on an upstream.
+struct UpstreamLoad {
+  // HashName() of the upstream's id.
+  uint64_t upstream = 0;
+  int64_t in_flight = 0;
+  // Tokens that these calls hold in the upstream's memory, prompt and output.
+  int64_t tokens = 0;
+};
+
 }  // namespace pimento
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -102,10 +102,11 @@
   }
 }
 
-void UpstreamTable::set_peer_load(std::unordered_map<uint64_t, int64_t> load) {
+void UpstreamTable::set_peer_load(
+    const std::unordered_map<uint64_t, UpstreamLoad>& load) {
   for (auto& [id, upstream] : upstreams_) {
     const auto it = load.find(upstream.hash);
-    upstream.peers_in_flight = it == load.end() ? 0 : it->second;
+    upstream.peers_in_flight = it == load.end() ? 0 : it->second.in_flight;
   }
 }
 
@@ -421,11 +422,12 @@
       }));
 }
 
-std::vector<std::pair<uint64_t, int64_t>> UpstreamTable::LocalLoad() const {
-  std::vector<std::pair<uint64_t, int64_t>> load;
+std::vector<UpstreamLoad> UpstreamTable::LocalLoad() const {
+  std::vector<UpstreamLoad> load;
   for (const auto& [id, upstream] : upstreams_) {
     if (upstream.in_flight > 0) {
-      load.emplace_back(upstream.hash, upstream.in_flight);
+      load.push_back(
+          {.upstream = upstream.hash, .in_flight = upstream.in_flight});
     }
   }
   return load;
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -54,6 +54,10 @@
   std::string prompt_holder = {};
   // Ids of the upstreams to which this call was already sent.
   std::set<std::string> tried = {};
+  // Tokens of the whole prompt, history included; 0 when not stated.
+  int64_t prompt_tokens = 0;
+  // Time until the program of the call should finish; empty when not stated.
+  std::optional<int64_t> program_left_ms = {};
 };
 
 enum class CallOutcome : uint8_t { kServed, kRefused, kFailed, kAbandoned };
@@ -63,6 +67,8 @@
   int64_t duration_ms = 0;
   // Stream events received.
   int64_t events = 0;
+  // Time until the first event; empty if none came.
+  std::optional<int64_t> first_event_ms = {};
 };
 
 class UpstreamTable {
@@ -80,8 +86,8 @@
   void set_gateway_count(int64_t count) { gateways_ = count; }
   // Index of this gateway in the sorted list of gateway names, from 0.
   void set_gateway_index(int64_t index) { gateway_index_ = index; }
-  // Calls in flight from all other gateways, by upstream hash.
-  void set_peer_load(std::unordered_map<uint64_t, int64_t> load);
+  // Load from all other gateways, by upstream hash.
+  void set_peer_load(const std::unordered_map<uint64_t, UpstreamLoad>& load);
 
   // Sets the calls a second that the upstream says it accepts from all gateways
   // together; empty when it names no limit. Returns true when that changed.
@@ -143,8 +149,8 @@
   int64_t ExpectedWaitMs(const std::string& service, size_t waiting) const;
   // Number of upstreams of `service` that may receive calls.
   size_t usable(const std::string& service) const;
-  // This gateway's calls in flight, by upstream hash, as sent to its peers.
-  std::vector<std::pair<uint64_t, int64_t>> LocalLoad() const;
+  // This gateway's calls in flight, as sent to its peers.
+  std::vector<UpstreamLoad> LocalLoad() const;
   std::vector<std::string> ids() const;
 
  private:
--- a/test/correctness/upstream_table_test.cc
+++ b/test/correctness/upstream_table_test.cc
@@ -131,9 +131,10 @@
 
 TEST_CASE("calls of other gateways count as load") {
   auto table = TableOf({Entry("one"), Entry("two")});
-  table.set_peer_load({{HashName("one"), 4}});
+  table.set_peer_load({{HashName("one"), {.in_flight = 4}}});
   CHECK(table.Choose(Input(), 0).upstream.id == "two");
-  table.set_peer_load({{HashName("one"), 4}, {HashName("two"), 4}});
+  table.set_peer_load({{HashName("one"), {.in_flight = 4}},
+                       {HashName("two"), {.in_flight = 4}}});
   CHECK(table.Choose(Input(), 0).verdict == UpstreamTable::Verdict::kFull);
 }
 
--- a/test/platform/hostile_surroundings_test.cc
+++ b/test/platform/hostile_surroundings_test.cc
@@ -376,7 +376,7 @@
       std::numeric_limits<double>::infinity(),
       5};
   for (size_t i = 0; i < count; ++i) {
-    gossip.loads.emplace_back(random() % 300, number());
+    gossip.loads.push_back({.upstream = random() % 300, .in_flight = number()});
     gossip.teams.push_back({random(), {number(), number()}});
     gossip.programs.push_back(random());
     gossip.echoes.push_back(
