Second tries of slow answers, within a share that the operator sets

Cause: a few upstreams that pause give the slowest answers, and a repeatable request waits for the one it was sent to. Change: HedgePolicy (when, and the budget) and UpstreamTable::ChooseSpare (where), both pure; a request is sent to a second upstream once it waits longer than 95 in 100 recent answers of its route, the first good answer is forwarded, the other try is stopped. Ruled out: a fixed delay; tries at once; streams and percentiles over the fleet (not built).

--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -117,6 +117,17 @@
                 kMinRetryAfterMs);
 }
 
+std::optional<UpstreamEntry> Dispatcher::AcquireSpare(
+    const PlacementInput& input) {
+  for (const auto& [ticket, waiter] : waiters_) {
+    if (waiter->request.input.service == input.service) return std::nullopt;
+  }
+  const int64_t now_ms = SteadyMs();
+  const auto spare = table_.ChooseSpare(input, now_ms);
+  if (spare) table_.OnCallStarted(spare->id, input, now_ms);
+  return spare;
+}
+
 void Dispatcher::ServeQueues(const std::string& /*service*/,
                              ServiceQueues& service_queues) {
   for (auto& [priority, queue] : service_queues.queues) {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -51,6 +51,10 @@
   // RunState::kNotRun.
   boost::asio::awaitable<UpstreamEntry> Acquire(DispatchRequest request,
                                                 StopToken& token);
+  // Reserves an upstream for the second try of a call that is running
+  // elsewhere; empty when none is to spare or calls of the service are queued.
+  // Each success must be followed by Release().
+  std::optional<UpstreamEntry> AcquireSpare(const PlacementInput& input);
   // Returns the capacity reserved on upstream `id` and dispatches queued calls.
   void Release(const std::string& id, const CallResult& result);
   // Returns the capacity reserved on upstream `id` for a call that is not sent.
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -55,6 +55,7 @@
                    "call_queued",
                    "call_offered",
                    "offer_failed",
+                   "second_try",
                    "call_refused",
                    "call_broken",
                    "call_ended",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -52,6 +52,7 @@
   kCallQueued,
   kCallOffered,
   kOfferFailed,
+  kSecondTry,
   kCallRefused,
   kCallBroken,
   kCallEnded,
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -156,6 +156,7 @@
 }
 
 void GatewayCall::LogEnd(std::string_view outcome, int status) {
+  if (is_copy_) return;
   state_.metrics().Add(Counter::kCallsAnswered);
   state_.metrics().Observe(Latency::kCall, static_cast<double>(ElapsedMs()));
   EventLine(Event::kCallEnded)
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -7,6 +7,7 @@
 //   Admit           rate limit of the team                gateway_admission.cc
 //   BeginTurn       turn history, token budget            gateway_admission.cc
 //   TryUpstreams    upstream choice, exchange, retries    gateway_exchange.cc
+//   TryWithSecond   second try of a slow answer           gateway_hedge.cc
 //   ReportFailure   outcome when no attempt completed     gateway_call.cc
 //   ReleaseUnused   refunds unused quota and reservation  gateway_admission.cc
 //
@@ -82,6 +83,27 @@
       DispatchRequest request);
   boost::asio::awaitable<AttemptResult> TryUpstream(
       const UpstreamEntry& upstream);
+
+  struct HedgeTry;
+  struct HedgeRace;
+  // One try of `parent`'s request, with an answer and a token of its own.
+  GatewayCall(const GatewayCall& parent, const CallerRequest& request,
+              ResponseWriter& response, StopToken& token);
+  // True when the request may be sent to two upstreams at a time.
+  bool MayHedge() const;
+  // Like TryUpstream(), and sends the request to another upstream as well once
+  // the answer is late. Forwards the first good answer.
+  boost::asio::awaitable<AttemptResult> TryWithSecond(
+      const UpstreamEntry& upstream);
+  void StartTry(const std::shared_ptr<HedgeRace>& race,
+                const UpstreamEntry& upstream);
+  void StartSecondTry(const std::shared_ptr<HedgeRace>& race, int64_t delay_ms);
+  // Waits until the race is decided, the request is stopped or `until` is over.
+  boost::asio::awaitable<void> WaitForRace(std::shared_ptr<HedgeRace> race,
+                                           SteadyTime until);
+  boost::asio::awaitable<AttemptResult> EndRace(
+      std::shared_ptr<HedgeRace> race);
+
   // Called after TryUpstream(): records that the upstream crashed under the
   // request, or ran it to its end.
   boost::asio::awaitable<void> NoteRun(const UpstreamEntry& upstream,
@@ -147,6 +169,9 @@
   // Shared with the timer's handler, which may run after this object is
   // destroyed; false once `token_` must not be used any more.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  // True for a try of another GatewayCall's request, which does not log the
+  // request's end.
+  const bool is_copy_ = false;
 
   DesiredStatePtr desired_;
   CallHead head_;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -36,6 +36,7 @@
 }  // namespace
 
 asio::awaitable<void> GatewayCall::TryUpstreams() {
+  if (IsRetryable()) state_.hedging().OnRequest();
   for (;;) {
     if (token_.stopped()) co_return;
     if (!may_have_run_) RefuseSuspect();
@@ -66,7 +67,11 @@
       last_failure_ += std::string(" Then: ") + refusal.what();
       co_return;
     }
-    const AttemptResult attempt = co_await TryUpstream(upstream);
+    AttemptResult attempt = AttemptResult::kNotRun;
+    if (MayHedge())
+      attempt = co_await TryWithSecond(upstream);
+    else
+      attempt = co_await TryUpstream(upstream);
     co_await NoteRun(upstream, attempt);
     done_ = attempt == AttemptResult::kDone;
     if (done_) co_return;
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -136,7 +136,8 @@
              [this](const std::string& host, const GatewayGossip& message) {
                SendToPeer(host, message);
              }),
-      crash_detector_(io, pool_) {}
+      crash_detector_(io, pool_),
+      hedging_({.max_share = settings.hedge_share}) {}
 
 void GatewayState::SendToPeer(const std::string& host,
                               const GatewayGossip& message) {
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -18,6 +18,7 @@
 #include "src/desired_state.h"
 #include "src/dispatcher.h"
 #include "src/gateway_peers.h"
+#include "src/hedge_policy.h"
 #include "src/metrics.h"
 #include "src/overload_detector.h"
 #include "src/recent_programs.h"
@@ -63,6 +64,7 @@
   // The request ran to its end on an upstream.
   void OnRunCompleted(const RequestFingerprints& request);
   ConnectionPool& pool() { return pool_; }
+  HedgePolicy& hedging() { return hedging_; }
   // Number of gateways that exchange gossip with this one, itself included.
   int64_t reachable_gateways() const { return reachable_gateways_; }
   // The mirror of the store's objects of `kind`; null for a kind that is not
@@ -168,6 +170,7 @@
   // Whether an outage was confirmed at the last log line about it.
   bool was_down_ = false;
   int64_t last_sweep_ms_ = 0;
+  HedgePolicy hedging_;
   OverloadDetector overload_{{}};
   StoreOutage outage_{{}};
 };
--- a/src/main/platform_main.h
+++ b/src/main/platform_main.h
@@ -37,6 +37,10 @@
   WatchProcessEnd();
   cxxopts::Options options(name, purpose);
   options.add_options()("check", "check the settings and exit")(
+      "max-hedge-share",
+      "second tries of slow answers, as a share (0 to 1) of the requests that "
+      "may be repeated; only for pimento-gateway",
+      cxxopts::value<double>()->default_value("0"))(
       "version", "show the version")("help", "show this text");
   try {
     const auto arguments = options.parse(argc, argv);
@@ -51,7 +55,10 @@
       std::cout << name << " " << kVersion << "\n";
       return kExitDone;
     }
-    const platform::BootSettings settings = platform::ReadBootSettings();
+    platform::BootSettings settings = platform::ReadBootSettings();
+    settings.hedge_share = arguments["max-hedge-share"].as<double>();
+    if (!(settings.hedge_share >= 0 && settings.hedge_share <= 1))
+      throw UserError("--max-hedge-share is not between 0 and 1.");
     if (arguments.count("check") != 0) {
       std::cout << "The settings are correct.\n";
       return kExitDone;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -46,6 +46,10 @@
                      "leaving_stated",
                      "leaving_reported",
                      "sends_withheld",
+                     "hedges_sent",
+                     "hedges_won",
+                     "hedges_over_limit",
+                     "hedges_without_room",
                      "crash_suspects",
                      "crash_suspects_cleared",
                      "crash_suspects_reported"};
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -73,6 +73,12 @@
   // Calls that were not sent to the upstream that they were assigned to,
   // because it went out of service meanwhile.
   kSendsWithheld,
+  // Second tries of slow answers: sent, answered first, and not sent because
+  // the limit was used up or no upstream had capacity to spare.
+  kHedgesSent,
+  kHedgesWon,
+  kHedgesOverLimit,
+  kHedgesWithoutRoom,
   // Requests of this gateway that were in flight on an upstream when it
   // crashed, those that ran to their end later, and reports of peers.
   kCrashSuspects,
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -24,6 +24,8 @@
 // Cost of a failed call, weighted by the recent failure rate.
 constexpr double kFailureCostMs = 800;
 constexpr double kOtherZoneCostMs = 2;
+// Share of a service's slots that may be taken while second tries are sent.
+constexpr double kMaxSpareLoad = 0.7;
 // Weight of a new sample in the moving averages.
 constexpr double kSampleWeight = 0.1;
 // Backoff starts at this many consecutive failures and doubles with each
@@ -270,6 +272,40 @@
   return choice;
 }
 
+bool UpstreamTable::IsSpare(const Upstream& upstream,
+                            const PlacementInput& input, int64_t now_ms) const {
+  return Usable(upstream, input, now_ms) && HasCapacity(upstream, now_ms) &&
+         upstream.in_flight + upstream.peers_in_flight < upstream.entry.slots &&
+         upstream.entry.cold_left_ms == 0 && !upstream.named_limit &&
+         upstream.consecutive_failures == 0;
+}
+
+std::optional<UpstreamEntry> UpstreamTable::ChooseSpare(
+    const PlacementInput& input, int64_t now_ms) const {
+  int64_t slots = 0;
+  int64_t in_flight = 0;
+  double best_ms = 0;
+  const Upstream* chosen = nullptr;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry.service != input.service || !InService(upstream)) {
+      continue;
+    }
+    slots += upstream.entry.slots;
+    in_flight += upstream.in_flight + upstream.peers_in_flight;
+    if (!IsSpare(upstream, input, now_ms)) continue;
+    const double expected_ms = ExpectedMs(upstream, input);
+    if (chosen == nullptr || expected_ms < best_ms) {
+      chosen = &upstream;
+      best_ms = expected_ms;
+    }
+  }
+  const double most = kMaxSpareLoad * static_cast<double>(slots);
+  if (chosen == nullptr || static_cast<double>(in_flight) > most) {
+    return std::nullopt;
+  }
+  return chosen->entry;
+}
+
 void UpstreamTable::OnCallStarted(const std::string& id,
                                   const PlacementInput& input, int64_t now_ms) {
   const auto it = upstreams_.find(id);
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -133,6 +133,12 @@
   // Selects the upstream with the lowest expected latency.
   Choice Choose(const PlacementInput& input, int64_t now_ms) const;
 
+  // Selects an upstream for the second try of a call that is running elsewhere:
+  // one with a free slot that is neither cold nor limited and has not failed
+  // lately. Empty while the service has little capacity to spare.
+  std::optional<UpstreamEntry> ChooseSpare(const PlacementInput& input,
+                                           int64_t now_ms) const;
+
   // Record the start and the end of a call, for the load and the averages.
   void OnCallStarted(const std::string& id, const PlacementInput& input,
                      int64_t now_ms);
@@ -187,6 +193,9 @@
   bool InService(const Upstream& upstream) const;
   bool Usable(const Upstream& upstream, const PlacementInput& input,
               int64_t now_ms) const;
+  // True when the upstream may serve a second try; see ChooseSpare().
+  bool IsSpare(const Upstream& upstream, const PlacementInput& input,
+               int64_t now_ms) const;
   // True when a slot is free and this gateway's rate share is not used up.
   bool HasCapacity(const Upstream& upstream, int64_t now_ms) const;
   // Expected latency of the call at the upstream, milliseconds.
