A finished turn is stored again while its caller waits

Cause: FinishStream broke a finished stream off after one failed attempt to store its turn, with the caller's time far from up. Change: the record, which may be stored any number of times, is stored again after 60 ms, with the member list of then, until it is stored or the caller has left or its time is up. One log line and one count an attempt. Ruled out: ending the stream before the turn is stored; its history might be denied later.

--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -117,6 +117,10 @@
       const PooledConnection::ResponseHeader& header);
   boost::asio::awaitable<AttemptResult> FinishStream(
       const UpstreamEntry& upstream);
+  // Stores the finished turn, again after a failure as long as the caller
+  // waits: the same record may be stored any number of times. Throws
+  // TransportError.
+  boost::asio::awaitable<void> StoreTurn(TurnRecord record);
   std::shared_ptr<PooledConnection::Request> BuildUpstreamRequest(
       const UpstreamEntry& upstream) const;
   void SettleInBackground();
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -28,6 +28,8 @@
 // requests.
 constexpr int kMaxStrayResponses = 4;
 constexpr int kFirstNonSuccess = 300;
+// Pause before a finished turn is stored again.
+constexpr milliseconds kStoreRetryPause{60};
 
 bool Successful(int status) {
   return status >= kHttpOk && status < kFirstNonSuccess;
@@ -398,13 +400,7 @@
       record.program = head_.program;
       record.tokens = static_cast<uint64_t>(events_ * per_event);
     }
-    try {
-      co_await state_.archive().SaveTurn(std::move(record));
-    } catch (const ArchiveError& e) {
-      archive_failed_ = true;
-      throw TransportError(std::string("The turn could not be stored: ") +
-                           e.what());
-    }
+    co_await StoreTurn(std::move(record));
     reserved_ = false;
     EventLine(Event::kTurnKept)
         .Text("request", head_.request_id)
@@ -417,6 +413,33 @@
   co_return AttemptResult::kDone;
 }
 
+asio::awaitable<void> GatewayCall::StoreTurn(TurnRecord record) {
+  for (int attempt = 1;; ++attempt) {
+    std::string failure;
+    try {
+      co_await state_.archive().SaveTurn(record);
+      co_return;
+    } catch (const ArchiveError& e) {
+      failure = e.what();
+    }
+    const bool again =
+        !token_.stopped() && RemainingMs() > kStoreRetryPause.count();
+    EventLine(Event::kArchiveFailed)
+        .Text("request", head_.request_id)
+        .Text("what", again ? "turn, stored again" : "turn")
+        .Text("error", failure)
+        .Number("attempt", attempt)
+        .Number("left_ms", RemainingMs());
+    if (!again) {
+      archive_failed_ = true;
+      throw TransportError("The turn could not be stored: " + failure);
+    }
+    state_.metrics().Add(Counter::kTurnsStoredAgain);
+    asio::steady_timer pause(state_.io(), kStoreRetryPause);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+}
+
 milliseconds GatewayCall::PoolIdleTimeout() const {
   if (keep_alive_ms_ == 0) return kDefaultKeepAlive;
   const milliseconds stated(keep_alive_ms_);
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -78,6 +78,9 @@
   kCrashSuspects,
   kCrashSuspectsCleared,
   kCrashSuspectsReported,
+  // Finished turns that were stored again after too few members of the archive
+  // had confirmed them.
+  kTurnsStoredAgain,
   kCount,
 };
 
