Own delay is not taken for the silence of others

Cause: limits by which others are judged ran by the steady clock. A loop that was late counted its own time as its peers': a call whose request it sent only after a stall was given up at once. Change: LoopDelay, a clock that advances by a bounded step a turn of the loop; SilenceTimer and WaitForPeer judge by it, and wait one turn after a late timer. Deadlines of callers and the age of a configuration stay with the steady clock. pimento_loop_delay_ms_total and pimento_silence_put_off_total show it. Ruled out: that asio handles expired timers before sockets that are readable in the same poll; with the answer in the socket the old code passed the test.

--- a/src/archive_client.cc
+++ b/src/archive_client.cc
@@ -8,6 +8,7 @@
 #include "src/background_loop.h"
 #include "src/errors.h"
 #include "src/event_log.h"
+#include "src/loop_clock.h"
 
 namespace pimento {
 namespace {
@@ -182,11 +183,12 @@
     for (const auto& [id, reply] : fan_out->replies) answered.insert(id);
     return list->IsQuorum(answered);
   };
-  const auto hedge_at = steady_clock::now() + kHedgeDelay;
+  const LoopClock& clock = LoopClock::Of(io_);
+  const PeerTime hedge_at = clock.Now() + kHedgeDelay;
   while (!fan_out->stale_list && !enough()) {
     const bool call_backups = fan_out->member_failed ||
                               fan_out->in_flight == 0 ||
-                              steady_clock::now() >= hedge_at;
+                              clock.Now() >= hedge_at;
     if (call_backups) {
       for (const ArchiveMember& member : backups)
         StartCall(fan_out, call, member);
@@ -194,7 +196,8 @@
     }
     if (fan_out->in_flight == 0) break;
     fan_out->wakeup.expires_at(backups.empty() ? steady_clock::time_point::max()
-                                               : hedge_at);
+                                               : steady_clock::now() +
+                                                     (hedge_at - clock.Now()));
     boost::system::error_code ignored;  // woken by cancellation
     co_await fan_out->wakeup.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/archive_membership.cc
+++ b/src/archive_membership.cc
@@ -12,6 +12,7 @@
 #include "src/background_loop.h"
 #include "src/errors.h"
 #include "src/event_log.h"
+#include "src/loop_clock.h"
 
 namespace pimento {
 namespace {
@@ -70,7 +71,7 @@
                         .self = id_,
                         .replace_after_ms = kReplaceAfterMs,
                         .wanted = TargetMemberCount()};
-  const auto now = steady_clock::now();
+  const PeerTime now = LoopClock::Of(io_).Now();
   for (const auto& [host, object] : registration_watch_.objects()) {
     ArchivePeer peer;
     try {
@@ -105,7 +106,7 @@
                 call.list_version = list_.version;
                 const ArchiveReply reply = co_await rpc_.Call(
                     member.address, std::move(call), kPingTimeout);
-                last_reply_[reply.member] = steady_clock::now();
+                last_reply_[reply.member] = LoopClock::Of(io_).Now();
                 copied_versions_[reply.member] = reply.next;
               } catch (const TransportError&) {
                 // Not logged: the plan uses the time since the last reply, and
@@ -145,7 +146,7 @@
                           list_.members.size() >= TargetMemberCount();
       if (stable) {
         last_reply_.clear();
-        observing_since_ = steady_clock::now();
+        observing_since_ = LoopClock::Of(io_).Now();
         last_stable_ = BootClock::now();
         continue;
       }
@@ -167,13 +168,13 @@
   std::vector<ArchiveMember> found;
   for (const auto& peer : MakePlanInput().peers) found.push_back(peer.member);
   const bool all = found.size() >= TargetMemberCount();
-  if (!all && steady_clock::now() - observing_since_ < kFirstListWait)
+  if (!all && LoopClock::Of(io_).Now() - observing_since_ < kFirstListWait)
     co_return;
   if (found.empty()) co_return;
   // The host whose name sorts first creates the list; the others do so only
   // after twice the wait.
   if (found.front().id != id_ &&
-      steady_clock::now() - observing_since_ < 2 * kFirstListWait)
+      LoopClock::Of(io_).Now() - observing_since_ < 2 * kFirstListWait)
     co_return;
   // The first round takes one host per zone; the second adds more hosts of the
   // same zones where that is too few.
--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -11,6 +11,7 @@
 #include "src/background_loop.h"
 #include "src/errors.h"
 #include "src/event_log.h"
+#include "src/loop_clock.h"
 #include "src/process_end.h"
 #include "src/stop_signals.h"
 #include "src/store_outage.h"
@@ -31,6 +32,9 @@
 constexpr int64_t kSegmentRetentionMs = 600'000;
 // Slower syncs are logged.
 constexpr int64_t kSlowSyncMs = 100;
+// How finely this host's own delay is told from the silence of its peers: well
+// below the time after which a silent member is replaced.
+constexpr milliseconds kTurnInterval{200};
 constexpr size_t kMaxConnections = 1'000;
 constexpr uint64_t kMaxCallBytes = 8 * 1024 * 1024;
 constexpr int64_t kIdleTimeoutMs = 60'000;
@@ -99,7 +103,7 @@
                    .wait = MaxContactWait(options_.revoke_ms)}),
       retirement_watch_(io, store,
                         {.kind = std::string(platform::kRetirementKind)}),
-      observing_since_(steady_clock::now()) {}
+      observing_since_(LoopClock::Of(io).Now()) {}
 
 void ArchiveNode::Start() {
   id_ = journal_.MemberId();
@@ -131,6 +135,8 @@
   list_watch_.Start(adopt);
   registration_watch_.Start([] {});
   retirement_watch_.Start([] {});
+  KeepRunning(io_, "loop clock",
+              [this] { return LoopClock::Of(io_).RunTurns(kTurnInterval); });
   KeepRunning(io_, "registration", [this] { return Register(); });
   KeepRunning(io_, "membership", [this] { return RunMembership(); });
 }
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -20,6 +20,7 @@
 #include "src/archive_journal.h"
 #include "src/archive_rpc.h"
 #include "src/caller_connection.h"
+#include "src/loop_delay.h"
 #include "src/member_list.h"
 #include "src/store_watch.h"
 #include "src/turn_archive.h"
@@ -137,13 +138,13 @@
   // copied all records.
   uint64_t copied_version_ = 0;
   // Time of the last reply of each member since `observing_since_`.
-  std::map<uint64_t, std::chrono::steady_clock::time_point> last_reply_;
+  std::map<uint64_t, PeerTime> last_reply_;
   // The `copied_version_` that each member last reported.
   std::map<uint64_t, uint64_t> copied_versions_;
   // Start of the current observation of the peers: the start of the process or
   // the last time the membership was stable. A peer without a reply counts as
   // silent since then.
-  std::chrono::steady_clock::time_point observing_since_;
+  PeerTime observing_since_;
   // Last time at which the membership was stable: no change in progress, no
   // retirement, and enough members.
   BootClock::time_point last_stable_{};
--- a/src/archive_rpc.cc
+++ b/src/archive_rpc.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "src/errors.h"
+#include "src/loop_clock.h"
 
 namespace pimento {
 namespace {
@@ -19,18 +20,28 @@
 asio::awaitable<ArchiveReply> ArchiveRpc::Call(std::string address,
                                                ArchiveCall call,
                                                milliseconds timeout) {
-  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  const auto executor = co_await asio::this_coro::executor;
+  const PeerTime deadline = LoopClock::Of(executor).Now() + timeout;
   auto request = std::make_shared<PooledConnection::Request>(http::verb::post,
                                                              "/archive", 11);
   request->set(http::field::host, address);
   request->body() = EncodeCall(call);
   request->prepare_payload();
   auto connection = co_await pool_.Acquire(address, timeout);
-  co_await connection->Send(request, deadline);
-  const auto* header = co_await connection->ReadHeader(deadline);
-  const int status = static_cast<int>(header->result_int());
-  const std::string body =
-      co_await connection->ReadRemainingBody(deadline, kMaxReplyBytes);
+  const SilenceTimer silence(executor, deadline,
+                             [&connection] { connection->Close(); });
+  int status = 0;
+  std::string body;
+  try {
+    co_await connection->Send(request, kNoDeadline);
+    const auto* header = co_await connection->ReadHeader(kNoDeadline);
+    status = static_cast<int>(header->result_int());
+    body = co_await connection->ReadRemainingBody(kNoDeadline, kMaxReplyBytes);
+  } catch (const TransportError& e) {
+    if (!silence.fired()) throw;
+    throw TransportError("The archive at " + address + " is silent.", true,
+                         true);
+  }
   pool_.Release(std::move(connection), kIdleTimeout);
   if (status != 200)
     throw TransportError("The archive at " + address + " replied with status " +
--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "src/errors.h"
+#include "src/loop_clock.h"
 
 namespace pimento {
 namespace {
@@ -78,9 +79,12 @@
 asio::awaitable<void> PooledConnection::Connect(tcp::endpoint endpoint,
                                                 milliseconds limit) {
   beast::error_code error;
-  stream_.expires_after(limit);
+  stream_.expires_never();
+  const SilenceTimer silence(stream_.get_executor(), limit,
+                             [this] { Close(); });
   co_await stream_.async_connect(
       endpoint, asio::redirect_error(asio::use_awaitable, error));
+  if (silence.fired()) error = beast::error::timeout;
   if (error) ThrowTransportError("Connecting to " + address_, error, false);
   SetTcpTimeouts(stream_.socket(), kUnackedTimeout);
 }
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -21,6 +21,9 @@
 
 using SteadyTime = std::chrono::steady_clock::time_point;
 
+// For exchanges that a SilenceTimer ends.
+inline constexpr SteadyTime kNoDeadline = SteadyTime::max();
+
 // One client connection. Its asynchronous methods throw TransportError.
 class PooledConnection {
  public:
@@ -31,6 +34,7 @@
 
   explicit PooledConnection(boost::asio::any_io_executor executor);
 
+  // Throws once the peer has been silent for `limit`; see loop_clock.h.
   Async<void> Connect(boost::asio::ip::tcp::endpoint endpoint,
                       std::chrono::milliseconds limit);
   // Sends a request. A long body is written in the background while the
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -12,6 +12,7 @@
 #include "src/background_loop.h"
 #include "src/errors.h"
 #include "src/event_log.h"
+#include "src/loop_clock.h"
 #include "src/process_end.h"
 
 namespace pimento {
@@ -34,7 +35,8 @@
 // Initial time after which a peer is silent, until the number of gateways and
 // thus the interval is known.
 constexpr int64_t kInitialSilentAfterMs = 450;
-constexpr milliseconds kHousekeepingInterval{50};
+// Housekeeping also reports the turns of the loop.
+constexpr milliseconds kHousekeepingInterval = LoopClock::kTurnInterval;
 constexpr milliseconds kRegisterRetryPause{300};
 // Maximum waits of the other watches.
 constexpr milliseconds kUpstreamWait{4'000};
@@ -165,7 +167,7 @@
 StoreSource GatewayState::WatchSource() {
   std::vector<std::string> ready_hosts;
   if (Ready()) ready_hosts.push_back(settings_.host);
-  for (const GatewayGossip* gossip : view_.ReachablePeers(SteadyMs())) {
+  for (const GatewayGossip* gossip : view_.ReachablePeers(PeerNowMs())) {
     const bool known = gateway_addresses_.count(gossip->host) > 0;
     if (gossip->ready && known && gossip->zone == settings_.zone)
       ready_hosts.push_back(gossip->host);
@@ -188,7 +190,7 @@
   for (StoreWatch* watch : watches_) {
     const StoreSource source = watch->source();
     if (source.host.empty()) continue;
-    const bool silent = view_.IsSilent(source.host, now_ms);
+    const bool silent = view_.IsSilent(source.host, PeerNowMs());
     if (!silent && !old) continue;
     watch_assignment_.NoteFailure(source.host, now_ms);
     source.client->Abort();
@@ -210,6 +212,9 @@
         << "pimento_view_revision" << label << watch->revision() << "\n"
         << "pimento_view_held" << label << watch->held() << "\n";
   }
+  const LoopClock& clock = LoopClock::Of(io_);
+  out << "pimento_loop_delay_ms_total " << clock.DelayMs() << "\n"
+      << "pimento_silence_put_off_total " << clock.put_off() << "\n";
   return out.str();
 }
 
@@ -335,11 +340,12 @@
 
 void GatewayState::OnGossip(const GatewayGossip& gossip) {
   const int64_t now_ms = SteadyMs();
-  const bool was_silent = view_.IsSilent(gossip.host, now_ms);
-  ChargePeerUsage(gossip.host, view_.ApplyGossip(gossip, now_ms));
+  const int64_t peer_now_ms = PeerNowMs();
+  const bool was_silent = view_.IsSilent(gossip.host, peer_now_ms);
+  ChargePeerUsage(gossip.host, view_.ApplyGossip(gossip, peer_now_ms));
   rates_.OnMessage(gossip);
   TellStartedPeer(gossip);
-  if (was_silent && !view_.IsSilent(gossip.host, now_ms))
+  if (was_silent && !view_.IsSilent(gossip.host, peer_now_ms))
     EventLine(Event::kPeerSeen).Text("peer", gossip.host);
   for (const uint64_t program : gossip.programs)
     programs_.OnPeerAdmitted(program, now_ms);
@@ -502,7 +508,7 @@
                        .store_overdue_ms = store_.OverdueMs()};
   gossip.loads = table_.LocalLoad();
   gossip.leaving_upstreams = table_.LeavingToReport();
-  gossip.echoes = view_.Echoes(SteadyMs());
+  gossip.echoes = view_.Echoes(PeerNowMs());
   gossip.teams = usage_gossip_.NextEntries(rates_.quota().local_usage());
   rates_.quota().OnUsageReported();
   gossip.programs = programs_.NextGossipBatch();
@@ -510,6 +516,8 @@
   return gossip;
 }
 
+int64_t GatewayState::PeerNowMs() const { return LoopClock::Of(io_).NowMs(); }
+
 int64_t GatewayState::StateAgeMs() const {
   const auto fresh =
       std::max(relayed_fresh_as_of_, config_watch_.fresh_as_of());
@@ -561,7 +569,7 @@
       (overloaded ? overloaded_addresses : addresses).push_back(address);
   };
   add(Ready(), overload_.overloaded(), settings_.callers_address);
-  for (const GatewayGossip* gossip : view_.ReachablePeers(SteadyMs()))
+  for (const GatewayGossip* gossip : view_.ReachablePeers(PeerNowMs()))
     add(gossip->ready, gossip->strained, gossip->callers_address);
   if (!MayExcludeOverloaded(overloaded_addresses.size(),
                             addresses.size() + overloaded_addresses.size()))
@@ -572,8 +580,9 @@
 
 void GatewayState::UpdateFleet() {
   const int64_t now_ms = SteadyMs();
+  const int64_t peer_now_ms = PeerNowMs();
   reachable_gateways_ =
-      static_cast<int64_t>(view_.ReachablePeers(now_ms).size()) + 1;
+      static_cast<int64_t>(view_.ReachablePeers(peer_now_ms).size()) + 1;
   table_.set_gateway_count(std::max(registered_gateways_, reachable_gateways_));
   const auto heard_within_ms = std::max(
       kMinRateShareMs,
@@ -581,16 +590,16 @@
                            static_cast<double>(peers_.interval().count())));
   rates_.quota().set_gateway_counts(
       std::max(registered_gateways_, reachable_gateways_),
-      view_.PeersHeardWithin(heard_within_ms, now_ms) + 1, now_ms);
+      view_.PeersHeardWithin(heard_within_ms, peer_now_ms) + 1, now_ms);
   rates_.set_reachable(reachable_gateways_);
   rates_.set_hosts(ReadyHosts());
-  table_.set_peer_load(view_.LoadByUpstream(now_ms));
+  table_.set_peer_load(view_.LoadByUpstream(peer_now_ms));
 }
 
 std::vector<std::string> GatewayState::ReadyHosts() const {
   std::vector<std::string> hosts;
   if (Ready()) hosts.push_back(settings_.host);
-  for (const GatewayGossip* gossip : view_.ReachablePeers(SteadyMs()))
+  for (const GatewayGossip* gossip : view_.ReachablePeers(PeerNowMs()))
     if (gossip->ready) hosts.push_back(gossip->host);
   return hosts;
 }
@@ -640,6 +649,7 @@
   for (;;) {
     asio::steady_timer timer(io_, kHousekeepingInterval);
     co_await timer.async_wait(asio::use_awaitable);
+    LoopClock::Of(io_).OnTurn();
     SampleTimerLag(timer.expiry());
     UpdateFleet();
     dispatcher_.DispatchQueued();
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -77,6 +77,8 @@
   boost::asio::io_context& io() { return io_; }
 
  private:
+  // Time by which the peers' silence is judged, milliseconds.
+  int64_t PeerNowMs() const;
   void OnConfig();
   void OnUpstreams();
   void OnDrainedZones();
--- a/src/shared_rates.cc
+++ b/src/shared_rates.cc
@@ -5,6 +5,7 @@
 
 #include "src/boot_clock.h"
 #include "src/event_log.h"
+#include "src/loop_clock.h"
 #include "src/name_hash.h"
 
 namespace pimento {
@@ -48,10 +49,10 @@
   metrics_.Add(Counter::kRateAsked);
   for (int sends = 0; sends < kSendsPerAsk && !pending->reply; ++sends) {
     send_(host, message);
-    pending->wakeup.expires_after(kReplyTimeout);
-    boost::system::error_code ignored;  // replied or timed out
-    co_await pending->wakeup.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+    const std::function<bool()> replied = [pending] {
+      return pending->reply.has_value();
+    };
+    co_await WaitForPeer(pending->wakeup, kReplyTimeout, replied);
   }
   pending_.erase(ask.id);
   if (!pending->reply) {
