A large configuration is taken in and passed on in steps

Change: a mirror's text of an object is encoded once, in steps when it is long, and shared by all readers; the history holds names, not copies. A configuration is decoded and indexed 64 entries at a time while the one before stays in force, whose age then goes on counting; one that is not newer is not decoded.

--- a/src/desired_state.cc
+++ b/src/desired_state.cc
@@ -20,16 +20,9 @@
   return kKindNames[static_cast<size_t>(kind)];
 }
 
-DesiredState::DesiredState(Parts parts) : parts_(std::move(parts)) {
-  const auto& routes = parts_.routes;
-  for (size_t i = 0; i < routes.size(); ++i) {
-    routes_of_host_[routes[i].host].push_back(i);
-  }
-  for (auto& [host, indices] : routes_of_host_) {
-    std::stable_sort(indices.begin(), indices.end(), [&](size_t a, size_t b) {
-      return routes[a].path_prefix.size() > routes[b].path_prefix.size();
-    });
-  }
+DesiredState::DesiredState(Parts parts)
+    : DesiredState(std::move(parts), Unindexed{}) {
+  for (size_t i = 0; i < parts_.routes.size(); ++i) IndexRoute(i);
   for (size_t i = 0; i < parts_.services.size(); ++i) {
     service_index_[parts_.services[i].name] = i;
   }
@@ -38,6 +31,40 @@
   }
 }
 
+void DesiredState::IndexRoute(size_t index) {
+  const auto& routes = parts_.routes;
+  auto& indices = routes_of_host_[routes[index].host];
+  // After those of the same length: the first of them wins.
+  const auto longer = [&](size_t a, size_t b) {
+    return routes[a].path_prefix.size() > routes[b].path_prefix.size();
+  };
+  indices.insert(
+      std::upper_bound(indices.begin(), indices.end(), index, longer), index);
+}
+
+bool DesiredState::Builder::Step(size_t max_entries) {
+  DesiredState& state = *state_;
+  const size_t routes = state.parts_.routes.size();
+  const size_t services = state.parts_.services.size();
+  const size_t total = routes + services + state.parts_.teams.size();
+  const size_t end = indexed_ + std::min(total - indexed_, max_entries);
+  for (; indexed_ < end; ++indexed_) {
+    size_t index = indexed_;
+    if (index < routes) {
+      state.IndexRoute(index);
+      continue;
+    }
+    index -= routes;
+    if (index < services) {
+      state.service_index_[state.parts_.services[index].name] = index;
+      continue;
+    }
+    index -= services;
+    state.team_index_[state.parts_.teams[index].name] = index;
+  }
+  return indexed_ < total;
+}
+
 const Route* DesiredState::FindRoute(std::string_view host,
                                      std::string_view path) const {
   const auto it = routes_of_host_.find(std::string(WithoutPort(host)));
--- a/src/desired_state.h
+++ b/src/desired_state.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace pimento {
@@ -96,6 +97,8 @@
     CallerLimits limits = {};
   };
   explicit DesiredState(Parts parts);
+  // Builds the lookups of a state in steps.
+  class Builder;
 
   int64_t version() const { return parts_.version; }
   const CallerLimits& limits() const { return parts_.limits; }
@@ -111,6 +114,10 @@
   const ServiceSpec* FindService(const std::string& name) const;
 
  private:
+  struct Unindexed {};
+  DesiredState(Parts parts, Unindexed) : parts_(std::move(parts)) {}
+  void IndexRoute(size_t index);
+
   Parts parts_;
   // Indices into `parts_.routes`, by host, longest path prefix first.
   std::unordered_map<std::string, std::vector<size_t>> routes_of_host_;
@@ -121,6 +128,21 @@
 
 using DesiredStatePtr = std::shared_ptr<const DesiredState>;
 
+class DesiredState::Builder {
+ public:
+  explicit Builder(Parts parts)
+      : state_(new DesiredState(std::move(parts), Unindexed{})) {}
+  // Indexes up to `max_entries` routes, services and teams. Returns false once
+  // all are indexed.
+  bool Step(size_t max_entries);
+  DesiredStatePtr Take() && { return std::move(state_); }
+
+ private:
+  std::shared_ptr<DesiredState> state_;
+  // Entries indexed so far, of all three lists in this order.
+  size_t indexed_ = 0;
+};
+
 // Selects a service of the route by weight. `draw` is a uniform random number
 // in [0, 1).
 const std::string& PickService(const Route& route, double draw);
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -38,6 +38,8 @@
 // Housekeeping also reports the turns of the loop.
 constexpr milliseconds kHousekeepingInterval = LoopClock::kTurnInterval;
 constexpr milliseconds kRegisterRetryPause{300};
+// Routes, services and teams of a configuration that are taken in at a time.
+constexpr size_t kConfigEntriesAtOnce = 64;
 // Maximum waits of the other watches.
 constexpr milliseconds kUpstreamWait{4'000};
 constexpr milliseconds kRareChangeWait{7'000};
@@ -219,7 +221,7 @@
 }
 
 void GatewayState::Start() {
-  config_watch_.Start([this] { OnConfig(); });
+  config_watch_.StartTakingIn([this] { return OnConfig(); });
   upstream_watch_.Start([this] { OnUpstreams(); });
   zone_watch_.Start([this] { OnDrainedZones(); });
   member_watch_.Start([this] { OnMembers(); });
@@ -240,19 +242,30 @@
   peers_.Announce();
 }
 
-void GatewayState::OnConfig() {
-  const auto& objects = config_watch_.objects();
-  const auto it = objects.find(std::string(platform::kConfigName));
-  if (it == objects.end()) return;
+asio::awaitable<DesiredStatePtr> GatewayState::DecodeConfig(
+    const json::value& spec) {
   try {
-    auto parts = platform::DecodeDesiredState(it->second.spec);
-    if (desired_ && parts.version <= desired_->version()) return;
-    desired_ = std::make_shared<DesiredState>(std::move(parts));
+    platform::DesiredStateDecoder decoder(spec);
+    if (desired_ && decoder.version() <= desired_->version()) co_return nullptr;
+    while (decoder.Step(kConfigEntriesAtOnce)) co_await YieldToLoop();
+    DesiredState::Builder builder(std::move(decoder).Take());
+    while (builder.Step(kConfigEntriesAtOnce)) co_await YieldToLoop();
+    co_return std::move(builder).Take();
   } catch (const StateError& e) {
     EventLine(Event::kHandlerFailed).Text("error", e.what());
-    return;
   }
+  co_return nullptr;
+}
+
+asio::awaitable<void> GatewayState::OnConfig() {
+  const auto& objects = config_watch_.objects();
+  const auto it = objects.find(std::string(platform::kConfigName));
+  if (it == objects.end()) co_return;
+  DesiredStatePtr decoded = co_await DecodeConfig(it->second.spec);
+  if (!decoded) co_return;
+  desired_ = std::move(decoded);
   rates_.quota().set_teams(*desired_, SteadyMs());
+  co_await YieldToLoop();
   LogRateLimits();
   table_.set_services(*desired_);
   EventLine(Event::kStateInForce)
@@ -520,7 +533,7 @@
 
 int64_t GatewayState::StateAgeMs() const {
   const auto fresh =
-      std::max(relayed_fresh_as_of_, config_watch_.fresh_as_of());
+      std::max(relayed_fresh_as_of_, config_watch_.taken_in_as_of());
   return duration_cast<milliseconds>(BootClock::now() - fresh).count();
 }
 
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -79,7 +79,13 @@
  private:
   // Time by which the peers' silence is judged, milliseconds.
   int64_t PeerNowMs() const;
-  void OnConfig();
+  // Takes in the configuration step by step. The one before stays in force
+  // meanwhile.
+  boost::asio::awaitable<void> OnConfig();
+  // Null, with a log line, for one that cannot be read, and null for one that
+  // is not newer.
+  boost::asio::awaitable<DesiredStatePtr> DecodeConfig(
+      const boost::json::value& spec);
   void OnUpstreams();
   void OnDrainedZones();
   void OnMembers();
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -4,8 +4,10 @@
 #include <set>
 #include <utility>
 
+#include "platform/store_mirror.h"
 #include "src/background_loop.h"
 #include "src/event_log.h"
+#include "src/loop_clock.h"
 
 namespace pimento {
 namespace {
@@ -23,6 +25,10 @@
 constexpr milliseconds kMirrorWait{1'500};
 // Failing sources that are tried in a row before the first pause.
 constexpr int kSourcesBeforePause = 3;
+// Objects of longer answers are encoded for other hosts in steps of this
+// length, others when they are asked for.
+constexpr size_t kLongAnswerBytes = 64 * 1024;
+constexpr size_t kStepBytes = 16 * 1024;
 // Batches of changes retained for other hosts.
 constexpr size_t kMaxHistoryBatches = 256;
 
@@ -36,6 +42,13 @@
       source_{.client = &store} {}
 
 void StoreWatch::Start(std::function<void()> on_change) {
+  StartTakingIn([on_change = std::move(on_change)]() -> asio::awaitable<void> {
+    on_change();
+    co_return;
+  });
+}
+
+void StoreWatch::StartTakingIn(std::function<Async<void>()> on_change) {
   on_change_ = std::move(on_change);
   KeepRunning(io_, "watch of " + options_.kind, [this] { return Run(); });
 }
@@ -113,8 +126,11 @@
   known_ = true;
   fresh_as_of_ = asked - milliseconds(list.mirror.age_ms);
   ApplyHeldDeletes();
+  if (source_.host.empty() && list.bytes > kLongAnswerBytes)
+    co_await EncodeForOthers({present.begin(), present.end()});
   WakeWaiters();
-  on_change_();
+  co_await on_change_();
+  taken_in_as_of_ = fresh_as_of_;
 }
 
 asio::awaitable<void> StoreWatch::WatchOnce() {
@@ -132,16 +148,23 @@
     co_return;
   }
   ApplySourceStatus(changes.mirror);
-  Batch batch{.revision = changes.revision, .events = changes.events};
+  Batch batch{.revision = changes.revision, .changes = {}};
+  std::vector<std::string> present;
   for (auto& event : changes.events) {
     const std::string name = event.object.name;
+    batch.changes.push_back({.name = name,
+                             .revision = event.object.revision,
+                             .deleted = event.deleted});
     if (event.deleted) {
       RemoveOrHold(name);
       continue;
     }
     held_deletes_.erase(name);
     objects_[name] = std::move(event.object);
+    present.push_back(name);
   }
+  if (source_.host.empty() && changes.bytes > kLongAnswerBytes)
+    co_await EncodeForOthers(std::move(present));
   // Another host's mirror may be behind this one; the revision never decreases.
   const bool from_store = source_.host.empty();
   revision_ =
@@ -150,10 +173,21 @@
   fresh_as_of_ =
       std::max(fresh_as_of_, asked - milliseconds(changes.mirror.age_ms));
   const bool held = !held_deletes_.empty();
-  const bool changed = !batch.events.empty();
+  const bool changed = !batch.changes.empty();
   if (changed) AppendToHistory(std::move(batch));
   ApplyHeldDeletes();
-  if (changed || held) on_change_();
+  if (changed || held) co_await on_change_();
+  taken_in_as_of_ = fresh_as_of_;
+}
+
+asio::awaitable<void> StoreWatch::EncodeForOthers(
+    std::vector<std::string> names) {
+  for (const std::string& name : names) {
+    const auto object = objects_.find(name);
+    if (object == objects_.end()) continue;
+    platform::MirrorTextEncoder encoder(object->second);
+    while (encoder.Step(kStepBytes)) co_await YieldToLoop();
+  }
 }
 
 void StoreWatch::AppendToHistory(Batch batch) {
@@ -180,7 +214,8 @@
 platform::StoreList StoreWatch::ServeList() const {
   platform::StoreList list{.revision = revision_, .mirror = LocalStatus()};
   for (const auto& [name, object] : objects_) {
-    if (held_deletes_.count(name) == 0) list.objects.push_back(object);
+    if (held_deletes_.count(name) == 0)
+      list.objects.push_back(platform::MirrorCopy(object));
   }
   return list;
 }
@@ -205,8 +240,18 @@
   changes.history_gone = revision < history_start_;
   for (const Batch& batch : history_) {
     if (batch.revision <= revision) continue;
-    changes.events.insert(changes.events.end(), batch.events.begin(),
-                          batch.events.end());
+    for (const Change& change : batch.changes) {
+      if (change.deleted) {
+        changes.events.push_back(
+            {{.name = change.name, .revision = change.revision}, true});
+        continue;
+      }
+      // An object that has changed or gone since is in a later change.
+      const auto object = objects_.find(change.name);
+      if (object != objects_.end() &&
+          object->second.revision == change.revision)
+        changes.events.push_back({platform::MirrorCopy(object->second), false});
+    }
   }
   co_return changes;
 }
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -57,6 +57,9 @@
   // Starts reading. Calls `on_change` after each list and each batch of
   // changes.
   void Start(std::function<void()> on_change);
+  // The same for changes that are taken in step by step. The objects stay as
+  // they are until `on_change` returns.
+  void StartTakingIn(std::function<Async<void>()> on_change);
 
   const std::string& kind() const { return options_.kind; }
   const Objects& objects() const { return objects_; }
@@ -64,6 +67,8 @@
   bool known() const { return known_; }
   // Latest time at which the mirror is known to have matched the store.
   BootClock::time_point fresh_as_of() const { return fresh_as_of_; }
+  // The same for what `on_change` has taken in.
+  BootClock::time_point taken_in_as_of() const { return taken_in_as_of_; }
   // Time since then, milliseconds.
   int64_t AgeMs() const { return BootMs() - BootMs(fresh_as_of_); }
   // Revision of the mirror; 0 if it must be listed again.
@@ -86,10 +91,16 @@
                                            std::chrono::milliseconds wait);
 
  private:
+  // A change of an object, which itself is in `objects_`.
+  struct Change {
+    std::string name;
+    uint64_t revision = 0;
+    bool deleted = false;
+  };
   // Changes received in one answer, and the revision after them.
   struct Batch {
     uint64_t revision = 0;
-    std::vector<platform::StoreEvent> events;
+    std::vector<Change> changes;
   };
 
   Async<void> Run();
@@ -104,13 +115,15 @@
   // source has lost the store itself.
   void ApplySourceStatus(const platform::MirrorStatus& status);
   void AppendToHistory(Batch batch);
+  // Encodes objects of a long answer for other hosts, in steps.
+  Async<void> EncodeForOthers(std::vector<std::string> names);
   void WakeWaiters();
   platform::MirrorStatus LocalStatus() const;
 
   boost::asio::io_context& io_;
   platform::StoreClient& store_;
   StoreWatchOptions options_;
-  std::function<void()> on_change_;
+  std::function<Async<void>()> on_change_;
   StoreSource source_;
   Objects objects_;
   // Names of objects whose deletion is held back. The store no longer has them.
@@ -131,6 +144,7 @@
   bool known_ = false;
   bool reachable_ = true;
   BootClock::time_point fresh_as_of_{};
+  BootClock::time_point taken_in_as_of_{};
 };
 
 }  // namespace pimento
