--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -79,7 +79,15 @@
   boost::asio::io_context& io() { return io_; }
 
  private:
-  void OnConfig();
+  // Time by which the peers' silence is judged, milliseconds.
+  int64_t PeerNowMs() const;
+  // Takes in the configuration step by step. The one before stays in force
+  // meanwhile.
+  boost::asio::awaitable<void> OnConfig();
+  // Null, with a log line, for one that cannot be read, and null for one that
+  // is not newer.
+  boost::asio::awaitable<DesiredStatePtr> DecodeConfig(
+      const boost::json::value& spec);
   void OnUpstreams();
   void OnDrainedZones();
   void OnMembers();
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -52,7 +52,8 @@
                      "hedges_without_room",
                      "crash_suspects",
                      "crash_suspects_cleared",
-                     "crash_suspects_reported"};
+                     "crash_suspects_reported",
+                     "turns_stored_again"};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Latency::kCount)>
     kLatencyNames = {"program", "call", "first_token", "queue_wait", "commit"};
