Services are moved to another version, and a bad one is taken back

Change: one gateway of the fleet, chosen by rendezvous hashing among the ready ones, plans each step and writes it to the order's status on the condition that the order is as it read it; the next two compare as well and take a bad version back when the first does not. Gateways report counters by version and route to these three only; without an order there is one more watch of a rare kind and no byte more. The share stays below expose_share for as long as the order's time allows, at a small share few upstreams of the target are used, and completed is written when every gateway follows and nothing is on its way to the old version.

Ruled out: even steps over the order's time (a version that turns bad half way has then met a quarter of all requests, the bound is a tenth); counters in the regular gossip (to 820 hosts instead of 3).

--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -160,11 +160,11 @@
 
 void PlatformFleet::RegisterUpstream(int id, const std::string& service,
                                      const std::string& address, int64_t slots,
-                                     int64_t born) {
+                                     int64_t born, const std::string& version) {
   const json::object spec = {{"service", service},
                              {"addr", address},
                              {"zone", "zone-" + std::to_string(id % 3)},
-                             {"version", "v1"},
+                             {"version", version},
                              {"slots", slots},
                              {"state", "ready"},
                              {"cold_left_ms", 0},
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -101,7 +101,7 @@
   // the numeric `id`, which started at `born` (Unix milliseconds).
   void RegisterUpstream(int id, const std::string& service,
                         const std::string& address, int64_t slots = 8,
-                        int64_t born = 1);
+                        int64_t born = 1, const std::string& version = "v1");
   // An address of loopback for upstream `name` ("talk-5"), the same each time.
   std::string UpstreamAddress(const std::string& name) const;
   // Whether the stand-in that listens on `address` answers.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -54,6 +54,7 @@
   paces @21 :List(UpstreamPace);
   # Callers that the host can carry in relation to others, 0 if not stated.
   callerWeight @22 :UInt16;
+  rolloutSteps @23 :List(VersionStep);
 }
 
 # Counters of one version of a service on one route, since the sender started.
@@ -66,6 +67,18 @@
   failures @4 :UInt32;
   # Sum of the answers' durations.
   totalMs @5 :UInt64;
+  # Answers by their time per event, in steps of half an octave from 1 ms.
+  times @6 :List(UInt32);
+}
+
+# Which state of an order to change versions the sender follows.
+struct VersionStep {
+  # Hash of the service's name.
+  service @0 :UInt64;
+  # Store revision of the order.
+  revision @1 :UInt64;
+  # The sender's calls in flight on the versions to be replaced.
+  oldInFlight @2 :UInt32;
 }
 
 struct UpstreamPace {
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(e64487dd69e51339);
 CAPNP_DECLARE_SCHEMA(bad8036013973a65);
+CAPNP_DECLARE_SCHEMA(b68f301073d27b86);
 CAPNP_DECLARE_SCHEMA(f771fe9e1b0ba459);
 CAPNP_DECLARE_SCHEMA(bd0318c555d6673e);
 CAPNP_DECLARE_SCHEMA(e8d147c4259e36c4);
@@ -52,7 +53,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 7, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(e64487dd69e51339, 7, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -67,7 +68,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bad8036013973a65, 5, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(bad8036013973a65, 5, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct VersionStep {
+  VersionStep() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b68f301073d27b86, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -329,6 +345,9 @@
 
   inline  ::uint16_t getCallerWeight() const;
 
+  inline bool hasRolloutSteps() const;
+  inline  ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>::Reader getRolloutSteps() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -481,6 +500,13 @@
   inline  ::uint16_t getCallerWeight();
   inline void setCallerWeight( ::uint16_t value);
 
+  inline bool hasRolloutSteps();
+  inline  ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>::Builder getRolloutSteps();
+  inline void setRolloutSteps( ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>::Builder initRolloutSteps(unsigned int size);
+  inline void adoptRolloutSteps(::capnp::Orphan< ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>> disownRolloutSteps();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -536,6 +562,9 @@
 
   inline  ::uint64_t getTotalMs() const;
 
+  inline bool hasTimes() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTimes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -582,6 +611,14 @@
   inline  ::uint64_t getTotalMs();
   inline void setTotalMs( ::uint64_t value);
 
+  inline bool hasTimes();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTimes();
+  inline void setTimes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTimes(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTimes(unsigned int size);
+  inline void adoptTimes(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTimes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -608,6 +645,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class VersionStep::Reader {
+public:
+  typedef VersionStep Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint32_t getOldInFlight() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class VersionStep::Builder {
+public:
+  typedef VersionStep Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint32_t getOldInFlight();
+  inline void setOldInFlight( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class VersionStep::Pipeline {
+public:
+  typedef VersionStep Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class UpstreamPace::Reader {
 public:
   typedef UpstreamPace Reads;
@@ -2388,6 +2511,40 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GatewayNews::Reader::hasRolloutSteps() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayNews::Builder::hasRolloutSteps() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>::Reader GatewayNews::Reader::getRolloutSteps() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::getRolloutSteps() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void GatewayNews::Builder::setRolloutSteps( ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>::Builder GatewayNews::Builder::initRolloutSteps(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), size);
+}
+inline void GatewayNews::Builder::adoptRolloutSteps(
+    ::capnp::Orphan< ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>> GatewayNews::Builder::disownRolloutSteps() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimento::wire::VersionStep,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t VersionSample::Reader::getService() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2472,6 +2629,86 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool VersionSample::Reader::hasTimes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VersionSample::Builder::hasTimes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader VersionSample::Reader::getTimes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder VersionSample::Builder::getTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VersionSample::Builder::setTimes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void VersionSample::Builder::setTimes(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder VersionSample::Builder::initTimes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void VersionSample::Builder::adoptTimes(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> VersionSample::Builder::disownTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t VersionStep::Reader::getService() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionStep::Builder::getService() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void VersionStep::Builder::setService( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t VersionStep::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionStep::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void VersionStep::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t VersionStep::Reader::getOldInFlight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t VersionStep::Builder::getOldInFlight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void VersionStep::Builder::setOldInFlight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t UpstreamPace::Reader::getProcess() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -47,7 +47,14 @@
 
 UpstreamTable::Verdict Dispatcher::TryGrant(Waiter& waiter) {
   const int64_t now_ms = SteadyMs();
-  const auto choice = table_.Choose(waiter.request.input, now_ms);
+  PlacementInput& input = waiter.request.input;
+  auto choice = table_.Choose(input, now_ms);
+  // A version that is tried takes no call that would have to wait for it.
+  if (choice.verdict != Verdict::kChosen &&
+      input.version_side == VersionSide::kTarget) {
+    input.version_side = VersionSide::kOld;
+    choice = table_.Choose(input, now_ms);
+  }
   if (choice.verdict != Verdict::kChosen) return choice.verdict;
   table_.OnCallStarted(choice.upstream.id, waiter.request.input, now_ms);
   waiter.granted = choice.upstream;
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -43,6 +43,8 @@
                    "crash_suspect",
                    "crash_suspect_cleared",
                    "zones_drained",
+                   "rollout",
+                   "rollout_decided",
                    "peer_seen",
                    "peer_lost",
                    "strain",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -40,6 +40,8 @@
   kCrashSuspect,
   kCrashSuspectCleared,
   kZonesDrained,
+  kRollout,
+  kRolloutDecided,
   kPeerSeen,
   kPeerLost,
   kStrain,
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -76,12 +76,16 @@
   boost::asio::awaitable<void> TryUpstreams();
 
   boost::asio::awaitable<void> LoadHistory();
+  // The versions of the service that may serve the next attempt.
+  VersionSide VersionSideOfCall() const;
   // Waits for an upstream with capacity whose limit, if it names one, is not
   // used up. Throws Refusal.
   boost::asio::awaitable<UpstreamEntry> AcquireUpstream(
       DispatchRequest request);
   boost::asio::awaitable<AttemptResult> TryUpstream(
       const UpstreamEntry& upstream);
+  // Counts the answer for its version, where versions are compared.
+  void NoteVersion(const UpstreamEntry& upstream, const CallResult& result);
   // Called after TryUpstream(): records that the upstream crashed under the
   // request, or ran it to its end.
   boost::asio::awaitable<void> NoteRun(const UpstreamEntry& upstream,
@@ -187,8 +191,10 @@
   // Start of the running attempt, and the time until its first event with data.
   SteadyTime attempt_started_{};
   std::optional<int64_t> first_event_ms_ = {};
-  // Whether the last response carried the header that only an upstream adds.
+  // Whether the last response carried the header that only an upstream adds,
+  // and its status; 0 if the running attempt got none.
   bool stamped_ = false;
+  int answer_status_ = 0;
 
   // Events with data forwarded to the caller, over all attempts.
   int64_t events_ = 0;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -54,7 +54,8 @@
         .prompt_holder = previous_upstream_,
         .tried = tried_,
         .prompt_tokens = head_.prompt_tokens.value_or(0),
-        .program_left_ms = head_.program_left_ms};
+        .program_left_ms = head_.program_left_ms,
+        .version_side = VersionSideOfCall()};
     dispatch_request.wait_deadline_ms = SteadyMs() + RemainingMs();
     UpstreamEntry upstream;
     try {
@@ -80,6 +81,15 @@
   }
 }
 
+VersionSide GatewayCall::VersionSideOfCall() const {
+  // A second attempt does not go to a version that is being tried.
+  const std::string& key =
+      head_.program.empty() ? head_.request_id : head_.program;
+  const VersionSide side = state_.rollouts().SideOf(service_name_, key);
+  return attempts_ > 0 && side == VersionSide::kTarget ? VersionSide::kOld
+                                                       : side;
+}
+
 asio::awaitable<UpstreamEntry> GatewayCall::AcquireUpstream(
     DispatchRequest request) {
   for (;;) {
@@ -107,6 +117,7 @@
   const int64_t events_before = events_;
   attempt_started_ = started;
   first_event_ms_.reset();
+  answer_status_ = 0;
   tried_.insert(upstream.id);
   // Of an answer that comes as a whole, nothing is seen before its end.
   stage_ = route_->kind == RouteKind::kStreaming ? RunStage::kSent
@@ -166,6 +177,7 @@
   if (!refused && attempt != AttemptResult::kDone)
     result.outcome =
         token_.stopped() ? CallOutcome::kAbandoned : CallOutcome::kFailed;
+  NoteVersion(upstream, result);
   state_.dispatcher().Release(upstream.id, result);
   if (attempt != AttemptResult::kDone) {
     last_failure_ =
@@ -182,6 +194,25 @@
   co_return attempt;
 }
 
+void GatewayCall::NoteVersion(const UpstreamEntry& upstream,
+                              const CallResult& result) {
+  constexpr int kServerError = 500;
+  // Calls that did not run say nothing, nor do those that the caller left.
+  const bool timed_out = result.outcome == CallOutcome::kAbandoned &&
+                         RemainingMs() <= kShortRetryAfterMs;
+  if (result.outcome == CallOutcome::kRefused || archive_failed_ ||
+      (result.outcome == CallOutcome::kAbandoned && !timed_out))
+    return;
+  const bool failed =
+      result.outcome == CallOutcome::kFailed || answer_status_ >= kServerError;
+  VersionAnswer answer{.failed = failed && !timed_out,
+                       .duration_ms = result.duration_ms};
+  if (!answer.failed)
+    answer.unit_ms = static_cast<double>(result.duration_ms) /
+                     static_cast<double>(std::max<int64_t>(1, result.events));
+  state_.rollouts().OnAnswer(upstream, route_->name, answer);
+}
+
 asio::awaitable<void> GatewayCall::NoteRun(const UpstreamEntry& upstream,
                                            AttemptResult attempt) {
   // Without the stamp it is not the upstream that answered.
@@ -283,6 +314,7 @@
   platform::ResponseHead head;
   const auto* header = co_await ReadMatchingHeader(connection, head);
   stamped_ = head.has_server_stamp;
+  answer_status_ = head.status;
   constexpr int kMisdirected = 421;
   if (head.status == kMisdirected) {
     // Its other headers are those of another upstream.
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -78,9 +78,38 @@
     list[i].setAnswers(static_cast<uint32_t>(samples[i].answers));
     list[i].setFailures(static_cast<uint32_t>(samples[i].failures));
     list[i].setTotalMs(static_cast<uint64_t>(samples[i].total_ms));
+    size_t used = kTimeBuckets;
+    while (used > 0 && samples[i].times[used - 1] == 0) --used;
+    auto times = list[i].initTimes(static_cast<unsigned>(used));
+    for (unsigned b = 0; b < used; ++b)
+      times.set(b, static_cast<uint32_t>(samples[i].times[b]));
   }
 }
 
+void EncodeVersionSteps(const std::vector<VersionStep>& steps,
+                        wire::GatewayNews::Builder& out) {
+  auto list = out.initRolloutSteps(
+      static_cast<unsigned>(std::min(steps.size(), kMaxEntries)));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setService(steps[i].service);
+    list[i].setRevision(steps[i].revision);
+    list[i].setOldInFlight(static_cast<uint32_t>(steps[i].old_in_flight));
+  }
+}
+
+VersionSample DecodeVersionSample(const wire::VersionSample::Reader& in) {
+  VersionSample sample{.service = in.getService(),
+                       .version = in.getVersion(),
+                       .route = in.getRoute(),
+                       .answers = in.getAnswers(),
+                       .failures = in.getFailures(),
+                       .total_ms = static_cast<int64_t>(in.getTotalMs())};
+  const auto times = in.getTimes();
+  const size_t used = std::min<size_t>(times.size(), kTimeBuckets);
+  for (unsigned b = 0; b < used; ++b) sample.times[b] = times[b];
+  return sample;
+}
+
 void EncodePaces(const std::vector<PaceSample>& paces,
                  wire::GatewayNews::Builder& out) {
   auto list =
@@ -169,6 +198,7 @@
     crashes[i].setAgeMs(static_cast<uint32_t>(crash.age_ms));
   }
   EncodeVersionSamples(gossip.version_samples, out);
+  EncodeVersionSteps(gossip.version_steps, out);
   EncodePaces(gossip.paces, out);
   out.setCallerWeight(static_cast<uint16_t>(gossip.caller_weight));
   const auto words = capnp::messageToFlatArray(message);
@@ -228,13 +258,11 @@
                                 .weight = crash.getWeight(),
                                 .age_ms = crash.getAgeMs()});
     for (const auto sample : Checked(in.getRollouts()))
-      gossip.version_samples.push_back(
-          {.service = sample.getService(),
-           .version = sample.getVersion(),
-           .route = sample.getRoute(),
-           .answers = sample.getAnswers(),
-           .failures = sample.getFailures(),
-           .total_ms = static_cast<int64_t>(sample.getTotalMs())});
+      gossip.version_samples.push_back(DecodeVersionSample(sample));
+    for (const auto step : Checked(in.getRolloutSteps()))
+      gossip.version_steps.push_back({.service = step.getService(),
+                                      .revision = step.getRevision(),
+                                      .old_in_flight = step.getOldInFlight()});
     for (const auto pace : Checked(in.getPaces()))
       gossip.paces.push_back(
           {.process = pace.getProcess(),
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -24,6 +24,7 @@
 #include "src/rate_server.h"
 #include "src/upstream_entry.h"
 #include "src/usage_gossip.h"
+#include "src/version_sample.h"
 
 namespace pimento {
 
@@ -35,18 +36,6 @@
   uint16_t sequence = 0;
 };
 
-// Counters of one version of a service on one route, since the sender started.
-// Service, version and route are hashes of their names.
-struct VersionSample {
-  uint64_t service = 0;
-  uint64_t version = 0;
-  uint64_t route = 0;
-  int64_t answers = 0;
-  int64_t failures = 0;
-  // Sum of the answers' durations.
-  int64_t total_ms = 0;
-};
-
 // What a gateway learned about the pace of one process of an upstream; see
 // LeavingProcesses::HashOf(). 0 where it is unknown.
 struct PaceSample {
@@ -93,8 +82,10 @@
   std::vector<uint64_t> leaving_upstreams = {};
   // Requests that were in flight on upstreams when those crashed.
   std::vector<CrashReport> crashes = {};
-  // What the sender saw of services that are being rolled out.
+  // What the sender saw of services that are moved to another version, and the
+  // orders that it follows. Only the hosts that decide get them.
   std::vector<VersionSample> version_samples = {};
+  std::vector<VersionStep> version_steps = {};
   // What the sender learned about upstreams that served it recently.
   std::vector<PaceSample> paces = {};
   // Callers that the host can carry in relation to others; 0 if not stated.
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -55,6 +55,8 @@
 // Pauses before an upstream is asked again whether it refuses connections.
 constexpr std::array<milliseconds, 2> kAskAgainPauses = {milliseconds(15),
                                                          milliseconds(25)};
+// A start waits so long for the orders to change versions.
+constexpr int64_t kMaxWaitForOrdersMs = 3'000;
 // Maximum age of the desired state that is used during an outage of the store.
 constexpr int64_t kMaxOutageUseMs = 60'000;
 
@@ -129,6 +131,10 @@
                                            settings.zone_evacuation_ms))),
       member_watch_(io, store_, WatchOptions(kMemberListKind, kRareChangeWait)),
       gateway_watch_(io, store_, WatchOptions(kGatewayKind, kRareChangeWait)),
+      rollout_watch_(
+          io, store_,
+          WatchOptions(std::string(platform::kRolloutKind),
+                       BoundedWait(kRareChangeWait, settings.rollback_ms))),
       boot_(UnixUs()),
       sender_hash_(SenderHash(settings.host, boot_)),
       rates_(io, metrics,
@@ -136,7 +142,28 @@
              [this](const std::string& host, const GatewayGossip& message) {
                SendToPeer(host, message);
              }),
-      crash_detector_(io, pool_) {}
+      crash_detector_(io, pool_),
+      rollouts_(io, store_, rollout_watch_, table_, metrics, settings, boot_,
+                MakeRolloutSurroundings()) {}
+
+RolloutSurroundings GatewayState::MakeRolloutSurroundings() {
+  return {.fleet =
+              [this] {
+                const int64_t now_ms = SteadyMs();
+                RolloutFleet fleet{.ready_hosts = ReadyHosts()};
+                for (const auto& [host, address] : gateway_addresses_)
+                  fleet.silent_ms[host] =
+                      std::min(view_.SinceLastGossipMs(host, now_ms),
+                               now_ms - started_ms_);
+                return fleet;
+              },
+          .send =
+              [this](const std::string& host, const GatewayGossip& message) {
+                SendToPeer(host, message);
+              },
+          .interval_ms = [this] { return int64_t{peers_.interval().count()}; },
+          .desired = [this] { return desired_; }};
+}
 
 void GatewayState::SendToPeer(const std::string& host,
                               const GatewayGossip& message) {
@@ -210,7 +237,7 @@
         << "pimento_view_revision" << label << watch->revision() << "\n"
         << "pimento_view_held" << label << watch->held() << "\n";
   }
-  return out.str();
+  return out.str() + rollouts_.MetricsText();
 }
 
 void GatewayState::Start() {
@@ -219,6 +246,10 @@
   zone_watch_.Start([this] { OnDrainedZones(); });
   member_watch_.Start([this] { OnMembers(); });
   gateway_watch_.Start([this] { OnGateways(); });
+  rollout_watch_.Start([this] {
+    rollouts_.OnOrders();
+    dispatcher_.DispatchQueued();
+  });
   peers_.Start([this] { return BuildGossip(); },
                [this](const GatewayGossip& gossip) { OnGossip(gossip); });
   archive_.set_on_store_report([this](const std::string& host,
@@ -281,6 +312,7 @@
     table_.Remove(id);
     EventLine(Event::kUpstreamRemoved).Text("upstream", id);
   }
+  rollouts_.OnUpstreams();
   dispatcher_.DispatchQueued();
 }
 
@@ -338,6 +370,7 @@
   const bool was_silent = view_.IsSilent(gossip.host, now_ms);
   ChargePeerUsage(gossip.host, view_.ApplyGossip(gossip, now_ms));
   rates_.OnMessage(gossip);
+  rollouts_.OnGossip(gossip);
   TellStartedPeer(gossip);
   if (was_silent && !view_.IsSilent(gossip.host, now_ms))
     EventLine(Event::kPeerSeen).Text("peer", gossip.host);
@@ -548,8 +581,11 @@
 }
 
 bool GatewayState::Ready() const {
+  // What may not get requests is known, unless the store has no such kind.
+  const bool orders_known =
+      rollout_watch_.known() || SteadyMs() - started_ms_ >= kMaxWaitForOrdersMs;
   return !draining_ && UsableState() != nullptr && upstream_watch_.known() &&
-         archive_.quorum_likely();
+         orders_known && archive_.quorum_likely();
 }
 
 std::vector<std::string> GatewayState::ReadyAddresses() const {
@@ -642,6 +678,7 @@
     co_await timer.async_wait(asio::use_awaitable);
     SampleTimerLag(timer.expiry());
     UpdateFleet();
+    rollouts_.Tick();
     dispatcher_.DispatchQueued();
     archive_.Probe();
     AbortLostSources();
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -21,6 +21,7 @@
 #include "src/metrics.h"
 #include "src/overload_detector.h"
 #include "src/recent_programs.h"
+#include "src/rollout_control.h"
 #include "src/shared_rates.h"
 #include "src/store_outage.h"
 #include "src/store_watch.h"
@@ -56,6 +57,7 @@
   SharedRates& rates() { return rates_; }
   RecentPrograms& programs() { return programs_; }
   ArchiveClient& archive() { return archive_; }
+  RolloutControl& rollouts() { return rollouts_; }
   const CrashSuspects& suspects() const { return suspects_; }
   // Finds out whether the upstream crashed under the request; if so, the
   // request is recorded and the peers are told.
@@ -84,6 +86,7 @@
   void OnGateways();
   void OnGossip(const GatewayGossip& gossip);
   void SendToPeer(const std::string& host, const GatewayGossip& message);
+  RolloutSurroundings MakeRolloutSurroundings();
   // The gateways in contact that serve requests, this one included.
   std::vector<std::string> ReadyHosts() const;
   void OnPeerReportsLeaving(const std::string& host, uint64_t process);
@@ -137,9 +140,10 @@
   StoreWatch zone_watch_;
   StoreWatch member_watch_;
   StoreWatch gateway_watch_;
-  const std::array<StoreWatch*, 5> watches_{&config_watch_, &upstream_watch_,
-                                            &zone_watch_, &member_watch_,
-                                            &gateway_watch_};
+  StoreWatch rollout_watch_;
+  const std::array<StoreWatch*, 6> watches_{&config_watch_,  &upstream_watch_,
+                                            &zone_watch_,    &member_watch_,
+                                            &gateway_watch_, &rollout_watch_};
   DesiredStatePtr desired_;
   // When `desired_` was last known to be the newest, as reported by peers.
   BootClock::time_point relayed_fresh_as_of_{};
@@ -155,6 +159,8 @@
   UsageGossip usage_gossip_;
   CrashSuspects suspects_{{}};
   CrashDetector crash_detector_;
+  RolloutControl rollouts_;
+  int64_t started_ms_ = SteadyMs();
   // Start of each peer's process, as last heard.
   std::unordered_map<std::string, uint64_t> peer_boots_;
   // True while SendCrashNews() is posted.
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -78,6 +78,10 @@
   kCrashSuspects,
   kCrashSuspectsCleared,
   kCrashSuspectsReported,
+  // Records about new versions of services that this gateway wrote, and those
+  // that took a version back.
+  kRolloutSteps,
+  kRolloutsTakenBack,
   kCount,
 };
 
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -58,6 +58,10 @@
   // changes.
   void Start(std::function<void()> on_change);
 
+  // Takes effect with the next call.
+  void set_wait(std::chrono::milliseconds wait) { options_.wait = wait; }
+  std::chrono::milliseconds wait() const { return options_.wait; }
+
   const std::string& kind() const { return options_.kind; }
   const Objects& objects() const { return objects_; }
   // True once a list has been read.
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -82,6 +82,11 @@
   upstream.entry = entry;
   upstream.hash = HashName(entry.id);
   upstream.process = LeavingProcesses::HashOf(entry);
+  // Until the rules are applied again, a new version is not known to be
+  // allowed.
+  if (before.version != entry.version &&
+      version_rules_.count(entry.service) > 0)
+    upstream.side = VersionSide::kExcluded;
   return before.id.empty() || before.leaving != entry.leaving ||
          before.address != entry.address ||
          before.started_at_ms != entry.started_at_ms;
@@ -95,6 +100,61 @@
   drained_zones_ = std::move(zones);
 }
 
+void UpstreamTable::set_version_rules(
+    std::map<std::string, VersionRule> rules) {
+  if (rules.empty() && version_rules_.empty()) return;
+  version_rules_ = std::move(rules);
+  ApplyVersionRules();
+}
+
+void UpstreamTable::ApplyVersionRules() {
+  std::map<std::string, std::vector<Upstream*>> ruled;
+  for (auto& [id, upstream] : upstreams_) {
+    const bool has_rule = version_rules_.count(upstream.entry.service) > 0;
+    if (has_rule && Running(upstream))
+      ruled[upstream.entry.service].push_back(&upstream);
+    else
+      upstream.side = VersionSide::kAny;
+  }
+  for (const auto& [service, upstreams] : ruled) {
+    std::vector<VersionedUpstream> versions;
+    for (const Upstream* upstream : upstreams)
+      versions.push_back({upstream->entry.version, upstream->hash});
+    const auto sides = SidesOf(version_rules_.at(service), versions);
+    for (size_t i = 0; i < sides.size(); ++i) upstreams[i]->side = sides[i];
+  }
+}
+
+std::vector<std::string> UpstreamTable::VersionsInService(
+    const std::string& service) const {
+  std::set<std::string> versions;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry.service == service && Running(upstream))
+      versions.insert(upstream.entry.version);
+  }
+  return {versions.begin(), versions.end()};
+}
+
+std::vector<std::string> UpstreamTable::RegisteredVersions(
+    const std::string& service) const {
+  std::set<std::string> versions;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry.service == service)
+      versions.insert(upstream.entry.version);
+  }
+  return {versions.begin(), versions.end()};
+}
+
+std::map<std::string, int64_t> UpstreamTable::InFlightByVersion(
+    const std::string& service) const {
+  std::map<std::string, int64_t> calls;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry.service == service)
+      calls[upstream.entry.version] += upstream.in_flight;
+  }
+  return calls;
+}
+
 void UpstreamTable::set_services(const DesiredState& state) {
   services_.clear();
   for (const ServiceSpec& service : state.services()) {
@@ -137,11 +197,15 @@
   return upstream.entry.leaving || leaving_.Contains(upstream.process);
 }
 
-bool UpstreamTable::InService(const Upstream& upstream) const {
+bool UpstreamTable::Running(const Upstream& upstream) const {
   return !IsLeaving(upstream) && !upstream.misdirected &&
          drained_zones_.count(upstream.entry.zone) == 0;
 }
 
+bool UpstreamTable::InService(const Upstream& upstream) const {
+  return Running(upstream) && upstream.side != VersionSide::kExcluded;
+}
+
 bool UpstreamTable::MayReceive(const UpstreamEntry& entry) const {
   const auto it = upstreams_.find(entry.id);
   return it != upstreams_.end() && it->second.entry.address == entry.address &&
@@ -152,6 +216,7 @@
 bool UpstreamTable::ExpectedToRun(const UpstreamEntry& entry) const {
   const auto it = upstreams_.find(entry.id);
   return it != upstreams_.end() && !IsLeaving(it->second) &&
+         it->second.side != VersionSide::kExcluded &&
          !leaving_.Contains(LeavingProcesses::HashOf(entry));
 }
 
@@ -159,6 +224,7 @@
                            const PlacementInput& input, int64_t now_ms) const {
   const UpstreamEntry& entry = upstream.entry;
   return entry.service == input.service && InService(upstream) &&
+         MayUse(upstream.side, input.version_side) &&
          input.tried.count(entry.id) == 0 &&
          upstream.backoff_until_ms <= now_ms;
 }
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -30,6 +30,7 @@
 #include "src/desired_state.h"
 #include "src/leaving_processes.h"
 #include "src/name_hash.h"
+#include "src/rollout_share.h"
 #include "src/upstream_entry.h"
 
 namespace pimento {
@@ -58,6 +59,8 @@
   int64_t prompt_tokens = 0;
   // Time until the program of the call should finish; empty when not stated.
   std::optional<int64_t> program_left_ms = {};
+  // The versions that may serve the call.
+  VersionSide version_side = VersionSide::kAny;
 };
 
 enum class CallOutcome : uint8_t { kServed, kRefused, kFailed, kAbandoned };
@@ -81,6 +84,16 @@
   // Returns false when the id is unknown.
   bool Remove(const std::string& id);
   void set_drained_zones(std::set<std::string> zones);
+  // Sets which versions of services may be used, by service. An upstream that
+  // is added later gets no calls until this is called again.
+  void set_version_rules(std::map<std::string, VersionRule> rules);
+  // Versions of the upstreams of `service` that are in service, whatever the
+  // rules say, and this gateway's calls in flight on them.
+  std::vector<std::string> VersionsInService(const std::string& service) const;
+  std::map<std::string, int64_t> InFlightByVersion(
+      const std::string& service) const;
+  // Versions of all registered upstreams of `service`.
+  std::vector<std::string> RegisteredVersions(const std::string& service) const;
   void set_services(const DesiredState& state);
   // Number of gateways that may send to the same upstreams, this one included.
   void set_gateway_count(int64_t count) { gateways_ = count; }
@@ -177,12 +190,18 @@
     int64_t limit_reached_until_ms = 0;
     // True after OnMisdirected(): another upstream answers at the address.
     bool misdirected = false;
+    // What the rule of its service says about its version.
+    VersionSide side = VersionSide::kAny;
     // Time of the last use, by hash of a prompt prefix that was sent there.
     std::unordered_map<uint64_t, int64_t> prefixes = {};
   };
 
   // True when the entry or the upstream's own responses say that it is leaving.
   bool IsLeaving(const Upstream& upstream) const;
+  // Sets the sides of the upstreams of services that have a rule.
+  void ApplyVersionRules();
+  // True when nothing but its version may keep calls from the upstream.
+  bool Running(const Upstream& upstream) const;
   // True when the upstream may get new calls at all.
   bool InService(const Upstream& upstream) const;
   bool Usable(const Upstream& upstream, const PlacementInput& input,
@@ -205,6 +224,7 @@
   std::map<std::string, Upstream> upstreams_;
   LeavingProcesses leaving_;
   std::set<std::string> drained_zones_;
+  std::map<std::string, VersionRule> version_rules_;
   std::unordered_map<std::string, ServiceSpec> services_;
   int64_t gateways_ = 1;
   int64_t gateway_index_ = 0;
