--- a/src/gateway_hedge.cc
+++ b/src/gateway_hedge.cc
@@ -161,7 +161,12 @@
     state_.metrics().Add(Counter::kHedgesOverLimit);
     return;
   }
-  const PlacementInput input{.service = service_name_, .tried = tried_};
+  // Like a second attempt, it does not go to a version that is being tried.
+  const VersionSide side = VersionSideOfCall();
+  const PlacementInput input{
+      .service = service_name_,
+      .tried = tried_,
+      .version_side = side == VersionSide::kTarget ? VersionSide::kOld : side};
   const auto spare = state_.dispatcher().AcquireSpare(input);
   if (!spare) {
     state_.hedging().GiveBack();
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -87,6 +87,10 @@
   // Finished turns that were stored again after too few members of the archive
   // had confirmed them.
   kTurnsStoredAgain,
+  // Records about new versions of services that this gateway wrote, and those
+  // that took a version back.
+  kRolloutSteps,
+  kRolloutsTakenBack,
   kCount,
 };
 
