Calls of many gateways spread over upstreams, within a part of the slots

Cause: each of 55 gateways sent to the upstreams that looked idle in news of 0.45 s ago, and all to the same: these held 24 to 31 calls (6 slots, 18 queued) where the gateway that was turned away saw 1 to 3. The sum over all upstreams was seen well (570 of about 600 in flight). Ruled out: memory of the engines. None of the calls was preempted, and what was in flight held about 2,500 tokens a call, 15,000 of 48,584. Change: with 12 gateways or more, a call with a prompt considers the upstream that holds most of it and three that its hash selects, others 0.1 s later; a gateway has its part of 1.25 of the slots, and twice its part of what is free; an upstream that turned a call away gets none for 0.3 s. While half of the slots are in use a call waits rather than to go elsewhere. Plain services and smaller fleets as before.

--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -59,6 +59,7 @@
   const int64_t arrived_ms = SteadyMs();
   const std::string service = request.input.service;
   const int priority = request.priority;
+  request.input.call_hash = HashName(request.request_id);
   auto waiter = std::make_shared<Waiter>(Waiter{
       std::move(request),
       asio::steady_timer(io_, steady_clock::time_point::max()), std::nullopt});
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -129,6 +129,7 @@
     if (state_.table().named_limit(upstream.id))
       state_.metrics().Add(Counter::kLimitedSends);
     const RequestFingerprints fingerprints = Fingerprints();
+    const SlotUse use = state_.table().UseOf(service_name_);
     EventLine(Event::kCallOffered)
         .Text("request", head_.request_id)
         .Text("upstream", upstream.id)
@@ -136,6 +137,9 @@
         .Text("fingerprint", HexOf(fingerprints.exact))
         .Text("leading", HexOf(fingerprints.leading))
         .Number("attempt", attempts_)
+        .Number("own_calls", use.own)
+        .Number("service_calls", use.own + use.peers)
+        .Number("service_slots", use.slots)
         .Number("left_ms", RemainingMs())
         .Number("state_version", desired_->version())
         .Number("view_age_ms", state_.upstream_view().AgeMs())
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -35,6 +35,10 @@
 // are dropped.
 constexpr size_t kMaxPrefixes = 4'096;
 constexpr int64_t kPrefixTtlMs = 60'000;
+// An upstream that turned a call away gets none for this time.
+constexpr int64_t kTurnedAwayPauseMs = 300;
+// Larger than any expected latency.
+constexpr double kNotConsideredMs = 1e9;
 // Bounds the memory: above this number, younger ones are dropped as well.
 constexpr size_t kPrefixesHeld = 8'192;
 
@@ -164,9 +168,16 @@
 }
 
 bool UpstreamTable::HasCapacity(const Upstream& upstream,
+                                const PlacementInput& input, bool spread,
                                 int64_t now_ms) const {
+  if (input.prompt_tokens > 0 && upstream.turned_away_ms > 0 &&
+      now_ms < upstream.turned_away_ms + kTurnedAwayPauseMs) {
+    return false;
+  }
   const int64_t load = upstream.in_flight + upstream.peers_in_flight;
-  if (load >= upstream.entry.slots) return false;
+  const int64_t most =
+      spread ? CallsPerUpstream(upstream.entry.slots) : upstream.entry.slots;
+  if (load >= most) return false;
   if (upstream.limit_reached_until_ms > now_ms) return false;
   auto max_sends = MaxSendsPerSecond(upstream);
   if (!max_sends) return true;
@@ -226,12 +237,51 @@
          kFailureCostMs * upstream.failure_rate + zone_ms;
 }
 
+SlotUse UpstreamTable::UseOf(const std::string& service) const {
+  SlotUse use{.gateways = gateways_};
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry.service != service || !InService(upstream)) continue;
+    use.slots += upstream.entry.slots;
+    use.own += upstream.in_flight;
+    use.peers += upstream.peers_in_flight;
+  }
+  return use;
+}
+
+const UpstreamTable::Upstream* UpstreamTable::PromptHolder(
+    const PlacementInput& input, int64_t now_ms) const {
+  const Upstream* holder = nullptr;
+  int64_t most = 0;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (!Usable(upstream, input, now_ms)) continue;
+    const int64_t cached = CachedTokens(upstream, input);
+    if (cached < most || cached == 0) continue;
+    holder = cached > most ? &upstream : nullptr;
+    most = cached;
+  }
+  return holder;
+}
+
+double UpstreamTable::Cost(const Upstream& upstream,
+                           const PlacementInput& input, bool considered) const {
+  if (considered) return ExpectedMs(upstream, input);
+  return kNotConsideredMs +
+         static_cast<double>(CombineHash(input.call_hash, upstream.hash) >> 32);
+}
+
 UpstreamTable::Choice UpstreamTable::Choose(const PlacementInput& input,
                                             int64_t now_ms) const {
   Choice choice;
-  double best_ms = 0;
+  double best_cost = 0;
   const Upstream* soonest = nullptr;
   const Upstream* chosen = nullptr;
+  const SlotUse use =
+      input.prompt_tokens > 0 ? UseOf(input.service) : SlotUse{};
+  const bool spread = MustSpread(use);
+  const bool has_share = !spread || use.own < SlotShare(use);
+  const bool busy = spread && IsBusy(use);
+  const auto upstreams = static_cast<int64_t>(usable(input.service));
+  const Upstream* holder = spread ? PromptHolder(input, now_ms) : nullptr;
   for (const auto& [id, upstream] : upstreams_) {
     if (!Usable(upstream, input, now_ms)) {
       // When every upstream is in backoff, the one whose backoff ends first is
@@ -246,19 +296,26 @@
       }
       continue;
     }
-    if (!HasCapacity(upstream, now_ms)) {
+    const bool considered = !spread || &upstream == holder ||
+                            IsCandidate({.call = input.call_hash,
+                                         .upstream = upstream.hash,
+                                         .upstreams = upstreams,
+                                         .now_ms = now_ms});
+    // What a cold upstream may get is divided among the gateways already.
+    const bool waits = busy && !considered && !MaxSendsPerSecond(upstream);
+    if (!has_share || waits || !HasCapacity(upstream, input, spread, now_ms)) {
       choice.verdict = Verdict::kFull;
       continue;
     }
-    const double expected_ms = ExpectedMs(upstream, input);
-    if (chosen == nullptr || expected_ms < best_ms) {
+    const double cost = Cost(upstream, input, considered);
+    if (chosen == nullptr || cost < best_cost) {
       chosen = &upstream;
-      best_ms = expected_ms;
+      best_cost = cost;
     }
   }
   if (chosen == nullptr && choice.verdict == Verdict::kNone &&
       soonest != nullptr) {
-    if (HasCapacity(*soonest, now_ms)) {
+    if (has_share && HasCapacity(*soonest, input, spread, now_ms)) {
       chosen = soonest;
     } else {
       choice.verdict = Verdict::kFull;
@@ -322,6 +379,7 @@
     upstream.backoff_until_ms = 0;
     return;
   }
+  if (result.outcome == CallOutcome::kRefused) upstream.turned_away_ms = now_ms;
   if (result.outcome == CallOutcome::kFailed) {
     upstream.failure_rate += kSampleWeight * (1 - upstream.failure_rate);
   }
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -30,6 +30,7 @@
 #include "src/desired_state.h"
 #include "src/leaving_processes.h"
 #include "src/name_hash.h"
+#include "src/slot_share.h"
 #include "src/upstream_entry.h"
 
 namespace pimento {
@@ -58,6 +59,8 @@
   int64_t prompt_tokens = 0;
   // Time until the program of the call should finish; empty when not stated.
   std::optional<int64_t> program_left_ms = {};
+  // Hash of the request's id.
+  uint64_t call_hash = 0;
 };
 
 enum class CallOutcome : uint8_t { kServed, kRefused, kFailed, kAbandoned };
@@ -147,6 +150,8 @@
   // Expected time until a slot becomes free for a call of `service` that queues
   // behind `waiting` others, milliseconds.
   int64_t ExpectedWaitMs(const std::string& service, size_t waiting) const;
+  // The slots of `service` and the calls in flight there.
+  SlotUse UseOf(const std::string& service) const;
   // Number of upstreams of `service` that may receive calls.
   size_t usable(const std::string& service) const;
   // This gateway's calls in flight, as sent to its peers.
@@ -175,6 +180,8 @@
     std::optional<double> named_limit = {};
     // Its limit is used up until this time.
     int64_t limit_reached_until_ms = 0;
+    // When it last turned a call of this gateway away; 0 if it never did.
+    int64_t turned_away_ms = 0;
     // True after OnMisdirected(): another upstream answers at the address.
     bool misdirected = false;
     // Time of the last use, by hash of a prompt prefix that was sent there.
@@ -187,8 +194,18 @@
   bool InService(const Upstream& upstream) const;
   bool Usable(const Upstream& upstream, const PlacementInput& input,
               int64_t now_ms) const;
-  // True when a slot is free and this gateway's rate share is not used up.
-  bool HasCapacity(const Upstream& upstream, int64_t now_ms) const;
+  // True when a slot is free and this gateway's rate share is not used up;
+  // while calls are spread, a short queue counts as a slot.
+  bool HasCapacity(const Upstream& upstream, const PlacementInput& input,
+                   bool spread, int64_t now_ms) const;
+  // The upstream that holds most of the prompt,
+  // if it is one only, or null.
+  const Upstream* PromptHolder(const PlacementInput& input,
+                               int64_t now_ms) const;
+  // What Choose() minimises. While calls are spread, an upstream that the
+  // call does not consider comes after all others.
+  double Cost(const Upstream& upstream, const PlacementInput& input,
+              bool considered) const;
   // Expected latency of the call at the upstream, milliseconds.
   double ExpectedMs(const Upstream& upstream,
                     const PlacementInput& input) const;
