--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -169,6 +169,7 @@
   UsageGossip usage_gossip_;
   CrashSuspects suspects_{{}};
   CrashDetector crash_detector_;
+  HedgePolicy hedging_;
   RolloutControl rollouts_;
   int64_t started_ms_ = SteadyMs();
   // Start of each peer's process, as last heard.
@@ -184,7 +185,6 @@
   // Whether an outage was confirmed at the last log line about it.
   bool was_down_ = false;
   int64_t last_sweep_ms_ = 0;
-  HedgePolicy hedging_;
   OverloadDetector overload_{{}};
   StoreOutage outage_{{}};
 };
