--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -46,7 +46,8 @@
 }
 
 // The configuration in the store: its routes, services, limits and tenants.
-json::object StateSpec(int64_t version, const std::vector<std::string>& keys) {
+json::object StateSpec(int64_t version, const std::vector<std::string>& keys,
+                       const PlatformFleet::Options& options) {
   json::object kept = RouteSpec("kept", "streaming", "talk");
   kept["keep_context"] = true;
   kept["sticky"] = true;
@@ -65,9 +66,9 @@
             {{"name", "desk"}}}},
           {"limits",
            {{"max_header_bytes", 8'192},
-            {"max_body_bytes", 65'536},
+            {"max_body_bytes", options.max_body_bytes},
             {"header_timeout_ms", 600},
-            {"idle_timeout_ms", 5'000}}},
+            {"idle_timeout_ms", options.idle_timeout_ms}}},
           {"tenants",
            {{{"name", "quilters"}, {"api_keys", key_list}},
             {{"name", "others"}, {"api_keys", {"key-of-others"}}}}}};
@@ -195,6 +196,10 @@
       << "\n"
       << "bounds.grace_s=4\n"
       << "bounds.revoke_ms=" << options_.revoke_ms << "\n";
+  if (options_.memory_mb > 0)
+    out << "limits.memory_mb=" << options_.memory_mb << "\n";
+  if (options_.max_fds > 0)
+    out << "limits.max_fds=" << options_.max_fds << "\n";
 }
 
 void PlatformFleet::StartHost(const std::string& name, bool first_start) {
@@ -360,7 +365,8 @@
 
 void PlatformFleet::PutState(int64_t version,
                              const std::vector<std::string>& keys) {
-  PutObject("config", "main", json::serialize(StateSpec(version, keys)));
+  PutObject("config", "main",
+            json::serialize(StateSpec(version, keys, options_)));
 }
 
 void PlatformFleet::PutObject(const std::string& kind, const std::string& name,
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -56,6 +56,13 @@
     int zones = 3;
     // Whether links to the store and to upstreams go through a FaultProxy.
     bool proxied = false;
+    // Values of the settings limits.memory_mb and limits.max_fds of gateways
+    // and archives; 0 leaves them out.
+    int64_t memory_mb = 0;
+    int64_t max_fds = 0;
+    // Longest body and idle time of callers, in the configuration.
+    int64_t max_body_bytes = 65'536;
+    int64_t idle_timeout_ms = 5'000;
   };
   // Starts everything and waits until each gateway is ready. Executables come
   // from `bin_dir`. Logs, settings and data go to `dir`, which is emptied
