What connections hold is on one account, and connections give way

Cause: nothing bounded the sum of bodies being read, of answers that nobody takes, of outputs of streams; 1,500 connections were allowed whatever the descriptors; a freed large body stayed in the heap, since the allocator raises its bound for mapped blocks.

Change: a request is read in steps through RequestReader, which pauses while the account is short; the account's broker refuses (503, closed) or closes the holder that holds most and moves least. Bodies grow by a quarter, not by doubling, and an announced length takes no memory. Answers are collected and sent on the account; output of streams is kept only where history is. At the limit of connections (from limits.max_fds, limits.memory_mb) an idle or stalled one gives way.

--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -9,6 +9,7 @@
 #include "platform/object_codec.h"
 #include "platform/wire_names.h"
 #include "src/background_loop.h"
+#include "src/connection_limits.h"
 #include "src/errors.h"
 #include "src/event_log.h"
 #include "src/process_end.h"
@@ -31,7 +32,6 @@
 constexpr int64_t kSegmentRetentionMs = 600'000;
 // Slower syncs are logged.
 constexpr int64_t kSlowSyncMs = 100;
-constexpr size_t kMaxConnections = 1'000;
 constexpr uint64_t kMaxCallBytes = 8 * 1024 * 1024;
 constexpr int64_t kIdleTimeoutMs = 60'000;
 
@@ -87,12 +87,16 @@
       options_(std::move(options)),
       rpc_(pool),
       journal_(options_.data_dir),
+      broker_(io, {.budget = HeldBytesBudget(options_.memory_mb)}),
       server_(io,
               {.limits = PeerLimits,
                .handler = [this](const CallerRequest& request,
                                  ResponseWriter& answer,
                                  StopToken&) { return Serve(request, answer); },
-               .max_connections = kMaxConnections}),
+               .broker = &broker_,
+               .max_connections =
+                   LimitsOfConnections(options_.memory_mb, options_.max_fds)
+                       .internal}),
       registration_watch_(io, store, {.kind = kArchiveKind}),
       list_watch_(io, store,
                   {.kind = kMemberListKind,
@@ -325,7 +329,7 @@
       << "pimento_archive_slowest_sync_ms " << slowest_sync_ms_ << "\n"
       << "pimento_archive_store_overdue_ms " << store_.OverdueMs() << "\n"
       << "pimento_archive_list_version " << list_.version << "\n";
-  return out.str();
+  return out.str() + broker_.MetricsText();
 }
 
 }  // namespace pimento
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -19,6 +19,7 @@
 #include "src/archive_codec.h"
 #include "src/archive_journal.h"
 #include "src/archive_rpc.h"
+#include "src/byte_broker.h"
 #include "src/caller_connection.h"
 #include "src/member_list.h"
 #include "src/store_watch.h"
@@ -44,6 +45,9 @@
   // Time allowed for revoking a key, milliseconds: during an outage of the
   // store gateways rely on the archives' word that they have lost it too.
   int64_t revoke_ms = 5'000;
+  // Memory and descriptors of the process; 0 when not set.
+  int64_t memory_mb = 0;
+  int64_t max_fds = 0;
 };
 
 // Runs on the thread of `io`; journal writes run on the thread of `disk`.
@@ -106,6 +110,8 @@
   ArchiveRpc rpc_;
   ArchiveJournal journal_;
   TurnArchive archive_;
+  // What the connections of this process hold.
+  ByteBroker broker_;
   CallerServer server_;
   uint64_t id_ = 0;
 
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -4,6 +4,10 @@
 // Limits on callers come from the desired state: header and body size, header
 // timeout and idle timeout. Malformed requests are rejected here with an error
 // status and reach no handler.
+//
+// What connections hold is on the account of the process (byte_broker.h), and
+// when as many are open as may be, one that is idle or has stalled gives way to
+// a new one.
 #pragma once
 
 #include <boost/asio.hpp>
@@ -14,6 +18,7 @@
 #include <optional>
 #include <string>
 
+#include "src/byte_broker.h"
 #include "src/desired_state.h"
 #include "src/stop_token.h"
 
@@ -39,6 +44,11 @@
   virtual boost::asio::awaitable<bool> Begin(Header header) = 0;
   virtual boost::asio::awaitable<bool> Write(std::string piece) = 0;
   virtual boost::asio::awaitable<bool> End() = 0;
+  // Accounts for `bytes` that the handler holds for the request beside its
+  // body. When they are more than before, waits until there is room, up to
+  // `deadline`.
+  virtual boost::asio::awaitable<void> Hold(
+      uint64_t bytes, std::chrono::steady_clock::time_point deadline) = 0;
   // Closes the connection without the final chunk, so that the caller does not
   // take the response for a complete one.
   virtual void Abort() = 0;
@@ -52,6 +62,9 @@
   // Returns the current limits on callers.
   std::function<CallerLimits()> limits;
   CallHandler handler;
+  // The account of the process, which outlives the server; null: the server
+  // has one of its own.
+  ByteBroker* broker = nullptr;
   size_t max_connections = 1'500;
 };
 
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -55,6 +55,11 @@
   void Close();
   // True when the connection carried another exchange before this one.
   bool reused() const { return exchanges_ > 1; }
+  // What is left of the body that is being read, where its length was
+  // announced; 0 otherwise.
+  uint64_t announced_bytes() const {
+    return parser_ ? parser_->content_length_remaining().value_or(0) : 0;
+  }
   // True when the response that is being read has neither a length nor chunks:
   // its body ends where the upstream closes the connection.
   bool ends_with_close() const { return parser_ && parser_->need_eof(); }
--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -102,6 +102,7 @@
     history_ += turn.input;
     history_ += turn.output;
   }
+  co_await Account(0);
   if (!turns->empty()) previous_upstream_ = turns->back().upstream;
 }
 
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -105,6 +105,13 @@
   // to.
   void WithholdFrom(const UpstreamEntry& upstream,
                     std::unique_ptr<PooledConnection> connection);
+  // What this call holds beside the caller's request: history and output.
+  uint64_t HeldBytes() const;
+  // Tells the account of the process of these and of `more` bytes. Waits while
+  // there is no room.
+  boost::asio::awaitable<void> Account(uint64_t more);
+  // Reads the rest of a response, on the account of the process.
+  boost::asio::awaitable<std::string> CollectBody(PooledConnection& connection);
   boost::asio::awaitable<AttemptResult> RelayBuffered(
       PooledConnection& connection,
       const PooledConnection::ResponseHeader& header);
@@ -193,7 +200,11 @@
   // Events with data forwarded to the caller, over all attempts.
   int64_t events_ = 0;
   std::string last_event_id_;
+  // Data of these events, on a route that keeps history, and its length on any.
   std::string output_;
+  uint64_t output_bytes_ = 0;
+  // What Account() last told.
+  uint64_t accounted_bytes_ = 0;
 };
 
 }  // namespace pimento::Internal
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -24,6 +24,10 @@
 constexpr milliseconds kKeepAliveMargin{600};
 constexpr milliseconds kMaxKeepAlive{10'000};
 constexpr size_t kMaxResponseBytes = 8 * 1024 * 1024;
+// The account is told of what a call holds in steps of this size.
+constexpr uint64_t kAccountStepBytes = 16 * 1024;
+// A response being collected grows by this part of its size.
+constexpr size_t kGrowthShare = 4;
 // An exchange fails after this many interim responses or responses to other
 // requests.
 constexpr int kMaxStrayResponses = 4;
@@ -313,13 +317,51 @@
   co_return attempt;
 }
 
+uint64_t GatewayCall::HeldBytes() const {
+  // The history is sent on as a copy.
+  constexpr uint64_t kHistoryCopies = 2;
+  return history_.size() * kHistoryCopies + output_.size();
+}
+
+asio::awaitable<void> GatewayCall::Account(uint64_t more) {
+  const uint64_t bytes = HeldBytes() + more;
+  // Most calls never get this far.
+  if (bytes < accounted_bytes_ + kAccountStepBytes) co_return;
+  accounted_bytes_ = bytes;
+  co_await response_.Hold(bytes, deadline_);
+}
+
+asio::awaitable<std::string> GatewayCall::CollectBody(
+    PooledConnection& connection) {
+  std::string body;
+  for (;;) {
+    const std::string piece = co_await connection.ReadSome(deadline_);
+    if (piece.empty()) co_return body;
+    const size_t size = body.size() + piece.size();
+    if (size > kMaxResponseBytes)
+      throw TransportError("A response is longer than " +
+                           std::to_string(kMaxResponseBytes) + " bytes.");
+    if (size > body.capacity()) {
+      // To the announced length, else by a quarter: doubling would hold twice
+      // what has arrived.
+      const auto announced = static_cast<size_t>(
+          std::min<uint64_t>(connection.announced_bytes(), kMaxResponseBytes));
+      const size_t capacity =
+          size + (announced > 0 ? announced
+                                : std::max(piece.size(), size / kGrowthShare));
+      if (capacity >= kAccountStepBytes) co_await Account(capacity);
+      body.reserve(capacity);
+    }
+    body += piece;
+  }
+}
+
 asio::awaitable<AttemptResult> GatewayCall::RelayBuffered(
     PooledConnection& connection,
     const PooledConnection::ResponseHeader& header) {
   ResponseWriter::Header out = platform::HeaderForCaller(header);
   const auto head = platform::DecodeResponse(header);
-  std::string body =
-      co_await connection.ReadRemainingBody(deadline_, kMaxResponseBytes);
+  std::string body = co_await CollectBody(connection);
   token_.clear_on_stop();
   co_await response_.Send(std::move(out), std::move(body));
   LogEnd("answered", head.status);
@@ -339,8 +381,11 @@
                               steady_clock::now() - attempt_started_)
                               .count();
       }
-      output_ += event.data;
-      output_ += '\n';
+      output_bytes_ += event.data.size() + 1;
+      if (route_->keeps_history) {
+        output_ += event.data;
+        output_ += '\n';
+      }
       ++events_;
     }
     if (!event.id.empty()) last_event_id_ = event.id;
@@ -362,9 +407,11 @@
     const std::string piece = co_await connection.ReadSome(deadline_);
     if (piece.empty()) break;
     auto events = splitter.Feed(piece);
-    if (splitter.too_long() || output_.size() > kMaxResponseBytes)
+    if (splitter.too_long() || output_bytes_ > kMaxResponseBytes)
       throw TransportError("The stream of " + upstream.id +
                            " has an event or a total without end.");
+    if (HeldBytes() >= accounted_bytes_ + kAccountStepBytes)
+      co_await Account(0);
     if (!co_await ForwardEvents(std::move(events), header)) {
       token_.Stop(StopReason::kCallerLeft);
       throw TransportError(
@@ -398,6 +445,9 @@
       record.program = head_.program;
       record.tokens = static_cast<uint64_t>(events_ * per_event);
     }
+    // Each member is sent a copy.
+    const uint64_t copies = 1 + state_.archive().list().All().size();
+    co_await Account(copies * (record.input.size() + record.output.size()));
     try {
       co_await state_.archive().SaveTurn(std::move(record));
     } catch (const ArchiveError& e) {
--- a/src/gateway_server.cc
+++ b/src/gateway_server.cc
@@ -6,6 +6,7 @@
 #include "platform/object_codec.h"
 #include "platform/wire_names.h"
 #include "src/background_loop.h"
+#include "src/connection_limits.h"
 #include "src/event_log.h"
 #include "src/gateway_call.h"
 
@@ -37,12 +38,19 @@
 constexpr double kMaxDrainShare = 0.94;
 constexpr uint64_t kInternalBodyBytes = 64 * 1024;
 
+ConnectionLimits ConnectionsOf(const GatewayState& state) {
+  return LimitsOfConnections(state.settings().memory_mb,
+                             state.settings().max_fds);
+}
+
 CallerLimits InternalLimits() { return {.body_bytes = kInternalBodyBytes}; }
 
 }  // namespace
 
 GatewayServer::GatewayServer(GatewayState& state)
     : state_(state),
+      broker_(state.io(),
+              {.budget = HeldBytesBudget(state.settings().memory_mb)}),
       callers_(state.io(),
                {.limits =
                     [&state] {
@@ -53,13 +61,17 @@
                     [&state](const CallerRequest& request,
                              ResponseWriter& response, StopToken& token) {
                       return ServeCall(state, request, response, token);
-                    }}),
-      internal_(state.io(),
-                {.limits = InternalLimits,
-                 .handler = [this](const CallerRequest& request,
-                                   ResponseWriter& response, StopToken&) {
-                   return ServeInternal(request, response);
-                 }}) {}
+                    },
+                .broker = &broker_,
+                .max_connections = ConnectionsOf(state).callers}),
+      internal_(
+          state.io(),
+          {.limits = InternalLimits,
+           .handler =
+               [this](const CallerRequest& request, ResponseWriter& response,
+                      StopToken&) { return ServeInternal(request, response); },
+           .broker = &broker_,
+           .max_connections = ConnectionsOf(state).internal}) {}
 
 void GatewayServer::Listen() {
   const auto& settings = state_.settings();
@@ -93,7 +105,8 @@
   } else if (path == "/metrics") {
     header.result(http::status::ok);
     header.set(http::field::content_type, "text/plain; version=0.0.4");
-    body = state_.metrics().PrometheusText() + state_.ViewMetrics();
+    body = state_.metrics().PrometheusText() + state_.ViewMetrics() +
+           broker_.MetricsText();
   } else {
     header.result(http::status::not_found);
   }
--- a/src/gateway_server.h
+++ b/src/gateway_server.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "platform/store_mirror.h"
+#include "src/byte_broker.h"
 #include "src/caller_connection.h"
 #include "src/gateway_state.h"
 
@@ -30,6 +31,8 @@
   boost::asio::awaitable<void> WaitForDrain(std::function<void()> on_done);
 
   GatewayState& state_;
+  // What all connections of this process hold.
+  ByteBroker broker_;
   CallerServer callers_;
   // Directory, readiness, metrics and mirrored store objects.
   CallerServer internal_;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -7,6 +7,7 @@
 
 #include "src/errors.h"
 #include "src/log.h"
+#include "src/request_reader.h"
 #include "src/worker_thread.h"
 
 namespace pimento {
@@ -19,6 +20,10 @@
 
 const Log kLog("http");
 
+// Bounds what has no limit of its own: chunk extensions and trailers. Below the
+// longest field that Beast holds.
+constexpr size_t kReadAheadBytes = 60 * 1024;
+
 std::string PercentDecode(const std::string& text) {
   std::string out;
   for (size_t i = 0; i < text.size(); ++i) {
@@ -35,7 +40,7 @@
   return out;
 }
 
-HttpRequest ToRequest(const http::request<http::string_body>& message) {
+HttpRequest ToRequest(const http::request<SteppedBody>& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
   const std::string target(message.target());
@@ -69,12 +74,20 @@
 
 class Responder final : public HttpResponder {
  public:
+  // `holder` may be null.
   Responder(beast::tcp_stream& stream, const HttpLimits& limits,
-            bool keep_alive)
-      : stream_(stream), limits_(limits), keep_alive_(keep_alive) {}
+            bool keep_alive, ByteBroker::Holder* holder)
+      : stream_(stream),
+        limits_(limits),
+        keep_alive_(keep_alive),
+        holder_(holder) {}
 
   asio::awaitable<void> Send(HttpResponse answer) override {
     begun_ = true;
+    if (holder_ != nullptr) {
+      holder_->SetStage(HolderStage::kSending);
+      holder_->SetBytes(answer.body.capacity());
+    }
     http::response<http::string_body> message(
         static_cast<http::status>(answer.status), 11);
     SetHeaders(message, answer, keep_alive_);
@@ -99,7 +112,9 @@
     if (piece.empty()) co_return;
     StartWriteTimeout();
     const auto chunk = http::make_chunk(asio::buffer(piece));
+    if (holder_ != nullptr) holder_->SetStage(HolderStage::kStreaming);
     co_await asio::async_write(stream_, chunk, asio::use_awaitable);
+    if (holder_ != nullptr) holder_->SetStage(HolderStage::kInProgress);
   }
 
   asio::awaitable<void> End() override {
@@ -124,6 +139,7 @@
   beast::tcp_stream& stream_;
   const HttpLimits& limits_;
   bool keep_alive_;
+  ByteBroker::Holder* holder_;
   bool begun_ = false;
 };
 
@@ -142,6 +158,7 @@
       : io(server_io),
         limits(server_limits),
         handler(std::move(server_handler)),
+        broker(server_io, {.budget = server_limits.held_bytes}),
         acceptor(server_io) {}
 
   asio::awaitable<void> Accept() {
@@ -166,7 +183,7 @@
 
   static asio::awaitable<void> Reject(
       std::shared_ptr<State> state, std::shared_ptr<beast::tcp_stream> stream) {
-    Responder responder(*stream, state->limits, false);
+    Responder responder(*stream, state->limits, false, nullptr);
     HttpResponse answer{
         .status = 503,
         .body = ErrorBody("connection_limit",
@@ -203,22 +220,24 @@
                                                          asio::use_awaitable);
       buffer.commit(got);
     }
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(state.limits.header_bytes);
-    parser.body_limit(state.limits.body_bytes);
-    stream.expires_after(std::chrono::milliseconds(state.limits.read_ms));
-    beast::error_code error;
-    co_await http::async_read(stream, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-      co_await RefuseMalformed(state, stream, error);
+    bool reading = true;
+    ByteBroker::Holder holder(state.broker, [&stream, &reading] {
+      if (reading) {
+        stream.cancel();
+      } else {
+        stream.close();
+      }
+    });
+    RequestParser parser;
+    if (!co_await ReadRequest(state, stream, buffer, parser, holder))
       co_return false;
-    }
+    reading = false;
+    holder.SetStage(HolderStage::kInProgress);
     stream.expires_never();
-    const http::request<http::string_body> message = parser.release();
+    const http::request<SteppedBody> message = parser.release();
     const HttpRequest request = ToRequest(message);
     Responder responder(stream, state.limits,
-                        message.keep_alive() && !state.draining);
+                        message.keep_alive() && !state.draining, &holder);
     ++state.active_requests;
     std::exception_ptr failure;
     try {
@@ -231,6 +250,44 @@
     co_return responder.keep_alive();
   }
 
+  // Reads a request, or refuses it. Returns whether it was read.
+  static asio::awaitable<bool> ReadRequest(State& state,
+                                           beast::tcp_stream& stream,
+                                           beast::flat_buffer& buffer,
+                                           RequestParser& parser,
+                                           ByteBroker::Holder& holder) {
+    buffer.max_size(std::max(buffer.size(), kReadAheadBytes));
+    parser.header_limit(state.limits.header_bytes);
+    parser.body_limit(state.limits.body_bytes);
+    RequestReader reader(stream, buffer, holder);
+    const auto deadline = std::chrono::steady_clock::now() +
+                          std::chrono::milliseconds(state.limits.read_ms);
+    ReadOutcome outcome = co_await reader.ReadHeader(parser, deadline);
+    if (outcome == ReadOutcome::kDone)
+      outcome = co_await reader.ReadBody(parser, deadline);
+    if (outcome == ReadOutcome::kDone) co_return true;
+    // Gives back what was read before the answer is sent.
+    parser.get().body() = std::string();
+    holder.SetBytes(reader.HeldBytes(parser));
+    if (outcome == ReadOutcome::kNoRoom) {
+      co_await RefuseForRoom(state, stream);
+    } else {
+      co_await RefuseMalformed(state, stream, reader.error());
+    }
+    co_return false;
+  }
+
+  static asio::awaitable<void> RefuseForRoom(State& state,
+                                             beast::tcp_stream& stream) {
+    Responder responder(stream, state.limits, false, nullptr);
+    HttpResponse answer{
+        .status = 503,
+        .body = ErrorBody("memory_short",
+                          "This host holds as many bytes as it may."),
+        .headers = {{"Retry-After", "1"}}};
+    co_await responder.Send(answer);
+  }
+
   static asio::awaitable<void> RefuseMalformed(State& state,
                                                beast::tcp_stream& stream,
                                                beast::error_code error) {
@@ -251,13 +308,14 @@
                               "The request exceeds a size limit of this host.");
     }
     if (timed_out) co_return;
-    Responder responder(stream, state.limits, false);
+    Responder responder(stream, state.limits, false, nullptr);
     co_await responder.Send(answer);
   }
 
   asio::io_context& io;
   HttpLimits limits;
   HttpHandler handler;
+  ByteBroker broker;
   Tcp::acceptor acceptor;
   std::set<std::shared_ptr<beast::tcp_stream>> streams;
   std::atomic<size_t> active_requests{0};
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -18,6 +18,10 @@
   // with 431 and 413.
   uint32_t header_bytes = 16 * 1024;
   uint64_t body_bytes = 1024 * 1024;
+  // What all connections together may hold: requests being read and responses
+  // being sent. Beyond it reading pauses, and then those that hold most and
+  // move least are refused with 503 or closed.
+  uint64_t held_bytes = 256 * 1024 * 1024;
   // Time to read a request, from its first byte.
   int64_t read_ms = 10'000;
   // Time for each write: a whole response, a head or a chunk.
--- a/src/main/archive_main.cc
+++ b/src/main/archive_main.cc
@@ -27,7 +27,9 @@
        .data_dir = settings.data_dir,
        .first_start = settings.first_start,
        .tolerated_losses = settings.tolerated_losses,
-       .revoke_ms = settings.revoke_ms});
+       .revoke_ms = settings.revoke_ms,
+       .memory_mb = settings.memory_mb,
+       .max_fds = settings.max_fds});
   supervisor.Start();
   node.Start();
   std::string stop_signal;
--- a/src/main/platform_main.h
+++ b/src/main/platform_main.h
@@ -2,6 +2,8 @@
 // arguments, exit codes and signals.
 #pragma once
 
+#include <malloc.h>
+
 #include <boost/asio.hpp>
 #include <cxxopts.hpp>
 #include <functional>
@@ -20,6 +22,11 @@
 // Maximum log lines of one event per second; lines above that are only counted.
 inline constexpr int kLogLinesPerSecond = 60;
 
+// Larger blocks go back to the system when they are freed. By default the
+// allocator raises this bound to the largest block that was freed, up to 32 MB,
+// and then keeps what a crowd made the process hold.
+inline constexpr int kMappedBlockBytes = 256 * 1024;
+
 // Tells `error` on standard error and in the event log. Returns `code`.
 inline int EndWithError(const std::string& name, EndReason reason, int code,
                         const std::exception& error) {
@@ -35,6 +42,7 @@
     const std::function<void(const platform::BootSettings&)>& run) {
   HoldStopSignals();
   WatchProcessEnd();
+  mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
   cxxopts::Options options(name, purpose);
   options.add_options()("check", "check the settings and exit")(
       "version", "show the version")("help", "show this text");
