--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -9,6 +9,7 @@
 #include "platform/object_codec.h"
 #include "platform/wire_names.h"
 #include "src/background_loop.h"
+#include "src/connection_limits.h"
 #include "src/errors.h"
 #include "src/event_log.h"
 #include "src/loop_clock.h"
@@ -35,7 +36,6 @@
 // How finely this host's own delay is told from the silence of its peers: well
 // below the time after which a silent member is replaced.
 constexpr milliseconds kTurnInterval{200};
-constexpr size_t kMaxConnections = 1'000;
 constexpr uint64_t kMaxCallBytes = 8 * 1024 * 1024;
 constexpr int64_t kIdleTimeoutMs = 60'000;
 
@@ -91,12 +91,16 @@
       options_(std::move(options)),
       rpc_(pool),
       journal_(options_.data_dir),
+      broker_(io, {.budget = HeldBytesBudget(options_.memory_mb)}),
       server_(io,
               {.limits = PeerLimits,
                .handler = [this](const CallerRequest& request,
                                  ResponseWriter& answer,
                                  StopToken&) { return Serve(request, answer); },
-               .max_connections = kMaxConnections}),
+               .broker = &broker_,
+               .max_connections =
+                   LimitsOfConnections(options_.memory_mb, options_.max_fds)
+                       .internal}),
       registration_watch_(io, store, {.kind = kArchiveKind}),
       list_watch_(io, store,
                   {.kind = kMemberListKind,
@@ -331,7 +335,7 @@
       << "pimento_archive_slowest_sync_ms " << slowest_sync_ms_ << "\n"
       << "pimento_archive_store_overdue_ms " << store_.OverdueMs() << "\n"
       << "pimento_archive_list_version " << list_.version << "\n";
-  return out.str();
+  return out.str() + broker_.MetricsText();
 }
 
 }  // namespace pimento
