Pace of upstreams learned by the fleet; calls placed by it, spread

Cause: each gateway knew the time per event of an upstream from its own few calls (65 gateways, 44 engines: one answer in 7 s for a pair) and took 30 ms before, 150 prompt tokens a ms for all. Every gateway reacted to the same late news about load, and the reading of other calls' prompts counted as 2 in 100 of the call's own work. Change: upstream_pace learns the time per event of each process and the reading speed of each service, shares what peers would not assume in `paces`, and forgets it after 20 s. call_cost weighs reading of others by their tokens, and spreads the choices of many gateways; the turns of a conversation keep their order of upstreams. New metrics: pimento_upstream_event_ms, pimento_upstream_read_tokens_per_ms.

--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -23,6 +23,7 @@
 #include "src/crash_suspects.h"
 #include "src/rate_server.h"
 #include "src/upstream_entry.h"
+#include "src/upstream_pace.h"
 #include "src/usage_gossip.h"
 
 namespace pimento {
@@ -47,16 +48,6 @@
   int64_t total_ms = 0;
 };
 
-// What a gateway learned about the pace of one process of an upstream; see
-// LeavingProcesses::HashOf(). 0 where it is unknown.
-struct PaceSample {
-  uint64_t process = 0;
-  // Prompt tokens read in a millisecond.
-  double read_tokens_per_ms = 0;
-  // Time per event of a call that runs alone.
-  double event_ms = 0;
-};
-
 // Identifies the messages of `host`, started at `boot`, in echoes.
 uint64_t SenderHash(const std::string& host, uint64_t boot);
 
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -210,6 +210,12 @@
         << "pimento_view_revision" << label << watch->revision() << "\n"
         << "pimento_view_held" << label << watch->held() << "\n";
   }
+  for (const auto& [id, pace] : table_.MeasuredPaces()) {
+    const std::string label = "{upstream=\"" + id + "\"} ";
+    out << "pimento_upstream_event_ms" << label << pace.event_ms << "\n"
+        << "pimento_upstream_read_tokens_per_ms" << label
+        << pace.read_tokens_per_ms << "\n";
+  }
   return out.str();
 }
 
@@ -348,6 +354,9 @@
   const bool registered = gateway_addresses_.count(gossip.host) > 0;
   for (const CrashReport& report : gossip.crashes)
     if (registered) OnPeerCrashReport(gossip.host, report);
+  for (const PaceSample& sample : gossip.paces)
+    if (registered)
+      table_.pace().OnPeerReport(HashName(gossip.host), sample, now_ms);
   newest_peer_version_ = std::max(newest_peer_version_, gossip.state_version);
   // The peer wrote the message after the echoed one was sent, so that send time
   // is a safe time for its reports, however long the message was buffered.
@@ -507,6 +516,7 @@
   rates_.quota().OnUsageReported();
   gossip.programs = programs_.NextGossipBatch();
   gossip.crashes = suspects_.NextGossipBatch(SteadyMs());
+  gossip.paces = table_.pace().NextGossipBatch(SteadyMs());
   return gossip;
 }
 
@@ -653,6 +663,7 @@
       pool_.Sweep();
       programs_.Sweep(now_ms);
       table_.SweepLeaving(now_ms);
+      table_.pace().Sweep(now_ms);
       suspects_.Sweep(now_ms);
       crash_detector_.Sweep(now_ms);
     }
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -6,25 +6,17 @@
 #include <cmath>
 #include <utility>
 
+#include "src/call_cost.h"
 #include "src/cold_share.h"
 
 namespace pimento {
 namespace {
 
 constexpr int64_t kSecondMs = 1'000;
-// Prefill speed of an engine, prompt tokens per millisecond.
-constexpr double kPrefillTokensPerMs = 150;
-// Time per event assumed for an upstream that has not answered yet.
-constexpr double kDefaultEventMs = 30;
-// Slowdown by each call in flight, as a fraction of the call's own work.
-constexpr double kSlowdownPerCall = 0.02;
-// Expected wait for a free slot, as a fraction of the call's own work, for each
-// call beyond the upstream's slots.
-constexpr double kQueueingPerCall = 0.5;
 // Cost of a failed call, weighted by the recent failure rate.
 constexpr double kFailureCostMs = 800;
 constexpr double kOtherZoneCostMs = 2;
-// Weight of a new sample in the moving averages.
+// Weight of a new sample in the moving average of failures.
 constexpr double kSampleWeight = 0.1;
 // Backoff starts at this many consecutive failures and doubles with each
 // further one.
@@ -43,8 +35,25 @@
   return XXH3_64bits(pair, sizeof pair);
 }
 
-void UpdateAverage(double& average, double value) {
-  average = average == 0 ? value : average + kSampleWeight * (value - average);
+uint64_t PromptHash(const std::vector<PromptPart>* prompt) {
+  uint64_t hash = 0;
+  if (prompt == nullptr) return hash;
+  for (const PromptPart& part : *prompt) hash = CombineHash(hash, part.id);
+  return hash;
+}
+
+// The same for all calls that continue one conversation: the part that follows
+// the one which many share.
+uint64_t SessionOf(const std::vector<PromptPart>* prompt) {
+  if (prompt == nullptr || prompt->empty()) return 0;
+  return (*prompt)[std::min<size_t>(1, prompt->size() - 1)].id;
+}
+
+int64_t PromptTokens(const std::vector<PromptPart>* prompt) {
+  int64_t tokens = 0;
+  if (prompt == nullptr) return tokens;
+  for (const PromptPart& part : *prompt) tokens += part.tokens;
+  return tokens;
 }
 
 // Drops what was unused for kPrefixTtlMs, and for ever shorter times while
@@ -74,6 +83,7 @@
   if (!before.id.empty() && before.started_at_ms != entry.started_at_ms) {
     const int64_t in_flight = upstream.in_flight;
     const auto recent_sends = upstream.recent_sends;
+    pace_.RemoveProcess(upstream.process);
     upstream = Upstream{};
     upstream.in_flight = in_flight;
     upstream.recent_sends = recent_sends;
@@ -81,14 +91,22 @@
   if (before.address != entry.address) upstream.misdirected = false;
   upstream.entry = entry;
   upstream.hash = HashName(entry.id);
-  upstream.process = LeavingProcesses::HashOf(entry);
+  upstream.service = HashName(entry.service);
+  const uint64_t process = LeavingProcesses::HashOf(entry);
+  if (upstream.process != process) pace_.RemoveProcess(upstream.process);
+  upstream.process = process;
+  pace_.AddProcess(upstream.service, process);
   return before.id.empty() || before.leaving != entry.leaving ||
          before.address != entry.address ||
          before.started_at_ms != entry.started_at_ms;
 }
 
 bool UpstreamTable::Remove(const std::string& id) {
-  return upstreams_.erase(id) > 0;
+  const auto it = upstreams_.find(id);
+  if (it == upstreams_.end()) return false;
+  pace_.RemoveProcess(it->second.process);
+  upstreams_.erase(it);
+  return true;
 }
 
 void UpstreamTable::set_drained_zones(std::set<std::string> zones) {
@@ -200,29 +218,26 @@
 
 double UpstreamTable::ExpectedMs(const Upstream& upstream,
                                  const PlacementInput& input) const {
-  int64_t prompt_tokens = 0;
-  if (input.prompt != nullptr) {
-    for (const PromptPart& part : *input.prompt) prompt_tokens += part.tokens;
-  }
-  const double prefill_ms =
-      static_cast<double>(prompt_tokens - CachedTokens(upstream, input)) /
-      kPrefillTokensPerMs;
-  const double event_ms =
-      upstream.event_ms > 0 ? upstream.event_ms : kDefaultEventMs;
+  const auto pace = pace_.PaceOf(upstream.service, upstream.process);
   const double events = input.output_tokens > 0
                             ? static_cast<double>(input.output_tokens) /
                                   static_cast<double>(std::max<int64_t>(
                                       1, input.tokens_per_event))
                             : 1;
-  const double work_ms = event_ms * events;
-  const auto load =
-      static_cast<double>(upstream.in_flight + upstream.peers_in_flight);
-  const double excess =
-      std::max(0.0, load + 1 - static_cast<double>(upstream.entry.slots));
+  const double expected_ms =
+      ExpectedCallMs({.read_tokens = PromptTokens(input.prompt) -
+                                     CachedTokens(upstream, input),
+                      .events = events,
+                      .load = upstream.in_flight + upstream.peers_in_flight,
+                      .slots = upstream.entry.slots,
+                      .pace = pace});
   const double zone_ms =
       upstream.entry.zone == options_.zone ? 0 : kOtherZoneCostMs;
-  return prefill_ms +
-         work_ms * (1 + kSlowdownPerCall * load + kQueueingPerCall * excess) +
+  const uint64_t order =
+      CombineHash(CombineHash(upstream.hash, SessionOf(input.prompt)),
+                  static_cast<uint64_t>(gateway_index_));
+  return expected_ms +
+         SpreadMs(order, gateways_, pace.service_event_ms * events) +
          kFailureCostMs * upstream.failure_rate + zone_ms;
 }
 
@@ -282,6 +297,8 @@
   }
   upstream.recent_sends.push_back(now_ms);
   if (input.prompt == nullptr) return;
+  upstream.reading[PromptHash(input.prompt)] =
+      PromptTokens(input.prompt) - CachedTokens(upstream, input);
   if (upstream.prefixes.size() > kMaxPrefixes) {
     DropOldPrefixes(upstream.prefixes, now_ms);
   }
@@ -311,12 +328,20 @@
   if (it == upstreams_.end()) return;
   Upstream& upstream = it->second;
   upstream.in_flight = std::max<int64_t>(0, upstream.in_flight - 1);
+  const auto reading = upstream.reading.find(PromptHash(result.prompt));
+  const int64_t read_tokens =
+      reading == upstream.reading.end() ? 0 : reading->second;
+  if (reading != upstream.reading.end()) upstream.reading.erase(reading);
+  if (upstream.in_flight == 0) upstream.reading.clear();
   if (result.outcome == CallOutcome::kAbandoned) return;
   if (result.outcome == CallOutcome::kServed) {
-    const auto events =
-        static_cast<double>(std::max<int64_t>(1, result.events));
-    UpdateAverage(upstream.event_ms,
-                  static_cast<double>(result.duration_ms) / events);
+    pace_.OnServed({.service = upstream.service,
+                    .process = upstream.process,
+                    .read_tokens = read_tokens,
+                    .events = result.events,
+                    .duration_ms = result.duration_ms,
+                    .first_event_ms = result.first_event_ms},
+                   now_ms);
     upstream.failure_rate *= 1 - kSampleWeight;
     upstream.consecutive_failures = 0;
     upstream.backoff_until_ms = 0;
@@ -398,7 +423,7 @@
   for (const auto& [id, upstream] : upstreams_) {
     if (upstream.entry.service != service || IsLeaving(upstream)) continue;
     const double event_ms =
-        upstream.event_ms > 0 ? upstream.event_ms : kDefaultEventMs;
+        pace_.PaceOf(upstream.service, upstream.process).event_ms;
     // Events of a typical stream.
     constexpr double kTypicalEvents = 6;
     const auto spec = services_.find(service);
@@ -422,6 +447,17 @@
       }));
 }
 
+std::vector<std::pair<std::string, UpstreamPace::Pace>>
+UpstreamTable::MeasuredPaces() const {
+  std::vector<std::pair<std::string, UpstreamPace::Pace>> paces;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (pace_.Measured(upstream.process)) {
+      paces.emplace_back(id, pace_.PaceOf(upstream.service, upstream.process));
+    }
+  }
+  return paces;
+}
+
 std::vector<UpstreamLoad> UpstreamTable::LocalLoad() const {
   std::vector<UpstreamLoad> load;
   for (const auto& [id, upstream] : upstreams_) {
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -7,8 +7,9 @@
 // the lowest expected latency:
 //
 //   expected = prefill of the prompt tokens that are not cached there
-//            + the call's own work at the upstream's current time per event
-//            + a fraction of that work for each call in flight there
+//            + the call's own work at the upstream's time per event
+//            + a fraction of that work, and the time to read a typical prompt,
+//              for each call in flight there
 //            + a penalty for the recent failure rate
 //            + a penalty when the upstream is in another zone
 //
@@ -24,6 +25,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "src/call_head.h"
@@ -31,6 +33,7 @@
 #include "src/leaving_processes.h"
 #include "src/name_hash.h"
 #include "src/upstream_entry.h"
+#include "src/upstream_pace.h"
 
 namespace pimento {
 
@@ -69,6 +72,8 @@
   int64_t events = 0;
   // Time until the first event; empty if none came.
   std::optional<int64_t> first_event_ms = {};
+  // As in the call's PlacementInput.
+  const std::vector<PromptPart>* prompt = nullptr;
 };
 
 class UpstreamTable {
@@ -149,6 +154,11 @@
   int64_t ExpectedWaitMs(const std::string& service, size_t waiting) const;
   // Number of upstreams of `service` that may receive calls.
   size_t usable(const std::string& service) const;
+  // How fast the upstreams are, as far as is known in the fleet.
+  UpstreamPace& pace() { return pace_; }
+  const UpstreamPace& pace() const { return pace_; }
+  // Those of the upstreams that were measured lately, by id.
+  std::vector<std::pair<std::string, UpstreamPace::Pace>> MeasuredPaces() const;
   // This gateway's calls in flight, as sent to its peers.
   std::vector<UpstreamLoad> LocalLoad() const;
   std::vector<std::string> ids() const;
@@ -157,6 +167,7 @@
   struct Upstream {
     UpstreamEntry entry = {};
     uint64_t hash = 0;
+    uint64_t service = 0;
     // LeavingProcesses::HashOf() of the entry.
     uint64_t process = 0;
     // Calls in flight from this gateway and from all others.
@@ -164,9 +175,7 @@
     int64_t peers_in_flight = 0;
     // Times at which calls were sent within the last second.
     std::deque<int64_t> recent_sends = {};
-    // Exponential moving averages: time per event, 0 until the first answer,
-    // and failures per call, in [0, 1].
-    double event_ms = 0;
+    // Exponential moving average of failures per call, in [0, 1].
     double failure_rate = 0;
     // Backoff after consecutive failures: no call is sent before this time.
     int64_t backoff_until_ms = 0;
@@ -179,6 +188,9 @@
     bool misdirected = false;
     // Time of the last use, by hash of a prompt prefix that was sent there.
     std::unordered_map<uint64_t, int64_t> prefixes = {};
+    // Prompt tokens that were not cached when a call began that is in flight,
+    // by hash of its prompt.
+    std::unordered_map<uint64_t, int64_t> reading = {};
   };
 
   // True when the entry or the upstream's own responses say that it is leaving.
@@ -204,6 +216,7 @@
   UpstreamTableOptions options_;
   std::map<std::string, Upstream> upstreams_;
   LeavingProcesses leaving_;
+  UpstreamPace pace_;
   std::set<std::string> drained_zones_;
   std::unordered_map<std::string, ServiceSpec> services_;
   int64_t gateways_ = 1;
