--- a/src/gateway_hedge.cc
+++ b/src/gateway_hedge.cc
@@ -35,6 +35,11 @@
     co_return false;
   }
   asio::awaitable<bool> End() override { co_return false; }
+  // The caller's connection accounts for the answer that is forwarded.
+  asio::awaitable<void> Hold(uint64_t /*bytes*/,
+                             SteadyTime /*deadline*/) override {
+    co_return;
+  }
   void Abort() override {}
   bool begun() const override { return begun_; }
 
@@ -233,6 +238,7 @@
   const int status = winner->answer.status();
   ResponseWriter::Header header = winner->answer.TakeHeader();
   std::string body = winner->answer.TakeBody();
+  co_await response_.Hold(body.size(), deadline_);
   co_await response_.Send(std::move(header), std::move(body));
   LogEnd("answered", status);
   co_return AttemptResult::kDone;
