--- a/src/loop_delay.cc
+++ b/src/loop_delay.cc
@@ -15,8 +15,9 @@
 }  // namespace
 
 void LoopDelay::OnTurn(Time now) {
-  if (last_turn_)
+  if (last_turn_) {
     total_ += std::max(Duration::zero(), now - *last_turn_ - max_step_);
+  }
   last_turn_ = now;
 }
 
