A status outside 100 to 599 is no answer

Cause: ReadMatchingHeader took 000 and 099 for interim answers and waited on (504 when the caller's time was up), and passed 600 to 999 on; the product's own client took all four. Change: PooledConnection::ReadHeader and Fetch throw InvalidStatusError: a broken exchange, counted and logged, repeated only where one may be, else 502.

--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -121,6 +121,9 @@
       asio::redirect_error(asio::use_awaitable, error));
   if (error)
     ThrowTransportError("Reading a response from " + address_, error, true);
+  const int status = static_cast<int>(parser_->get().result_int());
+  if (status < kLeastStatus || status > kGreatestStatus)
+    throw InvalidStatusError(address_, status);
   co_return &parser_->get().base();
 }
 
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -41,8 +41,9 @@
   // response is read, since an upstream may respond before it has read the
   // body.
   Async<void> Send(std::shared_ptr<Request> request, SteadyTime deadline);
-  // Reads a response header. The caller checks that the response belongs to its
-  // request.
+  // Reads a response header. Throws InvalidStatusError, after which the
+  // connection serves no other exchange. The caller checks that the response
+  // belongs to its request.
   Async<const ResponseHeader*> ReadHeader(SteadyTime deadline);
   // Returns the next bytes of the body, or an empty string at its end.
   Async<std::string> ReadSome(SteadyTime deadline);
--- a/src/errors.h
+++ b/src/errors.h
@@ -58,6 +58,20 @@
   bool refused_;
 };
 
+// Statuses of the protocol; those below 200 announce another answer.
+inline constexpr int kLeastStatus = 100;
+inline constexpr int kGreatestStatus = 599;
+
+// An answer's status is outside the protocol: it is no answer, and the request
+// may have run.
+class InvalidStatusError : public TransportError {
+ public:
+  InvalidStatusError(const std::string& peer, int status)
+      : TransportError("The answer of " + peer + " has the status " +
+                       std::to_string(status) +
+                       ", which is outside the protocol.") {}
+};
+
 // The platform's object API is temporarily unavailable.
 class PlatformError : public std::runtime_error {
  public:
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -234,7 +234,13 @@
 GatewayCall::ReadMatchingHeader(PooledConnection& connection,
                                 platform::ResponseHead& head) {
   for (int strays = 0; strays < kMaxStrayResponses; ++strays) {
-    const auto* header = co_await connection.ReadHeader(deadline_);
+    const PooledConnection::ResponseHeader* header = nullptr;
+    try {
+      header = co_await connection.ReadHeader(deadline_);
+    } catch (const InvalidStatusError&) {
+      state_.metrics().Add(Counter::kInvalidStatuses);
+      throw;  // a broken exchange; TryUpstream() logs it
+    }
     head = platform::DecodeResponse(*header);
     keep_alive_ms_ = head.keep_alive_ms;
     const bool interim = head.status < kHttpOk;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -113,6 +113,8 @@
     }
     HttpResult result;
     result.status = static_cast<int>(parser.get().result_int());
+    if (result.status < kLeastStatus || result.status > kGreatestStatus)
+      throw InvalidStatusError(call.address, result.status);
     for (const auto& field : parser.get()) {
       result.headers[boost::to_lower_copy(std::string(field.name_string()))] =
           std::string(field.value());
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -49,7 +49,8 @@
                      "crash_suspects",
                      "crash_suspects_cleared",
                      "crash_suspects_reported",
-                     "turns_stored_again"};
+                     "turns_stored_again",
+                     "invalid_statuses"};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Latency::kCount)>
     kLatencyNames = {"program", "call", "first_token", "queue_wait", "commit"};
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -81,6 +81,8 @@
   // Finished turns that were stored again after too few members of the archive
   // had confirmed them.
   kTurnsStoredAgain,
+  // Answers of upstreams with a status that is outside the protocol.
+  kInvalidStatuses,
   kCount,
 };
 
