--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -55,7 +55,8 @@
                      "crash_suspects_reported",
                      "turns_stored_again",
                      "rollout_steps",
-                     "rollouts_taken_back"};
+                     "rollouts_taken_back",
+                     "invalid_statuses"};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Latency::kCount)>
     kLatencyNames = {"program", "call", "first_token", "queue_wait", "commit"};
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -91,6 +91,8 @@
   // that took a version back.
   kRolloutSteps,
   kRolloutsTakenBack,
+  // Answers of upstreams with a status that is outside the protocol.
+  kInvalidStatuses,
   kCount,
 };
 
