--- a/test/correctness/gateway_view_test.cc
+++ b/test/correctness/gateway_view_test.cc
@@ -34,4 +34,17 @@
   CHECK(decoded.leaving_upstreams == gossip.leaving_upstreams);
 }
 
+TEST_CASE("the pace of upstreams is carried in hundredths, within bounds") {
+  GatewayGossip gossip{.host = "a", .boot = 1, .sequence = 1};
+  gossip.paces = {{.process = 7, .read_tokens_per_ms = 75.84, .event_ms = 36.5},
+                  {.process = 8, .event_ms = 5'000}};
+  const auto decoded = DecodeGossip(EncodeGossip(gossip));
+  REQUIRE(decoded.paces.size() == 2);
+  CHECK(decoded.paces[0].process == 7);
+  CHECK(decoded.paces[0].read_tokens_per_ms == doctest::Approx(75.84));
+  CHECK(decoded.paces[0].event_ms == doctest::Approx(36.5));
+  CHECK(decoded.paces[1].read_tokens_per_ms == 0);
+  CHECK(decoded.paces[1].event_ms > 600);
+}
+
 }  // namespace pimento
