First turns are refused while a service is full; late programs wait last

Cause: programs that begin in a burst make those under way late, up to 22 turns each. Calls that gave up waiting stayed in the queue, counted as ahead of others and were charged to their team when popped. Change: a first turn with a prompt is refused (503, no_room) by the hash of its program and the load of the service, less urgent kinds first, with a Retry-After spread over 0.9 s; the hash, since gateways hear of a program after its next turn may have come. Programs that are late wait behind others of their team. Calls that give up leave the queue.

--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -23,6 +23,13 @@
 // Queue cost, in tokens, of a call that states no output tokens.
 constexpr double kDefaultCost = 20;
 
+// A priority counts as used for this long after its last call.
+constexpr int64_t kUrgentCallsMs = 60'000;
+
+bool HasTicket(const WaitingCall& call, const void* ticket) {
+  return call.ticket == *static_cast<const uint64_t*>(ticket);
+}
+
 [[noreturn]] void RefuseUnservable(const std::string& service) {
   throw Refusal(Reason::kNoUpstream, RunState::kNotRun,
                 "No upstream of service " + service + " is available.",
@@ -59,6 +66,7 @@
   const int64_t arrived_ms = SteadyMs();
   const std::string service = request.input.service;
   const int priority = request.priority;
+  last_call_ms_[service][priority] = arrived_ms;
   request.input.call_hash = HashName(request.request_id);
   auto waiter = std::make_shared<Waiter>(Waiter{
       std::move(request),
@@ -90,6 +98,8 @@
                   : kDefaultCost;
   call.arrived_ms = arrived_ms;
   call.wait_deadline_ms = waiter->request.wait_deadline_ms;
+  if (waiter->request.input.program_left_ms)
+    call.finish_by_ms = arrived_ms + *waiter->request.input.program_left_ms;
   queue->Push(std::move(call));
   EventLine(Event::kCallQueued)
       .Text("request", waiter->request.request_id)
@@ -113,11 +123,27 @@
                    static_cast<double>(SteadyMs() - arrived_ms));
   if (waiter->granted) co_return *waiter->granted;
   if (waiter->unservable) RefuseUnservable(service);
+  Forget(service, priority, ticket);
   throw Refusal(Reason::kQueueTimeout, RunState::kNotRun,
                 "No upstream had capacity before the deadline.",
                 kMinRetryAfterMs);
 }
 
+void Dispatcher::Forget(const std::string& service, int priority,
+                        uint64_t ticket) {
+  queues_by_service_[service].queues[priority]->Remove(HasTicket, &ticket);
+}
+
+bool Dispatcher::MostUrgent(const std::string& service, int priority) const {
+  const auto it = last_call_ms_.find(service);
+  if (it == last_call_ms_.end()) return true;
+  const int64_t since_ms = SteadyMs() - kUrgentCallsMs;
+  return std::none_of(it->second.begin(), it->second.end(),
+                      [&](const auto& last) {
+                        return last.first < priority && last.second >= since_ms;
+                      });
+}
+
 void Dispatcher::ServeQueues(const std::string& /*service*/,
                              ServiceQueues& service_queues) {
   for (auto& [priority, queue] : service_queues.queues) {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -62,6 +62,8 @@
   void DispatchQueued();
   // Number of queued calls.
   size_t waiting() const;
+  // True when no call of higher priority was dispatched to the service lately.
+  bool MostUrgent(const std::string& service, int priority) const;
 
  private:
   struct Waiter {
@@ -89,7 +91,12 @@
   boost::asio::io_context& io_;
   UpstreamTable& table_;
   Metrics& metrics_;
+  // Removes a call that gave up waiting.
+  void Forget(const std::string& service, int priority, uint64_t ticket);
+
   std::map<std::string, ServiceQueues> queues_by_service_;
+  // Time of the last call, by service and priority.
+  std::map<std::string, std::map<int, int64_t>> last_call_ms_;
   // Keyed by WaitingCall::ticket.
   std::map<uint64_t, std::shared_ptr<Waiter>> waiters_;
   uint64_t next_ticket_ = 1;
--- a/src/fair_queue.cc
+++ b/src/fair_queue.cc
@@ -68,6 +68,9 @@
     const auto best =
         std::min_element(least->calls.begin(), least->calls.end(),
                          [now_ms](const WaitingCall& a, const WaitingCall& b) {
+                           const bool late_a = IsLate(a, now_ms);
+                           const bool late_b = IsLate(b, now_ms);
+                           if (late_a != late_b) return late_b;
                            return Rank(a, now_ms) < Rank(b, now_ms);
                          });
     WaitingCall call = std::move(*best);
@@ -105,6 +108,11 @@
     std::deque<WaitingCall> calls;
   };
 
+  // True when the program of the call cannot finish in time any more.
+  static bool IsLate(const WaitingCall& call, int64_t now_ms) {
+    return call.finish_by_ms > 0 && call.finish_by_ms <= now_ms;
+  }
+
   // The call with the lowest rank goes first, tokens.
   static double Rank(const WaitingCall& call, int64_t now_ms) {
     const double waited_s =
--- a/src/fair_queue.h
+++ b/src/fair_queue.h
@@ -5,7 +5,7 @@
 //
 //   fair   picks the team with the fewest tokens served, divided by its weight,
 //          and within the team the program with the least attained service,
-//          with ageing
+//          with ageing; programs that are late already come last
 //   fifo   first in, first out; the baseline
 #pragma once
 
@@ -33,6 +33,8 @@
   int64_t arrived_ms = 0;
   // Time after which the sender no longer needs the slot.
   int64_t wait_deadline_ms = 0;
+  // Time by which the program should finish; 0 when not stated.
+  int64_t finish_by_ms = 0;
 };
 
 class FairQueue {
--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -7,6 +7,7 @@
 #include "src/background_loop.h"
 #include "src/event_log.h"
 #include "src/gateway_call_state.h"
+#include "src/program_admission.h"
 
 namespace pimento::Internal {
 namespace {
@@ -25,7 +26,27 @@
 
 }  // namespace
 
+void GatewayCall::RefuseNewProgram() const {
+  if (head_.program.empty() || head_.prompt_tokens.value_or(0) == 0 ||
+      ClassifyProgram() != ProgramStatus::kNewProgram) {
+    return;
+  }
+  const SlotUse use = state_.table().UseOf(service_name_);
+  const ProgramRequest program{
+      .program_hash = HashName(head_.program),
+      .call_hash = HashName(head_.request_id),
+      .most_urgent = state_.dispatcher().MostUrgent(service_name_, priority_)};
+  const int64_t wait_ms = RefuseProgramForMs(program, use);
+  if (wait_ms == 0) return;
+  throw Refusal(Reason::kNoRoom, RunState::kNotRun,
+                std::to_string(use.own + use.peers) +
+                    " calls are in flight on " + std::to_string(use.slots) +
+                    " slots of service " + service_name_ + ": no new programs.",
+                wait_ms);
+}
+
 asio::awaitable<void> GatewayCall::Admit() {
+  RefuseNewProgram();
   if (team_ == nullptr) co_return;
   const ProgramStatus standing = ClassifyProgram();
   rate_decision_ = co_await state_.rates().Acquire(team_->name, standing);
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -67,6 +67,8 @@
   // For how long it is; 0 when it may be sent.
   int64_t RefusedForMs() const;
   boost::asio::awaitable<void> Admit();
+  // Throws Refusal for the first turn of a program while its service is full.
+  void RefuseNewProgram() const;
   ProgramStatus ClassifyProgram() const;
   // Logs what was charged to or refunded to the team's rate.
   void LogRateDecision(Event event) const;
--- a/src/reason.h
+++ b/src/reason.h
@@ -56,6 +56,8 @@
   kConnectionLimit,
   // The request was in flight on several upstreams when those crashed.
   kCrashesUpstreams,
+  // The program would begin while its service is full.
+  kNoRoom,
   kInternal,
   kCount,
 };
