--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -166,7 +166,10 @@
           .count();
   result.events = events_ - events_before;
   if (result.events > 0) result.first_event_ms = first_event_ms_;
-  if (refused) result.outcome = CallOutcome::kRefused;
+  if (refused) {
+    result.outcome = CallOutcome::kRefused;
+    state_.metrics().Add(Counter::kTurnedAway);
+  }
   if (!refused && attempt != AttemptResult::kDone)
     result.outcome =
         token_.stopped() ? CallOutcome::kAbandoned : CallOutcome::kFailed;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -48,7 +48,8 @@
                      "sends_withheld",
                      "crash_suspects",
                      "crash_suspects_cleared",
-                     "crash_suspects_reported"};
+                     "crash_suspects_reported",
+                     "turned_away"};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Latency::kCount)>
     kLatencyNames = {"program", "call", "first_token", "queue_wait", "commit"};
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -78,6 +78,8 @@
   kCrashSuspects,
   kCrashSuspectsCleared,
   kCrashSuspectsReported,
+  // Calls that an upstream did not run, mostly since it was full.
+  kTurnedAway,
   kCount,
 };
 
--- a/src/slot_share.cc
+++ b/src/slot_share.cc
@@ -47,6 +47,11 @@
   return (use.own + use.peers) * 100 >= use.slots * kBusyFromPercent;
 }
 
+uint64_t DrawHash(uint64_t call, uint64_t upstream) {
+  const uint64_t pair[2] = {call, upstream};
+  return XXH3_64bits(pair, sizeof pair);
+}
+
 bool IsCandidate(const Draw& draw) {
   if (draw.upstreams <= kCandidates) return true;
   const uint64_t values[3] = {draw.call, draw.upstream,
--- a/src/slot_share.h
+++ b/src/slot_share.h
@@ -49,6 +49,9 @@
 // all others go.
 bool IsBusy(const SlotUse& use);
 
+// A number that all gateways draw alike for a pair of hashes.
+uint64_t DrawHash(uint64_t call, uint64_t upstream);
+
 struct Draw {
   uint64_t call = 0;
   uint64_t upstream = 0;
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -37,8 +37,6 @@
 constexpr int64_t kPrefixTtlMs = 60'000;
 // An upstream that turned a call away gets none for this time.
 constexpr int64_t kTurnedAwayPauseMs = 300;
-// Larger than any expected latency.
-constexpr double kNotConsideredMs = 1e9;
 // Bounds the memory: above this number, younger ones are dropped as well.
 constexpr size_t kPrefixesHeld = 8'192;
 
@@ -237,38 +235,6 @@
          kFailureCostMs * upstream.failure_rate + zone_ms;
 }
 
-SlotUse UpstreamTable::UseOf(const std::string& service) const {
-  SlotUse use{.gateways = gateways_};
-  for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry.service != service || !InService(upstream)) continue;
-    use.slots += upstream.entry.slots;
-    use.own += upstream.in_flight;
-    use.peers += upstream.peers_in_flight;
-  }
-  return use;
-}
-
-const UpstreamTable::Upstream* UpstreamTable::PromptHolder(
-    const PlacementInput& input, int64_t now_ms) const {
-  const Upstream* holder = nullptr;
-  int64_t most = 0;
-  for (const auto& [id, upstream] : upstreams_) {
-    if (!Usable(upstream, input, now_ms)) continue;
-    const int64_t cached = CachedTokens(upstream, input);
-    if (cached < most || cached == 0) continue;
-    holder = cached > most ? &upstream : nullptr;
-    most = cached;
-  }
-  return holder;
-}
-
-double UpstreamTable::Cost(const Upstream& upstream,
-                           const PlacementInput& input, bool considered) const {
-  if (considered) return ExpectedMs(upstream, input);
-  return kNotConsideredMs +
-         static_cast<double>(CombineHash(input.call_hash, upstream.hash) >> 32);
-}
-
 UpstreamTable::Choice UpstreamTable::Choose(const PlacementInput& input,
                                             int64_t now_ms) const {
   Choice choice;
@@ -307,7 +273,9 @@
       choice.verdict = Verdict::kFull;
       continue;
     }
-    const double cost = Cost(upstream, input, considered);
+    const double cost =
+        spread ? SpreadCost(upstream, input, &upstream == holder, considered)
+               : ExpectedMs(upstream, input);
     if (chosen == nullptr || cost < best_cost) {
       chosen = &upstream;
       best_cost = cost;
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -198,14 +198,15 @@
   // while calls are spread, a short queue counts as a slot.
   bool HasCapacity(const Upstream& upstream, const PlacementInput& input,
                    bool spread, int64_t now_ms) const;
-  // The upstream that holds most of the prompt,
-  // if it is one only, or null.
+  // The upstream that is expected to hold the prompt of the program's turn
+  // before: the one that ran it, if that is known, or the one that all gateways
+  // select for the program. Null if it is not usable.
   const Upstream* PromptHolder(const PlacementInput& input,
                                int64_t now_ms) const;
-  // What Choose() minimises. While calls are spread, an upstream that the
-  // call does not consider comes after all others.
-  double Cost(const Upstream& upstream, const PlacementInput& input,
-              bool considered) const;
+  // What Choose() minimises while calls are spread. An upstream that the call
+  // does not consider comes after all others.
+  double SpreadCost(const Upstream& upstream, const PlacementInput& input,
+                    bool holds_prompt, bool considered) const;
   // Expected latency of the call at the upstream, milliseconds.
   double ExpectedMs(const Upstream& upstream,
                     const PlacementInput& input) const;
