--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -56,7 +56,8 @@
                      "turns_stored_again",
                      "rollout_steps",
                      "rollouts_taken_back",
-                     "invalid_statuses"};
+                     "invalid_statuses",
+                     "turned_away"};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Latency::kCount)>
     kLatencyNames = {"program", "call", "first_token", "queue_wait", "commit"};
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -93,6 +93,8 @@
   kRolloutsTakenBack,
   // Answers of upstreams with a status that is outside the protocol.
   kInvalidStatuses,
+  // Calls that an upstream did not run, mostly since it was full.
+  kTurnedAway,
   kCount,
 };
 
