--- a/src/rollout_control.cc
+++ b/src/rollout_control.cc
@@ -102,12 +102,14 @@
 std::map<std::string, ServiceUpstreams> RolloutControl::Upstreams() const {
   const DesiredStatePtr desired = surroundings_.desired();
   std::map<std::string, ServiceUpstreams> upstreams;
-  for (const auto& [service, object] : director_.Objects())
+  for (const auto& [service, object] : director_.Objects()) {
+    const ServiceVersions versions = table_.VersionsOf(service);
     upstreams[service] = {
-        .versions = table_.VersionsInService(service),
-        .in_flight = table_.InFlightByVersion(service),
+        .versions = {versions.in_service.begin(), versions.in_service.end()},
+        .in_flight = versions.in_flight,
         .service_known =
             desired != nullptr && desired->FindService(service) != nullptr};
+  }
   return upstreams;
 }
 
@@ -116,8 +118,10 @@
   const int64_t now_ms = SteadyMs();
   if (now_ms - last_apply_ms_ >= kApplyIntervalMs) {
     std::map<std::string, std::vector<std::string>> registered;
-    for (const auto& [service, rule] : rules_)
-      registered[service] = table_.RegisteredVersions(service);
+    for (const auto& [service, rule] : rules_) {
+      for (const auto& [version, calls] : table_.VersionsOf(service).in_flight)
+        registered[service].push_back(version);
+    }
     director_.Sweep(registered);
     ApplyRules();
   }
--- a/src/rollout_director.cc
+++ b/src/rollout_director.cc
@@ -66,8 +66,9 @@
   if (status.target != object.order.target) return;
   order.ordered_ms = std::min(order.ordered_ms, now_ms - status.elapsed_ms);
   std::set<uint64_t> old_versions;
-  for (const std::string& version : status.old_versions)
+  for (const std::string& version : status.old_versions) {
     old_versions.insert(VersionHash(object.order, version));
+  }
   order.evidence.set_versions(VersionHash(object.order, object.order.target),
                               std::move(old_versions));
 }
@@ -80,8 +81,9 @@
       ++it;
       continue;
     }
-    if (IsRunning(it->second))
+    if (IsRunning(it->second)) {
       notes.push_back({it->first, "removed while it was running"});
+    }
     removed_[it->first] = RuleAfterRemoval(RuleFor(it->second.object, false));
     it = orders_.erase(it);
   }
@@ -90,8 +92,9 @@
     auto it = orders_.find(service);
     const bool anew = it != orders_.end() &&
                       it->second.object.order.target != object.order.target;
-    if (anew && IsRunning(it->second))
+    if (anew && IsRunning(it->second)) {
       notes.push_back({service, "replaced by another while it was running"});
+    }
     if (anew) orders_.erase(it);
     if (anew || it == orders_.end()) {
       it = orders_.emplace(service, Order{}).first;
@@ -99,8 +102,9 @@
       it->second.status_read_ms = now_ms;
       it->second.target_seen_ms = now_ms;
       it->second.old_seen_ms = now_ms;
-      if (!object.order.error.empty())
+      if (!object.order.error.empty()) {
         notes.push_back({service, object.order.error});
+      }
     }
     SetStatus(it->second, object, now_ms);
   }
@@ -108,15 +112,17 @@
 }
 
 void RolloutDirector::OnViewAge(int64_t age_ms, int64_t now_ms) {
-  if (age_ms > options_.max_view_age_ms)
+  if (age_ms > options_.max_view_age_ms) {
     stale_until_ms_ = now_ms + kStaleHoldMs;
+  }
   stale_ = now_ms < stale_until_ms_;
 }
 
 std::map<std::string, VersionRule> RolloutDirector::Rules() const {
   std::map<std::string, VersionRule> rules = removed_;
-  for (const auto& [service, order] : orders_)
+  for (const auto& [service, order] : orders_) {
     rules[service] = RuleFor(order.object, stale_);
+  }
   return rules;
 }
 
@@ -144,16 +150,18 @@
   if (it == orders_.end() || !IsRunning(it->second)) return;
   Order& order = it->second;
   const std::pair key(version, route);
-  if (order.counters.size() >= kMaxCounters && order.counters.count(key) == 0)
+  if (order.counters.size() >= kMaxCounters && order.counters.count(key) == 0) {
     return;
+  }
   VersionSample& counter = order.counters[key];
   ++counter.answers;
   counter.total_ms += answer.duration_ms;
   if (answer.failed) ++counter.failures;
   if (answer.unit_ms) ++counter.times[TimeBucket(*answer.unit_ms)];
   order.changed = true;
-  if (answer.failed && version == order.object.order.target)
+  if (answer.failed && version == order.object.order.target) {
     order.urgent = true;
+  }
 }
 
 std::vector<VersionSample> RolloutDirector::Samples(const Order& order) const {
@@ -161,8 +169,9 @@
   const RolloutStatus& status = order.object.status;
   for (const auto& [key, counter] : order.counters) {
     if (key.first != order.object.order.target &&
-        !Has(status.old_versions, key.first))
+        !Has(status.old_versions, key.first)) {
       continue;
+    }
     VersionSample sample = counter;
     sample.service = HashName(order.object.order.service);
     sample.version = VersionHash(order.object.order, key.first);
@@ -186,8 +195,9 @@
     for (const VersionStep& step : steps) {
       if (step.service != hash) continue;
       if (order.followers.count(host) == 0 &&
-          order.followers.size() >= kMaxFollowers)
+          order.followers.size() >= kMaxFollowers) {
         continue;
+      }
       Follower& follower = order.followers[host];
       // An older message that arrives late.
       if (follower.boot == boot && step.revision < follower.revision) continue;
@@ -215,8 +225,9 @@
         if (peer.first == options_.plan.host) return true;
         const auto it = order.followers.find(peer.first);
         if (it != order.followers.end() &&
-            it->second.revision >= order.object.revision)
+            it->second.revision >= order.object.revision) {
           return true;
+        }
         return time_to_read && peer.second >= options_.out_of_contact_ms;
       });
 }
@@ -225,10 +236,12 @@
                                     const ServiceUpstreams& upstreams,
                                     int64_t now_ms) const {
   const RolloutStatus& status = order.object.status;
-  if (Has(upstreams.versions, order.object.order.target))
+  if (Has(upstreams.versions, order.object.order.target)) {
     order.target_seen_ms = now_ms;
-  for (const std::string& version : status.old_versions)
+  }
+  for (const std::string& version : status.old_versions) {
     if (Has(upstreams.versions, version)) order.old_seen_ms = now_ms;
+  }
   RolloutView view{
       .order = order.object.order,
       .status = status,
@@ -243,66 +256,88 @@
       .old_in_flight = order.old_in_flight,
   };
   for (const auto& [host, follower] : order.followers) {
-    if (fleet.silent_ms.count(host) > 0)
+    if (fleet.silent_ms.count(host) > 0) {
       view.old_in_flight += follower.old_in_flight;
+    }
   }
   return view;
 }
 
-std::vector<RolloutWrite> RolloutDirector::Plan(
-    const RolloutFleet& fleet,
-    const std::map<std::string, ServiceUpstreams>& upstreams, int64_t now_ms) {
-  std::vector<RolloutWrite> writes;
-  if (!running()) return writes;
+void RolloutDirector::RankHosts(const RolloutFleet& fleet, int64_t now_ms) {
   const bool rank_anew = now_ms - last_ranked_ms_ >= kRankIntervalMs;
   if (rank_anew) {
     last_ranked_ms_ = now_ms;
     ranking_.set_hosts(fleet.ready_hosts);
   }
+  for (auto& [service, order] : orders_) {
+    if (!rank_anew && !order.deciders.empty()) continue;
+    order.deciders =
+        ranking_.Ranked(HashName("rollout/" + service), kDeciders, now_ms);
+  }
+}
+
+void RolloutDirector::CountOldCalls(Order& order,
+                                    const ServiceUpstreams& upstreams) {
+  int64_t old_in_flight = 0;
+  for (const std::string& version : order.object.status.old_versions) {
+    const auto calls = upstreams.in_flight.find(version);
+    if (calls != upstreams.in_flight.end()) old_in_flight += calls->second;
+  }
+  if (old_in_flight != order.old_in_flight) order.changed = true;
+  order.old_in_flight = old_in_flight;
+}
+
+void RolloutDirector::CompareAt(Order& order, int64_t now_ms) {
+  if (now_ms - order.last_tick_ms < RolloutEvidence::kTickMs) return;
+  order.last_tick_ms = now_ms;
+  order.evidence.OnReport(options_.plan.host, options_.boot, Samples(order));
+  order.evidence.Tick();
+  order.comparison = order.evidence.Compare();
+  const bool fault = order.comparison.fault != VersionFault::kNone;
+  if (!fault) order.bad_since_ms = -1;
+  if (fault && order.bad_since_ms < 0) order.bad_since_ms = now_ms;
+}
+
+std::optional<RolloutWrite> RolloutDirector::Decide(
+    Order& order, const RolloutFleet& fleet, const ServiceUpstreams& upstreams,
+    int64_t now_ms) {
+  const int rank = RankOf(order);
+  if (rank < 0) return std::nullopt;
+  CompareAt(order, now_ms);
+  RolloutView view = ViewOf(order, fleet, upstreams, now_ms);
+  view.comparison = order.comparison;
+  if (now_ms < order.write_pending_until_ms) return std::nullopt;
+  const bool waits = order.bad_since_ms < 0 ||
+                     now_ms - order.bad_since_ms < rank * kStandInDelayMs;
+  if (rank > 0 && waits) return std::nullopt;
+  auto next = PlanRollout(view, options_.plan);
+  if (!next) return std::nullopt;
+  if (rank > 0 && next->state != RolloutState::kRolledBack) return std::nullopt;
+  return RolloutWrite{.service = order.object.order.service,
+                      .revision = order.object.revision,
+                      .status = std::move(*next),
+                      .comparison = view.comparison,
+                      .answers = view.answers,
+                      .target_answers = order.evidence.target_answers(),
+                      .old_in_flight = view.old_in_flight};
+}
+
+std::vector<RolloutWrite> RolloutDirector::Plan(
+    const RolloutFleet& fleet,
+    const std::map<std::string, ServiceUpstreams>& upstreams, int64_t now_ms) {
+  std::vector<RolloutWrite> writes;
+  if (!running()) return writes;
+  RankHosts(fleet, now_ms);
   for (auto& [service, order] : orders_) {
     if (!IsRunning(order)) continue;
-    if (rank_anew || order.deciders.empty())
-      order.deciders =
-          ranking_.Ranked(HashName("rollout/" + service), kDeciders, now_ms);
     const auto found = upstreams.find(service);
     const ServiceUpstreams none{.service_known = false};
     const ServiceUpstreams& own =
         found == upstreams.end() ? none : found->second;
-    int64_t old_in_flight = 0;
-    for (const std::string& version : order.object.status.old_versions) {
-      const auto calls = own.in_flight.find(version);
-      if (calls != own.in_flight.end()) old_in_flight += calls->second;
-    }
-    if (old_in_flight != order.old_in_flight) order.changed = true;
-    order.old_in_flight = old_in_flight;
-    const int rank = RankOf(order);
-    if (rank < 0) continue;
-    RolloutView view = ViewOf(order, fleet, own, now_ms);
-    if (now_ms - order.last_tick_ms >= RolloutEvidence::kTickMs) {
-      order.last_tick_ms = now_ms;
-      order.evidence.OnReport(options_.plan.host, options_.boot,
-                              Samples(order));
-      order.evidence.Tick();
-      order.comparison = order.evidence.Compare();
-      const bool fault = order.comparison.fault != VersionFault::kNone;
-      if (!fault) order.bad_since_ms = -1;
-      if (fault && order.bad_since_ms < 0) order.bad_since_ms = now_ms;
+    CountOldCalls(order, own);
+    if (auto write = Decide(order, fleet, own, now_ms)) {
+      writes.push_back(std::move(*write));
     }
-    view.comparison = order.comparison;
-    if (now_ms < order.write_pending_until_ms) continue;
-    const bool waits = order.bad_since_ms < 0 ||
-                       now_ms - order.bad_since_ms < rank * kStandInDelayMs;
-    if (rank > 0 && waits) continue;
-    auto next = PlanRollout(view, options_.plan);
-    if (!next) continue;
-    if (rank > 0 && next->state != RolloutState::kRolledBack) continue;
-    writes.push_back({.service = service,
-                      .revision = order.object.revision,
-                      .status = std::move(*next),
-                      .comparison = view.comparison,
-                      .answers = view.answers,
-                      .target_answers = order.evidence.target_answers(),
-                      .old_in_flight = view.old_in_flight});
   }
   return writes;
 }
@@ -326,8 +361,9 @@
     order.urgent = false;
     order.changed = false;
     RolloutReport report{.samples = Samples(order)};
-    for (const std::string& host : order.deciders)
+    for (const std::string& host : order.deciders) {
       if (host != options_.plan.host) report.to.push_back(host);
+    }
     report.steps.push_back({.service = HashName(service),
                             .revision = order.object.revision,
                             .old_in_flight = order.old_in_flight});
--- a/src/rollout_director.h
+++ b/src/rollout_director.h
@@ -177,6 +177,16 @@
   // True if every gateway that may send has read the status.
   bool EveryoneFollows(const Order& order, const RolloutFleet& fleet,
                        int64_t now_ms) const;
+  // Ranks the hosts that may decide, if it is time to.
+  void RankHosts(const RolloutFleet& fleet, int64_t now_ms);
+  // Counts this gateway's calls in flight on the old versions.
+  static void CountOldCalls(Order& order, const ServiceUpstreams& upstreams);
+  // Compares the versions anew, if it is time to.
+  void CompareAt(Order& order, int64_t now_ms);
+  // What this host has to write now, if it is to decide.
+  std::optional<RolloutWrite> Decide(Order& order, const RolloutFleet& fleet,
+                                     const ServiceUpstreams& upstreams,
+                                     int64_t now_ms);
   // Place of this host among those that decide; -1 if it is none of them.
   int RankOf(const Order& order) const;
 
--- a/src/rollout_evidence.cc
+++ b/src/rollout_evidence.cc
@@ -15,6 +15,8 @@
 constexpr size_t kMaxHosts = 4'096;
 constexpr size_t kMaxRoutes = 200;
 constexpr uint64_t kOtherRoutes = 1;
+// The entry of RouteCounts for all routes together.
+constexpr uint64_t kAllRoutes = 0;
 constexpr size_t kMaxCountersOfHost = 1'024;
 
 // How unlikely a difference must be, in standard deviations.
@@ -69,8 +71,9 @@
                           .old_bad = old.failures};
   if (target.failing_ticks >= kMinFailingTicks &&
       Exceeds(target.failures, target.answers,
-              OldRate(old.failures, old.answers), kMinFailureExcess))
+              OldRate(old.failures, old.answers), kMinFailureExcess)) {
     found.fault = VersionFault::kFailures;
+  }
   return found;
 }
 
@@ -84,12 +87,13 @@
   for (size_t b = 0; b + kSlowerBuckets < kTimeBuckets; ++b) {
     const int64_t bad = TailFrom(target, b + kSlowerBuckets);
     const int64_t old_bad = TailFrom(old, b);
-    if (Exceeds(bad, answers, OldRate(old_bad, old_answers), kMinSlowExcess))
+    if (Exceeds(bad, answers, OldRate(old_bad, old_answers), kMinSlowExcess)) {
       return {.fault = VersionFault::kSlow,
               .target_answers = answers,
               .target_bad = bad,
               .old_answers = old_answers,
               .old_bad = old_bad};
+    }
   }
   return {};
 }
@@ -117,8 +121,9 @@
   VersionComparison Compare() const {
     if (sum_.target_answers < kMinTimedAnswers) return {};
     const double rate = expected_ / static_cast<double>(sum_.target_answers);
-    if (!Exceeds(sum_.target_bad, sum_.target_answers, rate, kMinSlowExcess))
+    if (!Exceeds(sum_.target_bad, sum_.target_answers, rate, kMinSlowExcess)) {
       return {};
+    }
     VersionComparison found = sum_;
     found.fault = VersionFault::kSlow;
     return found;
@@ -132,8 +137,9 @@
 // True if `sample` cannot be what a gateway counted.
 bool Absurd(const VersionSample& sample) {
   if (sample.answers < 0 || sample.failures < 0 ||
-      sample.failures > sample.answers)
+      sample.failures > sample.answers) {
     return true;
+  }
   int64_t timed = 0;
   for (const int64_t count : sample.times) {
     if (count < 0 || count > sample.answers) return true;
@@ -183,33 +189,22 @@
 
 VersionComparison CompareVersions(const RouteCounts& window,
                                   const RouteCounts& whole) {
-  AnswerCounts all_target;
-  AnswerCounts all_old;
   AllRoutesTimes all_times;
   for (const auto& [route, counts] : window) {
     AnswerCounts old = counts.old_versions;
     const auto before = whole.find(route);
-    if (old.answers < kMinOldAnswers && before != whole.end())
+    if (old.answers < kMinOldAnswers && before != whole.end()) {
       old = before->second.old_versions;
+    }
     VersionComparison found = CompareFailures(counts.target, old);
-    if (found.fault == VersionFault::kNone)
+    if (found.fault == VersionFault::kNone && route != kAllRoutes) {
       found = CompareTimes(counts.target, old);
+      all_times.Add(counts.target, old);
+    }
     found.route = route;
     if (found.fault != VersionFault::kNone) return found;
-    all_times.Add(counts.target, old);
-    all_target.Add(counts.target);
-    all_old.Add(old);
-  }
-  // The target fails in the same moment on several routes.
-  if (!window.empty()) {
-    all_target.failing_ticks = 0;
-    for (const auto& [route, counts] : window)
-      all_target.failing_ticks =
-          std::max(all_target.failing_ticks, counts.target.failing_ticks);
   }
-  const VersionComparison failures = CompareFailures(all_target, all_old);
-  const VersionComparison times = all_times.Compare();
-  return times.fault == VersionFault::kNone ? failures : times;
+  return all_times.Compare();
 }
 
 void RolloutEvidence::set_versions(uint64_t target,
@@ -235,8 +230,9 @@
                         .times = sample.times};
     const std::pair key(sample.version, sample.route);
     if (reported.counts.size() >= kMaxCountersOfHost &&
-        reported.counts.count(key) == 0)
+        reported.counts.count(key) == 0) {
       continue;
+    }
     AnswerCounts& last = reported.counts[key];
     AnswerCounts increase = counts;
     increase.Subtract(last);
@@ -249,8 +245,11 @@
     last = counts;
     const bool kept =
         whole_.count(sample.route) > 0 || whole_.size() < kMaxRoutes;
-    VersionCounts& sum = whole_[kept ? sample.route : kOtherRoutes];
-    (target ? sum.target : sum.old_versions).Add(increase);
+    for (const uint64_t route :
+         {kAllRoutes, kept ? sample.route : kOtherRoutes}) {
+      VersionCounts& sum = whole_[route];
+      (target ? sum.target : sum.old_versions).Add(increase);
+    }
   }
 }
 
@@ -261,10 +260,12 @@
       const auto it = before.find(route);
       const VersionCounts none;
       const VersionCounts& old = it == before.end() ? none : it->second;
-      if (counts.target.failures > old.target.failures)
+      if (counts.target.failures > old.target.failures) {
         ++counts.target.failing_ticks;
-      if (counts.old_versions.failures > old.old_versions.failures)
+      }
+      if (counts.old_versions.failures > old.old_versions.failures) {
         ++counts.old_versions.failing_ticks;
+      }
     }
   }
   history_.push_back(whole_);
@@ -282,16 +283,15 @@
 }
 
 int64_t RolloutEvidence::answers() const {
-  int64_t sum = 0;
-  for (const auto& [route, counts] : whole_)
-    sum += counts.target.answers + counts.old_versions.answers;
-  return sum;
+  const auto all = whole_.find(kAllRoutes);
+  return all == whole_.end()
+             ? 0
+             : all->second.target.answers + all->second.old_versions.answers;
 }
 
 int64_t RolloutEvidence::target_answers() const {
-  int64_t sum = 0;
-  for (const auto& [route, counts] : whole_) sum += counts.target.answers;
-  return sum;
+  const auto all = whole_.find(kAllRoutes);
+  return all == whole_.end() ? 0 : all->second.target.answers;
 }
 
 }  // namespace pimento
--- a/src/rollout_evidence.h
+++ b/src/rollout_evidence.h
@@ -44,7 +44,7 @@
   AnswerCounts target = {};
 };
 
-// By HashName() of the route.
+// By HashName() of the route; 0 stands for all routes together.
 using RouteCounts = std::map<uint64_t, VersionCounts>;
 
 // The bucket of AnswerCounts::times for an answer of `ms`.
--- a/src/rollout_plan.cc
+++ b/src/rollout_plan.cc
@@ -26,7 +26,7 @@
 constexpr double kPartShare = 0.2;
 constexpr double kHalfShare = 0.5;
 // Part of bad_exposure that the canary may use up in addition.
-constexpr double kSpareExposure = 0.4;
+constexpr double kSpareExposure = 0.6;
 // The canary's share is written anew when it should be this much lower or
 // higher.
 constexpr double kCanaryLower = 0.8;
@@ -123,8 +123,9 @@
 // Why the target is to be taken back; empty if it is not.
 std::string ReasonToTakeBack(const RolloutView& view) {
   const RolloutStatus& status = view.status;
-  if (view.comparison.fault != VersionFault::kNone)
+  if (view.comparison.fault != VersionFault::kNone) {
     return Describe(view.comparison);
+  }
   if (status.step == RolloutStep::kWaiting) {
     const auto limit_ms = static_cast<int64_t>(
         kWaitShare * static_cast<double>(view.order.over_ms));
@@ -199,13 +200,16 @@
   for (const std::string& version : versions) {
     if (version == order.target) continue;
     const bool replaced = Contains(earlier.old_versions, version);
-    if (superseded && earlier.state == RolloutState::kCompleted && replaced)
+    if (superseded && earlier.state == RolloutState::kCompleted && replaced) {
       continue;
-    if (superseded && earlier.state == RolloutState::kRunning && !replaced)
+    }
+    if (superseded && earlier.state == RolloutState::kRunning && !replaced) {
       continue;
+    }
     if (superseded && earlier.state == RolloutState::kRolledBack &&
-        version == earlier.target)
+        version == earlier.target) {
       continue;
+    }
     old.push_back(version);
   }
   return old;
@@ -218,10 +222,12 @@
   const bool over = status.state == RolloutState::kCompleted ||
                     status.state == RolloutState::kRolledBack;
   if (recorded && over) return std::nullopt;
-  if (!view.order.error.empty())
+  if (!view.order.error.empty()) {
     return TakeBack(view, options, view.order.error);
-  if (!recorded || status.state == RolloutState::kRequested)
+  }
+  if (!recorded || status.state == RolloutState::kRequested) {
     return Begin(view, options);
+  }
   std::string reason = ReasonToTakeBack(view);
   if (!reason.empty()) return TakeBack(view, options, std::move(reason));
 
@@ -248,12 +254,14 @@
     if (alone) next.reason = "no other version is in service";
     return next;
   }
-  if (status.step != RolloutStep::kCanary || view.in_step_ms < kMinStepMs)
+  if (status.step != RolloutStep::kCanary || view.in_step_ms < kMinStepMs) {
     return std::nullopt;
+  }
   const double share = CanaryShare(view, options);
   if (share > kCanaryLower * status.share &&
-      share < kCanaryHigher * status.share)
+      share < kCanaryHigher * status.share) {
     return std::nullopt;
+  }
   next.share = share;
   return next;
 }
--- a/src/rollout_share.cc
+++ b/src/rollout_share.cc
@@ -108,8 +108,9 @@
   for (size_t i = 0; i < all.size(); ++i) {
     const bool target = all[i].version == rule.target;
     if (target && divided) targets.emplace_back(all[i].hash, i);
-    if (allowed(all[i]) || (target && last_resort))
+    if (allowed(all[i]) || (target && last_resort)) {
       sides[i] = divided ? VersionSide::kOld : VersionSide::kAny;
+    }
   }
   std::sort(targets.begin(), targets.end());
   const auto wanted = static_cast<size_t>(
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -85,8 +85,9 @@
   // Until the rules are applied again, a new version is not known to be
   // allowed.
   if (before.version != entry.version &&
-      version_rules_.count(entry.service) > 0)
+      version_rules_.count(entry.service) > 0) {
     upstream.side = VersionSide::kExcluded;
+  }
   return before.id.empty() || before.leaving != entry.leaving ||
          before.address != entry.address ||
          before.started_at_ms != entry.started_at_ms;
@@ -111,48 +112,30 @@
   std::map<std::string, std::vector<Upstream*>> ruled;
   for (auto& [id, upstream] : upstreams_) {
     const bool has_rule = version_rules_.count(upstream.entry.service) > 0;
-    if (has_rule && Running(upstream))
+    if (has_rule && Running(upstream)) {
       ruled[upstream.entry.service].push_back(&upstream);
-    else
+    } else {
       upstream.side = VersionSide::kAny;
+    }
   }
   for (const auto& [service, upstreams] : ruled) {
     std::vector<VersionedUpstream> versions;
-    for (const Upstream* upstream : upstreams)
+    for (const Upstream* upstream : upstreams) {
       versions.push_back({upstream->entry.version, upstream->hash});
+    }
     const auto sides = SidesOf(version_rules_.at(service), versions);
     for (size_t i = 0; i < sides.size(); ++i) upstreams[i]->side = sides[i];
   }
 }
 
-std::vector<std::string> UpstreamTable::VersionsInService(
-    const std::string& service) const {
-  std::set<std::string> versions;
-  for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry.service == service && Running(upstream))
-      versions.insert(upstream.entry.version);
-  }
-  return {versions.begin(), versions.end()};
-}
-
-std::vector<std::string> UpstreamTable::RegisteredVersions(
-    const std::string& service) const {
-  std::set<std::string> versions;
-  for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry.service == service)
-      versions.insert(upstream.entry.version);
-  }
-  return {versions.begin(), versions.end()};
-}
-
-std::map<std::string, int64_t> UpstreamTable::InFlightByVersion(
-    const std::string& service) const {
-  std::map<std::string, int64_t> calls;
+ServiceVersions UpstreamTable::VersionsOf(const std::string& service) const {
+  ServiceVersions versions;
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry.service == service)
-      calls[upstream.entry.version] += upstream.in_flight;
+    if (upstream.entry.service != service) continue;
+    versions.in_flight[upstream.entry.version] += upstream.in_flight;
+    if (Running(upstream)) versions.in_service.insert(upstream.entry.version);
   }
-  return calls;
+  return versions;
 }
 
 void UpstreamTable::set_services(const DesiredState& state) {
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -74,6 +74,14 @@
   std::optional<int64_t> first_event_ms = {};
 };
 
+// The versions of the upstreams of one service.
+struct ServiceVersions {
+  // Of those in service, whatever the rules about versions say.
+  std::set<std::string> in_service = {};
+  // This gateway's calls in flight, by version, of all that are registered.
+  std::map<std::string, int64_t> in_flight = {};
+};
+
 class UpstreamTable {
  public:
   explicit UpstreamTable(UpstreamTableOptions options);
@@ -87,13 +95,7 @@
   // Sets which versions of services may be used, by service. An upstream that
   // is added later gets no calls until this is called again.
   void set_version_rules(std::map<std::string, VersionRule> rules);
-  // Versions of the upstreams of `service` that are in service, whatever the
-  // rules say, and this gateway's calls in flight on them.
-  std::vector<std::string> VersionsInService(const std::string& service) const;
-  std::map<std::string, int64_t> InFlightByVersion(
-      const std::string& service) const;
-  // Versions of all registered upstreams of `service`.
-  std::vector<std::string> RegisteredVersions(const std::string& service) const;
+  ServiceVersions VersionsOf(const std::string& service) const;
   void set_services(const DesiredState& state);
   // Number of gateways that may send to the same upstreams, this one included.
   void set_gateway_count(int64_t count) { gateways_ = count; }
