--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -9,8 +9,10 @@
 #include "platform/object_codec.h"
 #include "platform/wire_names.h"
 #include "src/background_loop.h"
+#include "src/connection_limits.h"
 #include "src/errors.h"
 #include "src/event_log.h"
+#include "src/loop_clock.h"
 #include "src/process_end.h"
 #include "src/stop_signals.h"
 #include "src/store_outage.h"
@@ -31,7 +33,9 @@
 constexpr int64_t kSegmentRetentionMs = 600'000;
 // Slower syncs are logged.
 constexpr int64_t kSlowSyncMs = 100;
-constexpr size_t kMaxConnections = 1'000;
+// How finely this host's own delay is told from the silence of its peers: well
+// below the time after which a silent member is replaced.
+constexpr milliseconds kTurnInterval{200};
 constexpr uint64_t kMaxCallBytes = 8 * 1024 * 1024;
 constexpr int64_t kIdleTimeoutMs = 60'000;
 
@@ -87,19 +91,23 @@
       options_(std::move(options)),
       rpc_(pool),
       journal_(options_.data_dir),
+      broker_(io, {.budget = HeldBytesBudget(options_.memory_mb)}),
       server_(io,
               {.limits = PeerLimits,
                .handler = [this](const CallerRequest& request,
                                  ResponseWriter& answer,
                                  StopToken&) { return Serve(request, answer); },
-               .max_connections = kMaxConnections}),
+               .broker = &broker_,
+               .max_connections =
+                   LimitsOfConnections(options_.memory_mb, options_.max_fds)
+                       .internal}),
       registration_watch_(io, store, {.kind = kArchiveKind}),
       list_watch_(io, store,
                   {.kind = kMemberListKind,
                    .wait = MaxContactWait(options_.revoke_ms)}),
       retirement_watch_(io, store,
                         {.kind = std::string(platform::kRetirementKind)}),
-      observing_since_(steady_clock::now()) {}
+      observing_since_(LoopClock::Of(io).Now()) {}
 
 void ArchiveNode::Start() {
   id_ = journal_.MemberId();
@@ -131,6 +139,8 @@
   list_watch_.Start(adopt);
   registration_watch_.Start([] {});
   retirement_watch_.Start([] {});
+  KeepRunning(io_, "loop clock",
+              [this] { return LoopClock::Of(io_).RunTurns(kTurnInterval); });
   KeepRunning(io_, "registration", [this] { return Register(); });
   KeepRunning(io_, "membership", [this] { return RunMembership(); });
 }
@@ -325,7 +335,7 @@
       << "pimento_archive_slowest_sync_ms " << slowest_sync_ms_ << "\n"
       << "pimento_archive_store_overdue_ms " << store_.OverdueMs() << "\n"
       << "pimento_archive_list_version " << list_.version << "\n";
-  return out.str();
+  return out.str() + broker_.MetricsText();
 }
 
 }  // namespace pimento
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -19,7 +19,9 @@
 #include "src/archive_codec.h"
 #include "src/archive_journal.h"
 #include "src/archive_rpc.h"
+#include "src/byte_broker.h"
 #include "src/caller_connection.h"
+#include "src/loop_delay.h"
 #include "src/member_list.h"
 #include "src/store_watch.h"
 #include "src/turn_archive.h"
@@ -44,6 +46,9 @@
   // Time allowed for revoking a key, milliseconds: during an outage of the
   // store gateways rely on the archives' word that they have lost it too.
   int64_t revoke_ms = 5'000;
+  // Memory and descriptors of the process; 0 when not set.
+  int64_t memory_mb = 0;
+  int64_t max_fds = 0;
 };
 
 // Runs on the thread of `io`; journal writes run on the thread of `disk`.
@@ -106,6 +111,8 @@
   ArchiveRpc rpc_;
   ArchiveJournal journal_;
   TurnArchive archive_;
+  // What the connections of this process hold.
+  ByteBroker broker_;
   CallerServer server_;
   uint64_t id_ = 0;
 
@@ -137,13 +144,13 @@
   // copied all records.
   uint64_t copied_version_ = 0;
   // Time of the last reply of each member since `observing_since_`.
-  std::map<uint64_t, std::chrono::steady_clock::time_point> last_reply_;
+  std::map<uint64_t, PeerTime> last_reply_;
   // The `copied_version_` that each member last reported.
   std::map<uint64_t, uint64_t> copied_versions_;
   // Start of the current observation of the peers: the start of the process or
   // the last time the membership was stable. A peer without a reply counts as
   // silent since then.
-  std::chrono::steady_clock::time_point observing_since_;
+  PeerTime observing_since_;
   // Last time at which the membership was stable: no change in progress, no
   // retirement, and enough members.
   BootClock::time_point last_stable_{};
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -21,6 +21,9 @@
 
 using SteadyTime = std::chrono::steady_clock::time_point;
 
+// For exchanges that a SilenceTimer ends.
+inline constexpr SteadyTime kNoDeadline = SteadyTime::max();
+
 // One client connection. Its asynchronous methods throw TransportError.
 class PooledConnection {
  public:
@@ -31,14 +34,16 @@
 
   explicit PooledConnection(boost::asio::any_io_executor executor);
 
+  // Throws once the peer has been silent for `limit`; see loop_clock.h.
   Async<void> Connect(boost::asio::ip::tcp::endpoint endpoint,
                       std::chrono::milliseconds limit);
   // Sends a request. A long body is written in the background while the
   // response is read, since an upstream may respond before it has read the
   // body.
   Async<void> Send(std::shared_ptr<Request> request, SteadyTime deadline);
-  // Reads a response header. The caller checks that the response belongs to its
-  // request.
+  // Reads a response header. Throws InvalidStatusError, after which the
+  // connection serves no other exchange. The caller checks that the response
+  // belongs to its request.
   Async<const ResponseHeader*> ReadHeader(SteadyTime deadline);
   // Returns the next bytes of the body, or an empty string at its end.
   Async<std::string> ReadSome(SteadyTime deadline);
@@ -55,6 +60,11 @@
   void Close();
   // True when the connection carried another exchange before this one.
   bool reused() const { return exchanges_ > 1; }
+  // What is left of the body that is being read, where its length was
+  // announced; 0 otherwise.
+  uint64_t announced_bytes() const {
+    return parser_ ? parser_->content_length_remaining().value_or(0) : 0;
+  }
   // True when the response that is being read has neither a length nor chunks:
   // its body ends where the upstream closes the connection.
   bool ends_with_close() const { return parser_ && parser_->need_eof(); }
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -54,6 +54,7 @@
   kCallQueued,
   kCallOffered,
   kOfferFailed,
+  kSecondTry,
   kCallRefused,
   kCallBroken,
   kCallEnded,
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -7,6 +7,7 @@
 //   Admit           rate limit of the team                gateway_admission.cc
 //   BeginTurn       turn history, token budget            gateway_admission.cc
 //   TryUpstreams    upstream choice, exchange, retries    gateway_exchange.cc
+//   TryWithSecond   second try of a slow answer           gateway_hedge.cc
 //   ReportFailure   outcome when no attempt completed     gateway_call.cc
 //   ReleaseUnused   refunds unused quota and reservation  gateway_admission.cc
 //
@@ -84,6 +85,27 @@
       DispatchRequest request);
   boost::asio::awaitable<AttemptResult> TryUpstream(
       const UpstreamEntry& upstream);
+
+  struct HedgeTry;
+  struct HedgeRace;
+  // One try of `parent`'s request, with an answer and a token of its own.
+  GatewayCall(const GatewayCall& parent, const CallerRequest& request,
+              ResponseWriter& response, StopToken& token);
+  // True when the request may be sent to two upstreams at a time.
+  bool MayHedge() const;
+  // Like TryUpstream(), and sends the request to another upstream as well once
+  // the answer is late. Forwards the first good answer.
+  boost::asio::awaitable<AttemptResult> TryWithSecond(
+      const UpstreamEntry& upstream);
+  void StartTry(const std::shared_ptr<HedgeRace>& race,
+                const UpstreamEntry& upstream);
+  void StartSecondTry(const std::shared_ptr<HedgeRace>& race, int64_t delay_ms);
+  // Waits until the race is decided, the request is stopped or `until` is over.
+  boost::asio::awaitable<void> WaitForRace(std::shared_ptr<HedgeRace> race,
+                                           SteadyTime until);
+  boost::asio::awaitable<AttemptResult> EndRace(
+      std::shared_ptr<HedgeRace> race);
+
   // Counts the answer for its version, where versions are compared.
   void NoteVersion(const UpstreamEntry& upstream, const CallResult& result);
   // Called after TryUpstream(): records that the upstream crashed under the
@@ -109,6 +131,13 @@
   // to.
   void WithholdFrom(const UpstreamEntry& upstream,
                     std::unique_ptr<PooledConnection> connection);
+  // What this call holds beside the caller's request: history and output.
+  uint64_t HeldBytes() const;
+  // Tells the account of the process of these and of `more` bytes. Waits while
+  // there is no room.
+  boost::asio::awaitable<void> Account(uint64_t more);
+  // Reads the rest of a response, on the account of the process.
+  boost::asio::awaitable<std::string> CollectBody(PooledConnection& connection);
   boost::asio::awaitable<AttemptResult> RelayBuffered(
       PooledConnection& connection,
       const PooledConnection::ResponseHeader& header);
@@ -121,6 +150,10 @@
       const PooledConnection::ResponseHeader& header);
   boost::asio::awaitable<AttemptResult> FinishStream(
       const UpstreamEntry& upstream);
+  // Stores the finished turn, again after a failure as long as the caller
+  // waits: the same record may be stored any number of times. Throws
+  // TransportError.
+  boost::asio::awaitable<void> StoreTurn(TurnRecord record);
   std::shared_ptr<PooledConnection::Request> BuildUpstreamRequest(
       const UpstreamEntry& upstream) const;
   void SettleInBackground();
@@ -151,6 +184,9 @@
   // Shared with the timer's handler, which may run after this object is
   // destroyed; false once `token_` must not be used any more.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  // True for a try of another GatewayCall's request, which does not log the
+  // request's end.
+  const bool is_copy_ = false;
 
   DesiredStatePtr desired_;
   CallHead head_;
@@ -199,7 +235,11 @@
   // Events with data forwarded to the caller, over all attempts.
   int64_t events_ = 0;
   std::string last_event_id_;
+  // Data of these events, on a route that keeps history, and its length on any.
   std::string output_;
+  uint64_t output_bytes_ = 0;
+  // What Account() last told.
+  uint64_t accounted_bytes_ = 0;
 };
 
 }  // namespace pimento::Internal
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -24,10 +24,16 @@
 constexpr milliseconds kKeepAliveMargin{600};
 constexpr milliseconds kMaxKeepAlive{10'000};
 constexpr size_t kMaxResponseBytes = 8 * 1024 * 1024;
+// The account is told of what a call holds in steps of this size.
+constexpr uint64_t kAccountStepBytes = 16 * 1024;
+// A response being collected grows by this part of its size.
+constexpr size_t kGrowthShare = 4;
 // An exchange fails after this many interim responses or responses to other
 // requests.
 constexpr int kMaxStrayResponses = 4;
 constexpr int kFirstNonSuccess = 300;
+// Pause before a finished turn is stored again.
+constexpr milliseconds kStoreRetryPause{60};
 
 bool Successful(int status) {
   return status >= kHttpOk && status < kFirstNonSuccess;
@@ -36,6 +42,7 @@
 }  // namespace
 
 asio::awaitable<void> GatewayCall::TryUpstreams() {
+  if (IsRetryable()) state_.hedging().OnRequest();
   for (;;) {
     if (token_.stopped()) co_return;
     if (!may_have_run_) RefuseSuspect();
@@ -67,7 +74,11 @@
       last_failure_ += std::string(" Then: ") + refusal.what();
       co_return;
     }
-    const AttemptResult attempt = co_await TryUpstream(upstream);
+    AttemptResult attempt = AttemptResult::kNotRun;
+    if (MayHedge())
+      attempt = co_await TryWithSecond(upstream);
+    else
+      attempt = co_await TryUpstream(upstream);
     co_await NoteRun(upstream, attempt);
     done_ = attempt == AttemptResult::kDone;
     if (done_) co_return;
@@ -140,6 +151,7 @@
     if (state_.table().named_limit(upstream.id))
       state_.metrics().Add(Counter::kLimitedSends);
     const RequestFingerprints fingerprints = Fingerprints();
+    const SlotUse use = state_.table().UseOf(service_name_);
     EventLine(Event::kCallOffered)
         .Text("request", head_.request_id)
         .Text("upstream", upstream.id)
@@ -147,6 +159,9 @@
         .Text("fingerprint", HexOf(fingerprints.exact))
         .Text("leading", HexOf(fingerprints.leading))
         .Number("attempt", attempts_)
+        .Number("own_calls", use.own)
+        .Number("service_calls", use.own + use.peers)
+        .Number("service_slots", use.slots)
         .Number("left_ms", RemainingMs())
         .Number("state_version", desired_->version())
         .Number("view_age_ms", state_.upstream_view().AgeMs())
@@ -167,7 +182,7 @@
                   !token_.stopped() && !archive_failed_;
   }
   token_.clear_on_stop();
-  CallResult result{.outcome = CallOutcome::kServed};
+  CallResult result{.outcome = CallOutcome::kServed, .prompt = &head_.prompt};
   result.duration_ms =
       std::chrono::duration_cast<milliseconds>(steady_clock::now() - started)
           .count();
@@ -263,7 +278,13 @@
 GatewayCall::ReadMatchingHeader(PooledConnection& connection,
                                 platform::ResponseHead& head) {
   for (int strays = 0; strays < kMaxStrayResponses; ++strays) {
-    const auto* header = co_await connection.ReadHeader(deadline_);
+    const PooledConnection::ResponseHeader* header = nullptr;
+    try {
+      header = co_await connection.ReadHeader(deadline_);
+    } catch (const InvalidStatusError&) {
+      state_.metrics().Add(Counter::kInvalidStatuses);
+      throw;  // a broken exchange; TryUpstream() logs it
+    }
     head = platform::DecodeResponse(*header);
     keep_alive_ms_ = head.keep_alive_ms;
     const bool interim = head.status < kHttpOk;
@@ -345,13 +366,51 @@
   co_return attempt;
 }
 
+uint64_t GatewayCall::HeldBytes() const {
+  // The history is sent on as a copy.
+  constexpr uint64_t kHistoryCopies = 2;
+  return history_.size() * kHistoryCopies + output_.size();
+}
+
+asio::awaitable<void> GatewayCall::Account(uint64_t more) {
+  const uint64_t bytes = HeldBytes() + more;
+  // Most calls never get this far.
+  if (bytes < accounted_bytes_ + kAccountStepBytes) co_return;
+  accounted_bytes_ = bytes;
+  co_await response_.Hold(bytes, deadline_);
+}
+
+asio::awaitable<std::string> GatewayCall::CollectBody(
+    PooledConnection& connection) {
+  std::string body;
+  for (;;) {
+    const std::string piece = co_await connection.ReadSome(deadline_);
+    if (piece.empty()) co_return body;
+    const size_t size = body.size() + piece.size();
+    if (size > kMaxResponseBytes)
+      throw TransportError("A response is longer than " +
+                           std::to_string(kMaxResponseBytes) + " bytes.");
+    if (size > body.capacity()) {
+      // To the announced length, else by a quarter: doubling would hold twice
+      // what has arrived.
+      const auto announced = static_cast<size_t>(
+          std::min<uint64_t>(connection.announced_bytes(), kMaxResponseBytes));
+      const size_t capacity =
+          size + (announced > 0 ? announced
+                                : std::max(piece.size(), size / kGrowthShare));
+      if (capacity >= kAccountStepBytes) co_await Account(capacity);
+      body.reserve(capacity);
+    }
+    body += piece;
+  }
+}
+
 asio::awaitable<AttemptResult> GatewayCall::RelayBuffered(
     PooledConnection& connection,
     const PooledConnection::ResponseHeader& header) {
   ResponseWriter::Header out = platform::HeaderForCaller(header);
   const auto head = platform::DecodeResponse(header);
-  std::string body =
-      co_await connection.ReadRemainingBody(deadline_, kMaxResponseBytes);
+  std::string body = co_await CollectBody(connection);
   token_.clear_on_stop();
   co_await response_.Send(std::move(out), std::move(body));
   LogEnd("answered", head.status);
@@ -371,8 +430,11 @@
                               steady_clock::now() - attempt_started_)
                               .count();
       }
-      output_ += event.data;
-      output_ += '\n';
+      output_bytes_ += event.data.size() + 1;
+      if (route_->keeps_history) {
+        output_ += event.data;
+        output_ += '\n';
+      }
       ++events_;
     }
     if (!event.id.empty()) last_event_id_ = event.id;
@@ -394,9 +456,11 @@
     const std::string piece = co_await connection.ReadSome(deadline_);
     if (piece.empty()) break;
     auto events = splitter.Feed(piece);
-    if (splitter.too_long() || output_.size() > kMaxResponseBytes)
+    if (splitter.too_long() || output_bytes_ > kMaxResponseBytes)
       throw TransportError("The stream of " + upstream.id +
                            " has an event or a total without end.");
+    if (HeldBytes() >= accounted_bytes_ + kAccountStepBytes)
+      co_await Account(0);
     if (!co_await ForwardEvents(std::move(events), header)) {
       token_.Stop(StopReason::kCallerLeft);
       throw TransportError(
@@ -430,13 +494,10 @@
       record.program = head_.program;
       record.tokens = static_cast<uint64_t>(events_ * per_event);
     }
-    try {
-      co_await state_.archive().SaveTurn(std::move(record));
-    } catch (const ArchiveError& e) {
-      archive_failed_ = true;
-      throw TransportError(std::string("The turn could not be stored: ") +
-                           e.what());
-    }
+    // Each member is sent a copy.
+    const uint64_t copies = 1 + state_.archive().list().All().size();
+    co_await Account(copies * (record.input.size() + record.output.size()));
+    co_await StoreTurn(std::move(record));
     reserved_ = false;
     EventLine(Event::kTurnKept)
         .Text("request", head_.request_id)
@@ -449,6 +510,33 @@
   co_return AttemptResult::kDone;
 }
 
+asio::awaitable<void> GatewayCall::StoreTurn(TurnRecord record) {
+  for (int attempt = 1;; ++attempt) {
+    std::string failure;
+    try {
+      co_await state_.archive().SaveTurn(record);
+      co_return;
+    } catch (const ArchiveError& e) {
+      failure = e.what();
+    }
+    const bool again =
+        !token_.stopped() && RemainingMs() > kStoreRetryPause.count();
+    EventLine(Event::kArchiveFailed)
+        .Text("request", head_.request_id)
+        .Text("what", again ? "turn, stored again" : "turn")
+        .Text("error", failure)
+        .Number("attempt", attempt)
+        .Number("left_ms", RemainingMs());
+    if (!again) {
+      archive_failed_ = true;
+      throw TransportError("The turn could not be stored: " + failure);
+    }
+    state_.metrics().Add(Counter::kTurnsStoredAgain);
+    asio::steady_timer pause(state_.io(), kStoreRetryPause);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+}
+
 milliseconds GatewayCall::PoolIdleTimeout() const {
   if (keep_alive_ms_ == 0) return kDefaultKeepAlive;
   const milliseconds stated(keep_alive_ms_);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -18,6 +18,7 @@
 #include "src/desired_state.h"
 #include "src/dispatcher.h"
 #include "src/gateway_peers.h"
+#include "src/hedge_policy.h"
 #include "src/metrics.h"
 #include "src/overload_detector.h"
 #include "src/recent_programs.h"
@@ -65,6 +66,7 @@
   // The request ran to its end on an upstream.
   void OnRunCompleted(const RequestFingerprints& request);
   ConnectionPool& pool() { return pool_; }
+  HedgePolicy& hedging() { return hedging_; }
   // Number of gateways that exchange gossip with this one, itself included.
   int64_t reachable_gateways() const { return reachable_gateways_; }
   // The mirror of the store's objects of `kind`; null for a kind that is not
@@ -79,7 +81,15 @@
   boost::asio::io_context& io() { return io_; }
 
  private:
-  void OnConfig();
+  // Time by which the peers' silence is judged, milliseconds.
+  int64_t PeerNowMs() const;
+  // Takes in the configuration step by step. The one before stays in force
+  // meanwhile.
+  boost::asio::awaitable<void> OnConfig();
+  // Null, with a log line, for one that cannot be read, and null for one that
+  // is not newer.
+  boost::asio::awaitable<DesiredStatePtr> DecodeConfig(
+      const boost::json::value& spec);
   void OnUpstreams();
   void OnDrainedZones();
   void OnMembers();
@@ -159,6 +169,7 @@
   UsageGossip usage_gossip_;
   CrashSuspects suspects_{{}};
   CrashDetector crash_detector_;
+  HedgePolicy hedging_;
   RolloutControl rollouts_;
   int64_t started_ms_ = SteadyMs();
   // Start of each peer's process, as last heard.
--- a/src/main/platform_main.h
+++ b/src/main/platform_main.h
@@ -2,6 +2,8 @@
 // arguments, exit codes and signals.
 #pragma once
 
+#include <malloc.h>
+
 #include <boost/asio.hpp>
 #include <cxxopts.hpp>
 #include <functional>
@@ -20,6 +22,11 @@
 // Maximum log lines of one event per second; lines above that are only counted.
 inline constexpr int kLogLinesPerSecond = 60;
 
+// Larger blocks go back to the system when they are freed. By default the
+// allocator raises this bound to the largest block that was freed, up to 32 MB,
+// and then keeps what a crowd made the process hold.
+inline constexpr int kMappedBlockBytes = 256 * 1024;
+
 // Tells `error` on standard error and in the event log. Returns `code`.
 inline int EndWithError(const std::string& name, EndReason reason, int code,
                         const std::exception& error) {
@@ -35,8 +42,13 @@
     const std::function<void(const platform::BootSettings&)>& run) {
   HoldStopSignals();
   WatchProcessEnd();
+  mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
   cxxopts::Options options(name, purpose);
   options.add_options()("check", "check the settings and exit")(
+      "max-hedge-share",
+      "second tries of slow answers, as a share (0 to 1) of the requests that "
+      "may be repeated; only for pimento-gateway",
+      cxxopts::value<double>()->default_value("0"))(
       "version", "show the version")("help", "show this text");
   try {
     const auto arguments = options.parse(argc, argv);
@@ -51,7 +63,10 @@
       std::cout << name << " " << kVersion << "\n";
       return kExitDone;
     }
-    const platform::BootSettings settings = platform::ReadBootSettings();
+    platform::BootSettings settings = platform::ReadBootSettings();
+    settings.hedge_share = arguments["max-hedge-share"].as<double>();
+    if (!(settings.hedge_share >= 0 && settings.hedge_share <= 1))
+      throw UserError("--max-hedge-share is not between 0 and 1.");
     if (arguments.count("check") != 0) {
       std::cout << "The settings are correct.\n";
       return kExitDone;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -46,11 +46,17 @@
                      "leaving_stated",
                      "leaving_reported",
                      "sends_withheld",
+                     "hedges_sent",
+                     "hedges_won",
+                     "hedges_over_limit",
+                     "hedges_without_room",
                      "crash_suspects",
                      "crash_suspects_cleared",
                      "crash_suspects_reported",
+                     "turns_stored_again",
                      "rollout_steps",
-                     "rollouts_taken_back"};
+                     "rollouts_taken_back",
+                     "invalid_statuses"};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Latency::kCount)>
     kLatencyNames = {"program", "call", "first_token", "queue_wait", "commit"};
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -6,25 +6,19 @@
 #include <cmath>
 #include <utility>
 
+#include "src/call_cost.h"
 #include "src/cold_share.h"
 
 namespace pimento {
 namespace {
 
 constexpr int64_t kSecondMs = 1'000;
-// Prefill speed of an engine, prompt tokens per millisecond.
-constexpr double kPrefillTokensPerMs = 150;
-// Time per event assumed for an upstream that has not answered yet.
-constexpr double kDefaultEventMs = 30;
-// Slowdown by each call in flight, as a fraction of the call's own work.
-constexpr double kSlowdownPerCall = 0.02;
-// Expected wait for a free slot, as a fraction of the call's own work, for each
-// call beyond the upstream's slots.
-constexpr double kQueueingPerCall = 0.5;
 // Cost of a failed call, weighted by the recent failure rate.
 constexpr double kFailureCostMs = 800;
 constexpr double kOtherZoneCostMs = 2;
-// Weight of a new sample in the moving averages.
+// Share of a service's slots that may be taken while second tries are sent.
+constexpr double kMaxSpareLoad = 0.7;
+// Weight of a new sample in the moving average of failures.
 constexpr double kSampleWeight = 0.1;
 // Backoff starts at this many consecutive failures and doubles with each
 // further one.
@@ -35,6 +29,10 @@
 // are dropped.
 constexpr size_t kMaxPrefixes = 4'096;
 constexpr int64_t kPrefixTtlMs = 60'000;
+// An upstream that turned a call away gets none for this time.
+constexpr int64_t kTurnedAwayPauseMs = 300;
+// Larger than any expected latency.
+constexpr double kNotConsideredMs = 1e9;
 // Bounds the memory: above this number, younger ones are dropped as well.
 constexpr size_t kPrefixesHeld = 8'192;
 
@@ -43,8 +41,25 @@
   return XXH3_64bits(pair, sizeof pair);
 }
 
-void UpdateAverage(double& average, double value) {
-  average = average == 0 ? value : average + kSampleWeight * (value - average);
+uint64_t PromptHash(const std::vector<PromptPart>* prompt) {
+  uint64_t hash = 0;
+  if (prompt == nullptr) return hash;
+  for (const PromptPart& part : *prompt) hash = CombineHash(hash, part.id);
+  return hash;
+}
+
+// The same for all calls that continue one conversation: the part that follows
+// the one which many share.
+uint64_t SessionOf(const std::vector<PromptPart>* prompt) {
+  if (prompt == nullptr || prompt->empty()) return 0;
+  return (*prompt)[std::min<size_t>(1, prompt->size() - 1)].id;
+}
+
+int64_t PromptTokens(const std::vector<PromptPart>* prompt) {
+  int64_t tokens = 0;
+  if (prompt == nullptr) return tokens;
+  for (const PromptPart& part : *prompt) tokens += part.tokens;
+  return tokens;
 }
 
 // Drops what was unused for kPrefixTtlMs, and for ever shorter times while
@@ -74,6 +89,7 @@
   if (!before.id.empty() && before.started_at_ms != entry.started_at_ms) {
     const int64_t in_flight = upstream.in_flight;
     const auto recent_sends = upstream.recent_sends;
+    pace_.RemoveProcess(upstream.process);
     upstream = Upstream{};
     upstream.in_flight = in_flight;
     upstream.recent_sends = recent_sends;
@@ -81,20 +97,28 @@
   if (before.address != entry.address) upstream.misdirected = false;
   upstream.entry = entry;
   upstream.hash = HashName(entry.id);
-  upstream.process = LeavingProcesses::HashOf(entry);
   // Until the rules are applied again, a new version is not known to be
   // allowed.
   if (before.version != entry.version &&
       version_rules_.count(entry.service) > 0) {
     upstream.side = VersionSide::kExcluded;
   }
+  upstream.service = HashName(entry.service);
+  const uint64_t process = LeavingProcesses::HashOf(entry);
+  if (upstream.process != process) pace_.RemoveProcess(upstream.process);
+  upstream.process = process;
+  pace_.AddProcess(upstream.service, process);
   return before.id.empty() || before.leaving != entry.leaving ||
          before.address != entry.address ||
          before.started_at_ms != entry.started_at_ms;
 }
 
 bool UpstreamTable::Remove(const std::string& id) {
-  return upstreams_.erase(id) > 0;
+  const auto it = upstreams_.find(id);
+  if (it == upstreams_.end()) return false;
+  pace_.RemoveProcess(it->second.process);
+  upstreams_.erase(it);
+  return true;
 }
 
 void UpstreamTable::set_drained_zones(std::set<std::string> zones) {
@@ -213,9 +237,16 @@
 }
 
 bool UpstreamTable::HasCapacity(const Upstream& upstream,
+                                const PlacementInput& input, bool spread,
                                 int64_t now_ms) const {
+  if (input.prompt_tokens > 0 && upstream.turned_away_ms > 0 &&
+      now_ms < upstream.turned_away_ms + kTurnedAwayPauseMs) {
+    return false;
+  }
   const int64_t load = upstream.in_flight + upstream.peers_in_flight;
-  if (load >= upstream.entry.slots) return false;
+  const int64_t most =
+      spread ? CallsPerUpstream(upstream.entry.slots) : upstream.entry.slots;
+  if (load >= most) return false;
   if (upstream.limit_reached_until_ms > now_ms) return false;
   auto max_sends = MaxSendsPerSecond(upstream);
   if (!max_sends) return true;
@@ -249,38 +280,74 @@
 
 double UpstreamTable::ExpectedMs(const Upstream& upstream,
                                  const PlacementInput& input) const {
-  int64_t prompt_tokens = 0;
-  if (input.prompt != nullptr) {
-    for (const PromptPart& part : *input.prompt) prompt_tokens += part.tokens;
-  }
-  const double prefill_ms =
-      static_cast<double>(prompt_tokens - CachedTokens(upstream, input)) /
-      kPrefillTokensPerMs;
-  const double event_ms =
-      upstream.event_ms > 0 ? upstream.event_ms : kDefaultEventMs;
+  const auto pace = pace_.PaceOf(upstream.service, upstream.process);
   const double events = input.output_tokens > 0
                             ? static_cast<double>(input.output_tokens) /
                                   static_cast<double>(std::max<int64_t>(
                                       1, input.tokens_per_event))
                             : 1;
-  const double work_ms = event_ms * events;
-  const auto load =
-      static_cast<double>(upstream.in_flight + upstream.peers_in_flight);
-  const double excess =
-      std::max(0.0, load + 1 - static_cast<double>(upstream.entry.slots));
+  const double expected_ms =
+      ExpectedCallMs({.read_tokens = PromptTokens(input.prompt) -
+                                     CachedTokens(upstream, input),
+                      .events = events,
+                      .load = upstream.in_flight + upstream.peers_in_flight,
+                      .slots = upstream.entry.slots,
+                      .pace = pace});
   const double zone_ms =
       upstream.entry.zone == options_.zone ? 0 : kOtherZoneCostMs;
-  return prefill_ms +
-         work_ms * (1 + kSlowdownPerCall * load + kQueueingPerCall * excess) +
+  const uint64_t order =
+      CombineHash(CombineHash(upstream.hash, SessionOf(input.prompt)),
+                  static_cast<uint64_t>(gateway_index_));
+  return expected_ms +
+         SpreadMs(order, gateways_, pace.service_event_ms * events) +
          kFailureCostMs * upstream.failure_rate + zone_ms;
 }
 
+SlotUse UpstreamTable::UseOf(const std::string& service) const {
+  SlotUse use{.gateways = gateways_};
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry.service != service || !InService(upstream)) continue;
+    use.slots += upstream.entry.slots;
+    use.own += upstream.in_flight;
+    use.peers += upstream.peers_in_flight;
+  }
+  return use;
+}
+
+const UpstreamTable::Upstream* UpstreamTable::PromptHolder(
+    const PlacementInput& input, int64_t now_ms) const {
+  const Upstream* holder = nullptr;
+  int64_t most = 0;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (!Usable(upstream, input, now_ms)) continue;
+    const int64_t cached = CachedTokens(upstream, input);
+    if (cached < most || cached == 0) continue;
+    holder = cached > most ? &upstream : nullptr;
+    most = cached;
+  }
+  return holder;
+}
+
+double UpstreamTable::Cost(const Upstream& upstream,
+                           const PlacementInput& input, bool considered) const {
+  if (considered) return ExpectedMs(upstream, input);
+  return kNotConsideredMs +
+         static_cast<double>(CombineHash(input.call_hash, upstream.hash) >> 32);
+}
+
 UpstreamTable::Choice UpstreamTable::Choose(const PlacementInput& input,
                                             int64_t now_ms) const {
   Choice choice;
-  double best_ms = 0;
+  double best_cost = 0;
   const Upstream* soonest = nullptr;
   const Upstream* chosen = nullptr;
+  const SlotUse use =
+      input.prompt_tokens > 0 ? UseOf(input.service) : SlotUse{};
+  const bool spread = MustSpread(use);
+  const bool has_share = !spread || use.own < SlotShare(use);
+  const bool busy = spread && IsBusy(use);
+  const auto upstreams = static_cast<int64_t>(usable(input.service));
+  const Upstream* holder = spread ? PromptHolder(input, now_ms) : nullptr;
   for (const auto& [id, upstream] : upstreams_) {
     if (!Usable(upstream, input, now_ms)) {
       // When every upstream is in backoff, the one whose backoff ends first is
@@ -295,19 +362,26 @@
       }
       continue;
     }
-    if (!HasCapacity(upstream, now_ms)) {
+    const bool considered = !spread || &upstream == holder ||
+                            IsCandidate({.call = input.call_hash,
+                                         .upstream = upstream.hash,
+                                         .upstreams = upstreams,
+                                         .now_ms = now_ms});
+    // What a cold upstream may get is divided among the gateways already.
+    const bool waits = busy && !considered && !MaxSendsPerSecond(upstream);
+    if (!has_share || waits || !HasCapacity(upstream, input, spread, now_ms)) {
       choice.verdict = Verdict::kFull;
       continue;
     }
-    const double expected_ms = ExpectedMs(upstream, input);
-    if (chosen == nullptr || expected_ms < best_ms) {
+    const double cost = Cost(upstream, input, considered);
+    if (chosen == nullptr || cost < best_cost) {
       chosen = &upstream;
-      best_ms = expected_ms;
+      best_cost = cost;
     }
   }
   if (chosen == nullptr && choice.verdict == Verdict::kNone &&
       soonest != nullptr) {
-    if (HasCapacity(*soonest, now_ms)) {
+    if (has_share && HasCapacity(*soonest, input, spread, now_ms)) {
       chosen = soonest;
     } else {
       choice.verdict = Verdict::kFull;
@@ -319,6 +393,41 @@
   return choice;
 }
 
+bool UpstreamTable::IsSpare(const Upstream& upstream,
+                            const PlacementInput& input, int64_t now_ms) const {
+  return Usable(upstream, input, now_ms) &&
+         HasCapacity(upstream, input, false, now_ms) &&
+         upstream.in_flight + upstream.peers_in_flight < upstream.entry.slots &&
+         upstream.entry.cold_left_ms == 0 && !upstream.named_limit &&
+         upstream.consecutive_failures == 0;
+}
+
+std::optional<UpstreamEntry> UpstreamTable::ChooseSpare(
+    const PlacementInput& input, int64_t now_ms) const {
+  int64_t slots = 0;
+  int64_t in_flight = 0;
+  double best_ms = 0;
+  const Upstream* chosen = nullptr;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry.service != input.service || !InService(upstream)) {
+      continue;
+    }
+    slots += upstream.entry.slots;
+    in_flight += upstream.in_flight + upstream.peers_in_flight;
+    if (!IsSpare(upstream, input, now_ms)) continue;
+    const double expected_ms = ExpectedMs(upstream, input);
+    if (chosen == nullptr || expected_ms < best_ms) {
+      chosen = &upstream;
+      best_ms = expected_ms;
+    }
+  }
+  const double most = kMaxSpareLoad * static_cast<double>(slots);
+  if (chosen == nullptr || static_cast<double>(in_flight) > most) {
+    return std::nullopt;
+  }
+  return chosen->entry;
+}
+
 void UpstreamTable::OnCallStarted(const std::string& id,
                                   const PlacementInput& input, int64_t now_ms) {
   const auto it = upstreams_.find(id);
@@ -331,6 +440,8 @@
   }
   upstream.recent_sends.push_back(now_ms);
   if (input.prompt == nullptr) return;
+  upstream.reading[PromptHash(input.prompt)] =
+      PromptTokens(input.prompt) - CachedTokens(upstream, input);
   if (upstream.prefixes.size() > kMaxPrefixes) {
     DropOldPrefixes(upstream.prefixes, now_ms);
   }
@@ -360,17 +471,26 @@
   if (it == upstreams_.end()) return;
   Upstream& upstream = it->second;
   upstream.in_flight = std::max<int64_t>(0, upstream.in_flight - 1);
+  const auto reading = upstream.reading.find(PromptHash(result.prompt));
+  const int64_t read_tokens =
+      reading == upstream.reading.end() ? 0 : reading->second;
+  if (reading != upstream.reading.end()) upstream.reading.erase(reading);
+  if (upstream.in_flight == 0) upstream.reading.clear();
   if (result.outcome == CallOutcome::kAbandoned) return;
   if (result.outcome == CallOutcome::kServed) {
-    const auto events =
-        static_cast<double>(std::max<int64_t>(1, result.events));
-    UpdateAverage(upstream.event_ms,
-                  static_cast<double>(result.duration_ms) / events);
+    pace_.OnServed({.service = upstream.service,
+                    .process = upstream.process,
+                    .read_tokens = read_tokens,
+                    .events = result.events,
+                    .duration_ms = result.duration_ms,
+                    .first_event_ms = result.first_event_ms},
+                   now_ms);
     upstream.failure_rate *= 1 - kSampleWeight;
     upstream.consecutive_failures = 0;
     upstream.backoff_until_ms = 0;
     return;
   }
+  if (result.outcome == CallOutcome::kRefused) upstream.turned_away_ms = now_ms;
   if (result.outcome == CallOutcome::kFailed) {
     upstream.failure_rate += kSampleWeight * (1 - upstream.failure_rate);
   }
@@ -447,7 +567,7 @@
   for (const auto& [id, upstream] : upstreams_) {
     if (upstream.entry.service != service || IsLeaving(upstream)) continue;
     const double event_ms =
-        upstream.event_ms > 0 ? upstream.event_ms : kDefaultEventMs;
+        pace_.PaceOf(upstream.service, upstream.process).event_ms;
     // Events of a typical stream.
     constexpr double kTypicalEvents = 6;
     const auto spec = services_.find(service);
@@ -471,6 +591,17 @@
       }));
 }
 
+std::vector<std::pair<std::string, UpstreamPace::Pace>>
+UpstreamTable::MeasuredPaces() const {
+  std::vector<std::pair<std::string, UpstreamPace::Pace>> paces;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (pace_.Measured(upstream.process)) {
+      paces.emplace_back(id, pace_.PaceOf(upstream.service, upstream.process));
+    }
+  }
+  return paces;
+}
+
 std::vector<UpstreamLoad> UpstreamTable::LocalLoad() const {
   std::vector<UpstreamLoad> load;
   for (const auto& [id, upstream] : upstreams_) {
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -7,8 +7,9 @@
 // the lowest expected latency:
 //
 //   expected = prefill of the prompt tokens that are not cached there
-//            + the call's own work at the upstream's current time per event
-//            + a fraction of that work for each call in flight there
+//            + the call's own work at the upstream's time per event
+//            + a fraction of that work, and the time to read a typical prompt,
+//              for each call in flight there
 //            + a penalty for the recent failure rate
 //            + a penalty when the upstream is in another zone
 //
@@ -24,6 +25,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "src/call_head.h"
@@ -31,7 +33,9 @@
 #include "src/leaving_processes.h"
 #include "src/name_hash.h"
 #include "src/rollout_share.h"
+#include "src/slot_share.h"
 #include "src/upstream_entry.h"
+#include "src/upstream_pace.h"
 
 namespace pimento {
 
@@ -61,6 +65,8 @@
   std::optional<int64_t> program_left_ms = {};
   // The versions that may serve the call.
   VersionSide version_side = VersionSide::kAny;
+  // Hash of the request's id.
+  uint64_t call_hash = 0;
 };
 
 enum class CallOutcome : uint8_t { kServed, kRefused, kFailed, kAbandoned };
@@ -72,6 +78,8 @@
   int64_t events = 0;
   // Time until the first event; empty if none came.
   std::optional<int64_t> first_event_ms = {};
+  // As in the call's PlacementInput.
+  const std::vector<PromptPart>* prompt = nullptr;
 };
 
 // The versions of the upstreams of one service.
@@ -148,6 +156,12 @@
   // Selects the upstream with the lowest expected latency.
   Choice Choose(const PlacementInput& input, int64_t now_ms) const;
 
+  // Selects an upstream for the second try of a call that is running elsewhere:
+  // one with a free slot that is neither cold nor limited and has not failed
+  // lately. Empty while the service has little capacity to spare.
+  std::optional<UpstreamEntry> ChooseSpare(const PlacementInput& input,
+                                           int64_t now_ms) const;
+
   // Record the start and the end of a call, for the load and the averages.
   void OnCallStarted(const std::string& id, const PlacementInput& input,
                      int64_t now_ms);
@@ -162,8 +176,15 @@
   // Expected time until a slot becomes free for a call of `service` that queues
   // behind `waiting` others, milliseconds.
   int64_t ExpectedWaitMs(const std::string& service, size_t waiting) const;
+  // The slots of `service` and the calls in flight there.
+  SlotUse UseOf(const std::string& service) const;
   // Number of upstreams of `service` that may receive calls.
   size_t usable(const std::string& service) const;
+  // How fast the upstreams are, as far as is known in the fleet.
+  UpstreamPace& pace() { return pace_; }
+  const UpstreamPace& pace() const { return pace_; }
+  // Those of the upstreams that were measured lately, by id.
+  std::vector<std::pair<std::string, UpstreamPace::Pace>> MeasuredPaces() const;
   // This gateway's calls in flight, as sent to its peers.
   std::vector<UpstreamLoad> LocalLoad() const;
   std::vector<std::string> ids() const;
@@ -172,6 +193,7 @@
   struct Upstream {
     UpstreamEntry entry = {};
     uint64_t hash = 0;
+    uint64_t service = 0;
     // LeavingProcesses::HashOf() of the entry.
     uint64_t process = 0;
     // Calls in flight from this gateway and from all others.
@@ -179,9 +201,7 @@
     int64_t peers_in_flight = 0;
     // Times at which calls were sent within the last second.
     std::deque<int64_t> recent_sends = {};
-    // Exponential moving averages: time per event, 0 until the first answer,
-    // and failures per call, in [0, 1].
-    double event_ms = 0;
+    // Exponential moving average of failures per call, in [0, 1].
     double failure_rate = 0;
     // Backoff after consecutive failures: no call is sent before this time.
     int64_t backoff_until_ms = 0;
@@ -190,12 +210,17 @@
     std::optional<double> named_limit = {};
     // Its limit is used up until this time.
     int64_t limit_reached_until_ms = 0;
+    // When it last turned a call of this gateway away; 0 if it never did.
+    int64_t turned_away_ms = 0;
     // True after OnMisdirected(): another upstream answers at the address.
     bool misdirected = false;
     // What the rule of its service says about its version.
     VersionSide side = VersionSide::kAny;
     // Time of the last use, by hash of a prompt prefix that was sent there.
     std::unordered_map<uint64_t, int64_t> prefixes = {};
+    // Prompt tokens that were not cached when a call began that is in flight,
+    // by hash of its prompt.
+    std::unordered_map<uint64_t, int64_t> reading = {};
   };
 
   // True when the entry or the upstream's own responses say that it is leaving.
@@ -208,8 +233,20 @@
   bool InService(const Upstream& upstream) const;
   bool Usable(const Upstream& upstream, const PlacementInput& input,
               int64_t now_ms) const;
-  // True when a slot is free and this gateway's rate share is not used up.
-  bool HasCapacity(const Upstream& upstream, int64_t now_ms) const;
+  // True when the upstream may serve a second try; see ChooseSpare().
+  bool IsSpare(const Upstream& upstream, const PlacementInput& input,
+               int64_t now_ms) const;
+  // True when a slot is free and this gateway's rate share is not used up;
+  // while calls are spread, a short queue counts as a slot.
+  bool HasCapacity(const Upstream& upstream, const PlacementInput& input,
+                   bool spread, int64_t now_ms) const;
+  // The upstream that holds most of the prompt, or null if several do.
+  const Upstream* PromptHolder(const PlacementInput& input,
+                               int64_t now_ms) const;
+  // What Choose() minimises. While calls are spread, an upstream that the
+  // call does not consider comes after all others.
+  double Cost(const Upstream& upstream, const PlacementInput& input,
+              bool considered) const;
   // Expected latency of the call at the upstream, milliseconds.
   double ExpectedMs(const Upstream& upstream,
                     const PlacementInput& input) const;
@@ -225,6 +262,7 @@
   UpstreamTableOptions options_;
   std::map<std::string, Upstream> upstreams_;
   LeavingProcesses leaving_;
+  UpstreamPace pace_;
   std::set<std::string> drained_zones_;
   std::map<std::string, VersionRule> version_rules_;
   std::unordered_map<std::string, ServiceSpec> services_;
