Pace: answers without events are averaged, calls without a prompt are spread

Cause: on a plain service the spread had one order for all calls of a gateway, since they have no prompt: the busiest engine got 1.95 x the mean (1.28 on the untouched code). And its calls differ four times in length by what they ask, so a few of them say nothing about an engine. Change: the order of calls without a prompt changes every millisecond; answers without events go into a moving average of the gateway itself, not to peers. Test "calls without a prompt are spread" failed before (one engine of 8 got all); "calls without events that take long" passed before too, and guards it.

--- a/src/upstream_pace.cc
+++ b/src/upstream_pace.cc
@@ -28,6 +28,12 @@
 constexpr double kMaxFactor = 4;
 // Weight of the service's typical pace, in gateways that have measured.
 constexpr double kTypicalWeight = 1;
+// Answers without events differ by what was asked: weight of a new one in the
+// moving average of a process, the number of them that the average holds, and
+// the number that weighs as much as the service's typical time.
+constexpr double kWholeWeight = 0.1;
+constexpr int kMaxWholes = 12;
+constexpr double kTypicalWholes = 6;
 // One of so many upstreams is at least as fast as one that is unknown is taken
 // to be.
 constexpr size_t kFasterShare = 4;
@@ -141,7 +147,20 @@
   return own_typical > 0 ? estimate.own() / own_typical : 0;
 }
 
+void UpstreamPace::Relative::AddWhole(double ms) {
+  whole_ms = wholes == 0 ? ms : whole_ms + kWholeWeight * (ms - whole_ms);
+  wholes = std::min(wholes + 1, kMaxWholes);
+}
+
 void UpstreamPace::Relative::Update(const Typical& typical) {
+  const double own_typical = typical.estimate.own();
+  if (wholes > 0) {
+    if (own_typical <= 0) return;
+    const auto count = static_cast<double>(wholes);
+    factor = std::pow(Clamped(whole_ms / own_typical),
+                      count / (count + kTypicalWholes));
+    return;
+  }
   std::vector<double> ratios;
   if (typical.value > 0) ratios = estimate.reported();
   for (double& ratio : ratios) ratio /= typical.value;
@@ -200,7 +219,11 @@
             process.event_ms.factor.value_or(service.event_ms.middle_factor),
         now_ms);
     service.event_ms.Update();
-    process.event_ms.estimate.AddOwn(*event_ms, now_ms);
+    if (call.first_event_ms) {
+      process.event_ms.estimate.AddOwn(*event_ms, now_ms);
+    } else {
+      process.event_ms.AddWhole(*event_ms);
+    }
     process.event_ms.Update(service.event_ms);
   }
   if (call.first_event_ms && call.read_tokens > 0) {
@@ -211,7 +234,8 @@
                    .ms = static_cast<double>(*call.first_event_ms) / factor},
                   now_ms);
   }
-  if (process.to_tell || to_tell_.size() >= kMaxToTell) return;
+  if (!call.first_event_ms || process.to_tell || to_tell_.size() >= kMaxToTell)
+    return;
   process.to_tell = true;
   to_tell_.push_back(call.process);
 }
--- a/src/upstream_pace.h
+++ b/src/upstream_pace.h
@@ -140,10 +140,15 @@
     PaceEstimate estimate;
     // Empty while nobody has measured it.
     std::optional<double> factor = {};
+    // Moving average of answers without events, and how many it holds. These
+    // differ by what was asked, so they are averaged, and not shared.
+    double whole_ms = 0;
+    int wholes = 0;
     // The ratio that the peers were told last, and when; 0 if they were not.
     double told = 0;
     int64_t told_at_ms = 0;
 
+    void AddWhole(double ms);
     void Update(const Typical& typical);
     // As this gateway measured it; 0 if unknown.
     double OwnRatio(const Typical& typical) const;
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -43,9 +43,11 @@
 }
 
 // The same for all calls that continue one conversation: the part that follows
-// the one which many share.
-uint64_t SessionOf(const std::vector<PromptPart>* prompt) {
-  if (prompt == nullptr || prompt->empty()) return 0;
+// the one which many share. Calls without a prompt continue none.
+uint64_t SessionOf(const std::vector<PromptPart>* prompt, int64_t now_ms) {
+  if (prompt == nullptr || prompt->empty()) {
+    return static_cast<uint64_t>(now_ms);
+  }
   return (*prompt)[std::min<size_t>(1, prompt->size() - 1)].id;
 }
 
@@ -217,7 +219,8 @@
 }
 
 double UpstreamTable::ExpectedMs(const Upstream& upstream,
-                                 const PlacementInput& input) const {
+                                 const PlacementInput& input,
+                                 int64_t now_ms) const {
   const auto pace = pace_.PaceOf(upstream.service, upstream.process);
   const double events = input.output_tokens > 0
                             ? static_cast<double>(input.output_tokens) /
@@ -234,7 +237,7 @@
   const double zone_ms =
       upstream.entry.zone == options_.zone ? 0 : kOtherZoneCostMs;
   const uint64_t order =
-      CombineHash(CombineHash(upstream.hash, SessionOf(input.prompt)),
+      CombineHash(CombineHash(upstream.hash, SessionOf(input.prompt, now_ms)),
                   static_cast<uint64_t>(gateway_index_));
   return expected_ms +
          SpreadMs(order, gateways_, pace.service_event_ms * events) +
@@ -265,7 +268,7 @@
       choice.verdict = Verdict::kFull;
       continue;
     }
-    const double expected_ms = ExpectedMs(upstream, input);
+    const double expected_ms = ExpectedMs(upstream, input, now_ms);
     if (chosen == nullptr || expected_ms < best_ms) {
       chosen = &upstream;
       best_ms = expected_ms;
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -202,8 +202,8 @@
   // True when a slot is free and this gateway's rate share is not used up.
   bool HasCapacity(const Upstream& upstream, int64_t now_ms) const;
   // Expected latency of the call at the upstream, milliseconds.
-  double ExpectedMs(const Upstream& upstream,
-                    const PlacementInput& input) const;
+  double ExpectedMs(const Upstream& upstream, const PlacementInput& input,
+                    int64_t now_ms) const;
   // Prompt tokens that the upstream is expected to have cached.
   int64_t CachedTokens(const Upstream& upstream,
                        const PlacementInput& input) const;
