--- a/src/upstream_spread.cc
+++ b/src/upstream_spread.cc
@@ -63,12 +63,12 @@
 
 double UpstreamTable::SpreadCost(const Upstream& upstream,
                                  const PlacementInput& input, bool holds_prompt,
-                                 bool considered) const {
+                                 bool considered, int64_t now_ms) const {
   if (!considered) {
     return kNotConsideredMs +
            static_cast<double>(DrawHash(input.call_hash, upstream.hash) >> 32);
   }
-  const double expected_ms = ExpectedMs(upstream, input);
+  const double expected_ms = ExpectedMs(upstream, input, now_ms);
   if (input.prompt == nullptr) return expected_ms;
   const int64_t unread = PromptTokens(input) - CachedTokens(upstream, input);
   const double read_ms = static_cast<double>(unread) / kReadTokensPerMs;
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -47,9 +47,11 @@
 }
 
 // The same for all calls that continue one conversation: the part that follows
-// the one which many share.
-uint64_t SessionOf(const std::vector<PromptPart>* prompt) {
-  if (prompt == nullptr || prompt->empty()) return 0;
+// the one which many share. Calls without a prompt continue none.
+uint64_t SessionOf(const std::vector<PromptPart>* prompt, int64_t now_ms) {
+  if (prompt == nullptr || prompt->empty()) {
+    return static_cast<uint64_t>(now_ms);
+  }
   return (*prompt)[std::min<size_t>(1, prompt->size() - 1)].id;
 }
 
@@ -277,7 +279,8 @@
 }
 
 double UpstreamTable::ExpectedMs(const Upstream& upstream,
-                                 const PlacementInput& input) const {
+                                 const PlacementInput& input,
+                                 int64_t now_ms) const {
   const auto pace = pace_.PaceOf(upstream.service, upstream.process);
   const double events = input.output_tokens > 0
                             ? static_cast<double>(input.output_tokens) /
@@ -294,7 +297,7 @@
   const double zone_ms =
       upstream.entry.zone == options_.zone ? 0 : kOtherZoneCostMs;
   const uint64_t order =
-      CombineHash(CombineHash(upstream.hash, SessionOf(input.prompt)),
+      CombineHash(CombineHash(upstream.hash, SessionOf(input.prompt, now_ms)),
                   static_cast<uint64_t>(gateway_index_));
   return expected_ms +
          SpreadMs(order, gateways_, pace.service_event_ms * events) +
@@ -339,9 +342,10 @@
       choice.verdict = Verdict::kFull;
       continue;
     }
-    const double cost =
-        spread ? SpreadCost(upstream, input, &upstream == holder, considered)
-               : ExpectedMs(upstream, input);
+    const double cost = spread
+                            ? SpreadCost(upstream, input, &upstream == holder,
+                                         considered, now_ms)
+                            : ExpectedMs(upstream, input, now_ms);
     if (chosen == nullptr || cost < best_cost) {
       chosen = &upstream;
       best_cost = cost;
@@ -383,7 +387,7 @@
     slots += upstream.entry.slots;
     in_flight += upstream.in_flight + upstream.peers_in_flight;
     if (!IsSpare(upstream, input, now_ms)) continue;
-    const double expected_ms = ExpectedMs(upstream, input);
+    const double expected_ms = ExpectedMs(upstream, input, now_ms);
     if (chosen == nullptr || expected_ms < best_ms) {
       chosen = &upstream;
       best_ms = expected_ms;
