Among teams of one priority, the route's priority decides

Cause: a team's priority replaced the route's. Where most teams have the same one, an urgent and a less urgent kind waited in one queue and were refused alike: 1,512 and 533 calls queued, all with priority 1; 971 and 2,760 first turns refused at the same loads. Change: the rank of a call is its team's priority, then its route's. A kind is the most urgent one of a service by its route. Tests: program_admission_test.

--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -66,7 +66,7 @@
   const int64_t arrived_ms = SteadyMs();
   const std::string service = request.input.service;
   const int priority = request.priority;
-  last_call_ms_[service][priority] = arrived_ms;
+  last_call_ms_[service][request.route_priority] = arrived_ms;
   request.input.call_hash = HashName(request.request_id);
   auto waiter = std::make_shared<Waiter>(Waiter{
       std::move(request),
@@ -134,14 +134,15 @@
   queues_by_service_[service].queues[priority]->Remove(HasTicket, &ticket);
 }
 
-bool Dispatcher::MostUrgent(const std::string& service, int priority) const {
+bool Dispatcher::MostUrgent(const std::string& service,
+                            int route_priority) const {
   const auto it = last_call_ms_.find(service);
   if (it == last_call_ms_.end()) return true;
   const int64_t since_ms = SteadyMs() - kUrgentCallsMs;
-  return std::none_of(it->second.begin(), it->second.end(),
-                      [&](const auto& last) {
-                        return last.first < priority && last.second >= since_ms;
-                      });
+  return std::none_of(
+      it->second.begin(), it->second.end(), [&](const auto& last) {
+        return last.first < route_priority && last.second >= since_ms;
+      });
 }
 
 void Dispatcher::ServeQueues(const std::string& /*service*/,
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -34,6 +34,8 @@
   std::string program = {};
   // 0 is the highest priority.
   int priority = 0;
+  // Priority of the call's kind, whatever team it is from.
+  int route_priority = 0;
   // The call leaves the queue at this time; steady clock, milliseconds.
   int64_t wait_deadline_ms = 0;
   // True for a call that was accepted before and had its upstream withdrawn: it
@@ -62,8 +64,8 @@
   void DispatchQueued();
   // Number of queued calls.
   size_t waiting() const;
-  // True when no call of higher priority was dispatched to the service lately.
-  bool MostUrgent(const std::string& service, int priority) const;
+  // True when no call of a more urgent kind came for the service lately.
+  bool MostUrgent(const std::string& service, int route_priority) const;
 
  private:
   struct Waiter {
@@ -95,7 +97,7 @@
   void Forget(const std::string& service, int priority, uint64_t ticket);
 
   std::map<std::string, ServiceQueues> queues_by_service_;
-  // Time of the last call, by service and priority.
+  // Time of the last call, by service and priority of its kind.
   std::map<std::string, std::map<int, int64_t>> last_call_ms_;
   // Keyed by WaitingCall::ticket.
   std::map<uint64_t, std::shared_ptr<Waiter>> waiters_;
--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -32,10 +32,10 @@
     return;
   }
   const SlotUse use = state_.table().UseOf(service_name_);
-  const ProgramRequest program{
-      .program_hash = HashName(head_.program),
-      .call_hash = HashName(head_.request_id),
-      .most_urgent = state_.dispatcher().MostUrgent(service_name_, priority_)};
+  const ProgramRequest program{.program_hash = HashName(head_.program),
+                               .call_hash = HashName(head_.request_id),
+                               .most_urgent = state_.dispatcher().MostUrgent(
+                                   service_name_, route_->priority)};
   const int64_t wait_ms = RefuseProgramForMs(program, use);
   if (wait_ms == 0) return;
   throw Refusal(Reason::kNoRoom, RunState::kNotRun,
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <utility>
 
+#include "src/call_rank.h"
 #include "src/errors.h"
 #include "src/event_log.h"
 #include "src/gateway_call_state.h"
@@ -59,13 +60,13 @@
 }
 
 void GatewayCall::Authenticate() {
-  priority_ = route_->priority;
+  priority_ = CallRank(-1, route_->priority);
   if (route_->open || desired_->teams().empty()) return;
   team_ = head_.key.empty() ? nullptr : desired_->TeamOfKey(head_.key);
   if (team_ == nullptr)
     throw Refusal(head_.key.empty() ? Reason::kKeyMissing : Reason::kKeyUnknown,
                   RunState::kNotRun, "The request has no valid key.");
-  if (team_->priority >= 0) priority_ = team_->priority;
+  priority_ = CallRank(team_->priority, route_->priority);
 }
 
 RequestFingerprints GatewayCall::Fingerprints() const {
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -44,7 +44,8 @@
         .request_id = head_.request_id,
         .team = team_ == nullptr ? "" : team_->name,
         .program = head_.program,
-        .priority = priority_};
+        .priority = priority_,
+        .route_priority = route_->priority};
     dispatch_request.input = {
         .service = service_name_,
         .prompt = &head_.prompt,
--- a/test/correctness/program_admission_test.cc
+++ b/test/correctness/program_admission_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "src/boot_clock.h"
+#include "src/call_rank.h"
 #include "src/dispatcher.h"
 #include "src/fair_queue.h"
 #include "src/metrics.h"
@@ -136,3 +137,39 @@
   CHECK(next == Reason::kQueueTimeout);
   CHECK(dispatcher.waiting() == 0);
 }
+
+TEST_CASE(
+    "a team's priority precedes its route's, which decides among equals") {
+  CHECK(CallRank(1, 0) < CallRank(1, 2));
+  CHECK(CallRank(0, 2) < CallRank(1, 0));
+  CHECK(CallRank(-1, 0) < CallRank(-1, 2));
+  CHECK(CallRank(-1, 0) <= CallRank(0, 0));
+  CHECK(CallRank(2'000'000'000, 2'000'000'000) > 0);
+}
+
+TEST_CASE("a kind is the most urgent one by its route, not by its team") {
+  asio::io_context io;
+  UpstreamTable table({.zone = "a"});
+  table.Put({.id = "one", .service = "talk", .slots = 4, .started_at_ms = 1},
+            0);
+  Metrics metrics;
+  Dispatcher dispatcher(io, table, metrics);
+  CHECK(dispatcher.MostUrgent("talk", 2));
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        StopToken token;
+        DispatchRequest urgent = Request("urgent", 1'000);
+        urgent.priority = CallRank(3, 0);
+        co_await dispatcher.Acquire(urgent, token);
+        DispatchRequest other = Request("other", 1'000);
+        other.priority = CallRank(0, 2);
+        other.route_priority = 2;
+        co_await dispatcher.Acquire(other, token);
+      },
+      asio::detached);
+  io.run();
+  CHECK(dispatcher.MostUrgent("talk", 0));
+  CHECK_FALSE(dispatcher.MostUrgent("talk", 2));
+  CHECK(dispatcher.MostUrgent("other", 2));
+}
