--- a/src/program_admission.h
+++ b/src/program_admission.h
@@ -11,10 +11,10 @@
 // which all gateways know alike: what one has admitted, another one does not
 // refuse a moment later.
 //
-//   less urgent   0.5 calls for each slot    all programs begin
-//                 0.65                       those with the lower half of hashes
-//                 0.8                        none
-//   most urgent   1.1, 1.3, 1.5              the same
+//   less urgent   0.5 calls for each slot   all programs begin
+//                 0.65                      the lower half of hashes
+//                 0.8                       none
+//   most urgent   1.1, 1.3, 1.5             the same
 #pragma once
 
 #include <cstdint>
