Gateways agree on the upstream of a program while calls are spread

Change: RandomizedMs adds it for calls that are not spread; SpreadCost reads the learned reading speed in place of a constant. Measured: test_correctness 237 passed.

--- a/src/upstream_spread.cc
+++ b/src/upstream_spread.cc
@@ -16,7 +16,6 @@
 
 // Larger than any expected latency.
 constexpr double kNotConsideredMs = 1e9;
-constexpr double kReadTokensPerMs = 100;
 
 int64_t PromptTokens(const PlacementInput& input) {
   int64_t tokens = 0;
@@ -63,15 +62,16 @@
 
 double UpstreamTable::SpreadCost(const Upstream& upstream,
                                  const PlacementInput& input, bool holds_prompt,
-                                 bool considered, int64_t now_ms) const {
+                                 bool considered) const {
   if (!considered) {
     return kNotConsideredMs +
            static_cast<double>(DrawHash(input.call_hash, upstream.hash) >> 32);
   }
-  const double expected_ms = ExpectedMs(upstream, input, now_ms);
+  const double expected_ms = ExpectedMs(upstream, input);
   if (input.prompt == nullptr) return expected_ms;
   const int64_t unread = PromptTokens(input) - CachedTokens(upstream, input);
-  const double read_ms = static_cast<double>(unread) / kReadTokensPerMs;
+  const auto pace = pace_.PaceOf(upstream.service, upstream.process);
+  const double read_ms = static_cast<double>(unread) / pace.read_tokens_per_ms;
   const int64_t running = std::min(
       upstream.in_flight + upstream.peers_in_flight, upstream.entry.slots);
   // Reading delays the call and all that runs.
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -62,6 +62,13 @@
   return tokens;
 }
 
+// Events that the call may make.
+double EventsOf(const PlacementInput& input) {
+  if (input.output_tokens <= 0) return 1;
+  return static_cast<double>(input.output_tokens) /
+         static_cast<double>(std::max<int64_t>(1, input.tokens_per_event));
+}
+
 // Drops what was unused for kPrefixTtlMs, and for ever shorter times while
 // there is more than kPrefixesHeld.
 template <class Prefixes>
@@ -279,29 +286,29 @@
 }
 
 double UpstreamTable::ExpectedMs(const Upstream& upstream,
-                                 const PlacementInput& input,
-                                 int64_t now_ms) const {
+                                 const PlacementInput& input) const {
   const auto pace = pace_.PaceOf(upstream.service, upstream.process);
-  const double events = input.output_tokens > 0
-                            ? static_cast<double>(input.output_tokens) /
-                                  static_cast<double>(std::max<int64_t>(
-                                      1, input.tokens_per_event))
-                            : 1;
   const double expected_ms =
       ExpectedCallMs({.read_tokens = PromptTokens(input.prompt) -
                                      CachedTokens(upstream, input),
-                      .events = events,
+                      .events = EventsOf(input),
                       .load = upstream.in_flight + upstream.peers_in_flight,
                       .slots = upstream.entry.slots,
                       .pace = pace});
   const double zone_ms =
       upstream.entry.zone == options_.zone ? 0 : kOtherZoneCostMs;
+  return expected_ms + kFailureCostMs * upstream.failure_rate + zone_ms;
+}
+
+double UpstreamTable::RandomizedMs(const Upstream& upstream,
+                                   const PlacementInput& input,
+                                   int64_t now_ms) const {
+  const auto pace = pace_.PaceOf(upstream.service, upstream.process);
   const uint64_t order =
       CombineHash(CombineHash(upstream.hash, SessionOf(input.prompt, now_ms)),
                   static_cast<uint64_t>(gateway_index_));
-  return expected_ms +
-         SpreadMs(order, gateways_, pace.service_event_ms * events) +
-         kFailureCostMs * upstream.failure_rate + zone_ms;
+  return ExpectedMs(upstream, input) +
+         SpreadMs(order, gateways_, pace.service_event_ms * EventsOf(input));
 }
 
 UpstreamTable::Choice UpstreamTable::Choose(const PlacementInput& input,
@@ -342,10 +349,9 @@
       choice.verdict = Verdict::kFull;
       continue;
     }
-    const double cost = spread
-                            ? SpreadCost(upstream, input, &upstream == holder,
-                                         considered, now_ms)
-                            : ExpectedMs(upstream, input, now_ms);
+    const double cost =
+        spread ? SpreadCost(upstream, input, &upstream == holder, considered)
+               : RandomizedMs(upstream, input, now_ms);
     if (chosen == nullptr || cost < best_cost) {
       chosen = &upstream;
       best_cost = cost;
@@ -387,7 +393,7 @@
     slots += upstream.entry.slots;
     in_flight += upstream.in_flight + upstream.peers_in_flight;
     if (!IsSpare(upstream, input, now_ms)) continue;
-    const double expected_ms = ExpectedMs(upstream, input, now_ms);
+    const double expected_ms = RandomizedMs(upstream, input, now_ms);
     if (chosen == nullptr || expected_ms < best_ms) {
       chosen = &upstream;
       best_ms = expected_ms;
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -248,10 +248,14 @@
   // What Choose() minimises while calls are spread. An upstream that the call
   // does not consider comes after all others.
   double SpreadCost(const Upstream& upstream, const PlacementInput& input,
-                    bool holds_prompt, bool considered, int64_t now_ms) const;
+                    bool holds_prompt, bool considered) const;
   // Expected latency of the call at the upstream, milliseconds.
-  double ExpectedMs(const Upstream& upstream, const PlacementInput& input,
-                    int64_t now_ms) const;
+  double ExpectedMs(const Upstream& upstream,
+                    const PlacementInput& input) const;
+  // The same with an addition by which gateways that know the same choose
+  // differently. What Choose() minimises unless calls are spread.
+  double RandomizedMs(const Upstream& upstream, const PlacementInput& input,
+                      int64_t now_ms) const;
   // Prompt tokens that the upstream is expected to have cached.
   int64_t CachedTokens(const Upstream& upstream,
                        const PlacementInput& input) const;
