--- a/src/upstream_pace.cc
+++ b/src/upstream_pace.cc
@@ -234,8 +234,10 @@
                    .ms = static_cast<double>(*call.first_event_ms) / factor},
                   now_ms);
   }
-  if (!call.first_event_ms || process.to_tell || to_tell_.size() >= kMaxToTell)
+  if (!call.first_event_ms || process.to_tell ||
+      to_tell_.size() >= kMaxToTell) {
     return;
+  }
   process.to_tell = true;
   to_tell_.push_back(call.process);
 }
