--- a/src/call_cost.cc
+++ b/src/call_cost.cc
@@ -13,7 +13,7 @@
 constexpr double kQueueingPerCall = 0.5;
 // Spread of the choices of many gateways, as a fraction of the work of a call
 // on a typical upstream.
-constexpr double kSpread = 0.4;
+constexpr double kSpread = 0.8;
 // Fewer gateways than this know a larger part of the load themselves.
 constexpr double kManyGateways = 32;
 
