Roll-outs: silence of gateways by the clock that gossip is stamped with

Cause: after two parts were merged, times of gossip were written by the stall-compensated clock and read by the steady one. Once a host had stalled for 4.75 s in sum, every peer looked out of contact, and an order could be completed while gateways still sent to the old version. Found by the review. No test: the wiring of the two clocks has none.

--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -154,12 +154,11 @@
 RolloutSurroundings GatewayState::MakeRolloutSurroundings() {
   return {.fleet =
               [this] {
-                const int64_t now_ms = SteadyMs();
                 RolloutFleet fleet{.ready_hosts = ReadyHosts()};
                 for (const auto& [host, address] : gateway_addresses_)
                   fleet.silent_ms[host] =
-                      std::min(view_.SinceLastGossipMs(host, now_ms),
-                               now_ms - started_ms_);
+                      std::min(view_.SinceLastGossipMs(host, PeerNowMs()),
+                               SteadyMs() - started_ms_);
                 return fleet;
               },
           .send =
