Roll-outs: a report of a host's earlier start is dropped

Cause: a datagram of the process before that arrived after one of the new process reset the counters and added them again, which doubled failures. Test: rollout_rules_test.

--- a/src/rollout_director.cc
+++ b/src/rollout_director.cc
@@ -200,6 +200,7 @@
       }
       Follower& follower = order.followers[host];
       // An older message that arrives late.
+      if (boot < follower.boot) continue;
       if (follower.boot == boot && step.revision < follower.revision) continue;
       follower = {.boot = boot,
                   .revision = step.revision,
--- a/src/rollout_evidence.cc
+++ b/src/rollout_evidence.cc
@@ -217,6 +217,8 @@
                                const std::vector<VersionSample>& samples) {
   if (hosts_.count(host) == 0 && hosts_.size() >= kMaxHosts) return;
   Reported& reported = hosts_[host];
+  // A datagram of the process before, which arrived late.
+  if (boot < reported.boot) return;
   if (reported.boot != boot) reported = {.boot = boot};
   for (const VersionSample& sample : samples) {
     const bool target = sample.version == target_;
--- a/test/correctness/rollout_rules_test.cc
+++ b/test/correctness/rollout_rules_test.cc
@@ -181,6 +181,10 @@
   CHECK(evidence.dropped() == 3);
   evidence.OnReport("a", 2, {{.version = 2, .route = 5, .answers = 3}});
   CHECK(evidence.target_answers() == 13);
+  // A datagram of the first start that arrives late, and one after it.
+  evidence.OnReport("a", 1, {good});
+  evidence.OnReport("a", 2, {{.version = 2, .route = 5, .answers = 3}});
+  CHECK(evidence.target_answers() == 13);
 }
 
 }  // namespace pimento
