Programs on open routes count as running once they are admitted

Cause: a program was noted only where a team's rate was charged, so on routes without teams each turn without a previous one could be refused as a new program's.

--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -47,7 +47,10 @@
 
 asio::awaitable<void> GatewayCall::Admit() {
   RefuseNewProgram();
-  if (team_ == nullptr) co_return;
+  if (team_ == nullptr) {
+    NoteAdmittedProgram();
+    co_return;
+  }
   const ProgramStatus standing = ClassifyProgram();
   rate_decision_ = co_await state_.rates().Acquire(team_->name, standing);
   // Requests of a running program are delayed rather than refused: the program
@@ -79,6 +82,10 @@
   admitted_ = true;
   LogRateDecision(Event::kRateCharged);
   state_.metrics().Add(Counter::kRateCharged);
+  NoteAdmittedProgram();
+}
+
+void GatewayCall::NoteAdmittedProgram() const {
   if (!head_.program.empty())
     state_.programs().OnAdmitted(head_.program, SteadyMs());
 }
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -71,6 +71,8 @@
   // Throws Refusal for the first turn of a program while its service is full.
   void RefuseNewProgram() const;
   ProgramStatus ClassifyProgram() const;
+  // From now on, requests of the program count as those of a running one.
+  void NoteAdmittedProgram() const;
   // Logs what was charged to or refunded to the team's rate.
   void LogRateDecision(Event event) const;
   boost::asio::awaitable<void> Sleep(std::chrono::milliseconds time);
