Answers with an error tell nothing about an upstream's pace

Cause: a fast 5xx answer made a broken upstream look fast, and from then on its streams were not looked at. Test: upstream_pace_test.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -183,7 +183,9 @@
                   !token_.stopped() && !archive_failed_;
   }
   token_.clear_on_stop();
-  CallResult result{.outcome = CallOutcome::kServed, .prompt = &head_.prompt};
+  CallResult result{.outcome = CallOutcome::kServed,
+                    .success = Successful(answer_status_),
+                    .prompt = &head_.prompt};
   result.duration_ms =
       std::chrono::duration_cast<milliseconds>(steady_clock::now() - started)
           .count();
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -456,13 +456,15 @@
   if (upstream.in_flight == 0) upstream.reading.clear();
   if (result.outcome == CallOutcome::kAbandoned) return;
   if (result.outcome == CallOutcome::kServed) {
-    pace_.OnServed({.service = upstream.service,
-                    .process = upstream.process,
-                    .read_tokens = read_tokens,
-                    .events = result.events,
-                    .duration_ms = result.duration_ms,
-                    .first_event_ms = result.first_event_ms},
-                   now_ms);
+    if (result.success) {
+      pace_.OnServed({.service = upstream.service,
+                      .process = upstream.process,
+                      .read_tokens = read_tokens,
+                      .events = result.events,
+                      .duration_ms = result.duration_ms,
+                      .first_event_ms = result.first_event_ms},
+                     now_ms);
+    }
     upstream.failure_rate *= 1 - kSampleWeight;
     upstream.consecutive_failures = 0;
     upstream.backoff_until_ms = 0;
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -78,6 +78,9 @@
   int64_t events = 0;
   // Time until the first event; empty if none came.
   std::optional<int64_t> first_event_ms = {};
+  // True for an answer with a success, whose duration tells the upstream's
+  // pace.
+  bool success = true;
   // As in the call's PlacementInput.
   const std::vector<PromptPart>* prompt = nullptr;
 };
--- a/test/correctness/upstream_pace_test.cc
+++ b/test/correctness/upstream_pace_test.cc
@@ -433,6 +433,26 @@
   CHECK(table.pace().PaceOf(HashName("talk"), ProcessOf(0)).event_ms < 1);
 }
 
+TEST_CASE("answers with an error do not make an upstream look fast") {
+  UpstreamTable table({.zone = "a"});
+  for (const char* id : {"broken", "sound"}) {
+    table.Put({.id = id, .service = "talk", .zone = "a", .slots = 4}, 0);
+  }
+  const PlacementInput input{.service = "talk", .output_tokens = 60};
+  for (int64_t now_ms = 0; now_ms < 1'000; now_ms += 10) {
+    table.OnCallStarted("sound", input, now_ms);
+    table.OnCallFinished(
+        "sound", {.duration_ms = 600, .events = 60, .first_event_ms = 10},
+        now_ms);
+    table.OnCallStarted("broken", input, now_ms);
+    table.OnCallFinished("broken", {.duration_ms = 1, .success = false},
+                         now_ms);
+  }
+  const auto paces = table.MeasuredPaces();
+  REQUIRE(paces.size() == 1);
+  CHECK(paces.front().first == "sound");
+}
+
 TEST_CASE("calls without a prompt are spread over the upstreams") {
   UpstreamTable table({.zone = "a"});
   table.set_gateway_count(65);
