Sizes that callers state are bounded where they are reckoned with

Cause: sums of prompt tokens and of the time left overflowed near the largest number, and one request could outweigh all others in averages. Test: platform_codec_test.

--- a/test/error/platform_codec_test.cc
+++ b/test/error/platform_codec_test.cc
@@ -79,6 +79,22 @@
   }
 }
 
+TEST_CASE("absurd sizes of a caller's prompt do not overflow sums") {
+  platform::RequestHeader header;
+  header.set("X-Pimentopulley-Token-Count", "9223372036854775807,5");
+  header.set("X-Pimentopulley-Prompt-Prefix",
+             "1:9223372036854775807,2:9223372036854775807");
+  header.set("X-Pimentopulley-Finish-Ms", "9223372036854775807");
+  const CallHead head = platform::DecodeCall(header);
+  constexpr int64_t kMost = 1'000'000'000;
+  CHECK(*head.prompt_tokens <= kMost);
+  CHECK(*head.program_left_ms <= kMost);
+  int64_t tokens = 0;
+  for (const PromptPart& part : head.prompt) tokens += part.tokens;
+  CHECK(tokens > 0);
+  CHECK(tokens <= kMost);
+}
+
 TEST_CASE("a caller's key and system headers are not forwarded to upstreams") {
   const auto in = Header({{"Authorization", "Token secret"},
                           {"X-Pimentopulley-Tenant", "forged"},
