Services with a cold rate are placed and admitted as before

Its upstreams are divided among the gateways by the cold rate, so slots do not limit a gateway, and load reckoned from them refuses programs for which there is room. Change: SlotUse tells whether the service has a cold rate; then no spread and no admission by load. Test: program_admission_test. Not yet measured.

--- a/src/slot_share.cc
+++ b/src/slot_share.cc
@@ -28,7 +28,7 @@
 }  // namespace
 
 bool MustSpread(const SlotUse& use) {
-  return use.gateways >= kManyGateways && use.slots > 0;
+  return use.gateways >= kManyGateways && use.slots > 0 && !use.has_cold_rate;
 }
 
 int64_t SlotShare(const SlotUse& use) {
--- a/src/slot_share.h
+++ b/src/slot_share.h
@@ -30,10 +30,13 @@
   int64_t own = 0;
   int64_t peers = 0;
   int64_t gateways = 1;
+  // True when the upstreams are divided among the gateways by the rate that a
+  // cold one bears: then not the slots limit what a gateway may send.
+  bool has_cold_rate = false;
 };
 
 // True while what this gateway knows of its peers' calls is too old to choose
-// the upstream with the fewest: calls are spread.
+// the upstream with the fewest: calls are spread. Never with a cold rate.
 bool MustSpread(const SlotUse& use);
 
 // Calls that this gateway may have in flight; at least 1.
--- a/src/upstream_spread.cc
+++ b/src/upstream_spread.cc
@@ -34,7 +34,10 @@
 }  // namespace
 
 SlotUse UpstreamTable::UseOf(const std::string& service) const {
-  SlotUse use{.gateways = gateways_};
+  const auto spec = services_.find(service);
+  const bool has_cold_rate =
+      spec != services_.end() && spec->second.cold_per_second > 0;
+  SlotUse use{.gateways = gateways_, .has_cold_rate = has_cold_rate};
   for (const auto& [id, upstream] : upstreams_) {
     if (upstream.entry.service != service || !InService(upstream)) continue;
     use.slots += upstream.entry.slots;
--- a/src/upstream_table.cc
+++ b/src/upstream_table.cc
@@ -343,8 +343,7 @@
                                          .upstream = upstream.hash,
                                          .upstreams = upstreams,
                                          .now_ms = now_ms});
-    // What a cold upstream may get is divided among the gateways already.
-    const bool waits = busy && !considered && !MaxSendsPerSecond(upstream);
+    const bool waits = busy && !considered;
     if (!has_share || waits || !HasCapacity(upstream, input, spread, now_ms)) {
       choice.verdict = Verdict::kFull;
       continue;
--- a/test/correctness/program_admission_test.cc
+++ b/test/correctness/program_admission_test.cc
@@ -53,6 +53,21 @@
 
 }  // namespace
 
+TEST_CASE("a service with a cold rate refuses no program for its load") {
+  SlotUse full = Use(500);
+  CHECK(Admitted(false, full) == 0);
+  full.has_cold_rate = true;
+  CHECK(Admitted(false, full) == 1'000);
+  CHECK_FALSE(MustSpread(full));
+  // The configuration tells.
+  DesiredState::Parts parts;
+  parts.services = {{.name = "warm"}, {.name = "cold", .cold_per_second = 9}};
+  UpstreamTable table({});
+  table.set_services(DesiredState(parts));
+  CHECK_FALSE(table.UseOf("warm").has_cold_rate);
+  CHECK(table.UseOf("cold").has_cold_rate);
+}
+
 TEST_CASE("less urgent programs are refused first, and all only when full") {
   CHECK(Admitted(false, Use(135)) == 1'000);
   const int some = Admitted(false, Use(175));
