Few gateways choose an upstream by its expected latency alone

Their choices had a random part that is there for many gateways which see the same load late; with few, news is younger than a call lasts. Change: no random part below 12 gateways. Test: upstream_pace_test.

--- a/src/call_cost.cc
+++ b/src/call_cost.cc
@@ -14,8 +14,10 @@
 // Spread of the choices of many gateways, as a fraction of the work of a call
 // on a typical upstream.
 constexpr double kSpread = 0.8;
-// Fewer gateways than this know a larger part of the load themselves.
+// Fewer gateways than this know a larger part of the load themselves; with
+// fewer than the second, news of a peer's calls is younger than a call lasts.
 constexpr double kManyGateways = 32;
+constexpr int64_t kMinGateways = 12;
 
 }  // namespace
 
@@ -33,7 +35,7 @@
 }
 
 double SpreadMs(uint64_t hash, int64_t gateways, double work_ms) {
-  if (gateways <= 1) return 0;
+  if (gateways < kMinGateways) return 0;
   constexpr int kFractionBits = 53;
   constexpr int kHashBits = 64;
   const double fraction =
--- a/test/correctness/upstream_pace_test.cc
+++ b/test/correctness/upstream_pace_test.cc
@@ -11,6 +11,7 @@
 #include <memory>
 #include <random>
 
+#include "src/call_cost.h"
 #include "src/upstream_table.h"
 
 namespace {
@@ -453,6 +454,12 @@
   CHECK(paces.front().first == "sound");
 }
 
+TEST_CASE("few gateways choose by the expected latency alone") {
+  constexpr uint64_t kHash = uint64_t{3} << 60;
+  CHECK(SpreadMs(kHash, 6, 100) == 0);
+  CHECK(SpreadMs(kHash, 65, 100) != 0);
+}
+
 TEST_CASE("calls without a prompt are spread over the upstreams") {
   UpstreamTable table({.zone = "a"});
   table.set_gateway_count(65);
