Event log: texts that callers choose are cut at 1 KiB

Seen by reading: a request's id, program and path go into each log line as long as they came, up to the longest header, and 4,096 lines may wait for a slow reader of the log. With ids of 16 kB that is 64 MB on a host of 88 MB.

--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -123,6 +123,18 @@
   return kEventNames[static_cast<size_t>(event)];
 }
 
+std::string CutEventText(std::string_view text) {
+  if (text.size() <= kMaxEventTextBytes) return std::string(text);
+  constexpr std::string_view kMark = "...";
+  size_t kept = kMaxEventTextBytes - kMark.size();
+  // Not in the middle of a character.
+  const auto continues = [&](size_t at) {
+    return (static_cast<unsigned char>(text[at]) & 0xC0U) == 0x80U;
+  };
+  while (kept > 0 && continues(kept)) --kept;
+  return std::string(text.substr(0, kept)) + std::string(kMark);
+}
+
 int64_t Milli(double value) {
   constexpr double kMilliPerUnit = 1'000;
   return std::llround(value * kMilliPerUnit);
@@ -192,8 +204,7 @@
   line_ += ",\"";
   line_ += key;
   line_ += "\":";
-  line_ += boost::json::serialize(
-      boost::json::string_view(value.data(), value.size()));
+  line_ += boost::json::serialize(boost::json::string(CutEventText(value)));
   return *this;
 }
 
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -8,9 +8,11 @@
 // Lines go to an asynchronous writer with a bounded buffer, which drops and
 // counts lines when it is full: logging never blocks. The rate of each event is
 // limited; lines above it are dropped and counted in the field "left_out" of
-// the event's next line.
+// the event's next line. Texts are cut, since callers choose some of them: a
+// request's id may be as long as its header.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -71,6 +73,13 @@
   kCount,
 };
 
+// Longest text of a field, in bytes; of a longer one the beginning is written,
+// with "..." at its end.
+inline constexpr size_t kMaxEventTextBytes = 1'024;
+
+// `text` as it is written.
+std::string CutEventText(std::string_view text);
+
 // The name of `event` in the log.
 std::string_view Name(Event event);
 
