Places: whoever has made no progress for longest gives way, at once

Cause: MakeRoom() spared only connections that wait or have stalled in a request. One whose answer is being written held its place until the write timeout (10 s), and every new connection was reset meanwhile; when all came back at once, it began anew.

ConnectionPlaces decides, without sockets or clock: order of giving way, by lists in the order of last progress, so that a decision takes the same time however many are open (the scan of up to 1,500 sessions a new connection is gone). While all places are taken, an answer ends its connection. A new connection that can't have a place is answered 503 with Retry-After before anything of it is read. What an unread connection had not taken is discarded by a reset instead of staying in the kernel. Open connections and refusals by reason are in the metrics.

--- a/src/byte_account.cc
+++ b/src/byte_account.cc
@@ -45,14 +45,15 @@
   it->second.moved_ms = now_ms;
 }
 
-void ByteAccount::NoteMoved(HolderId id, uint64_t bytes, int64_t now_ms) {
+bool ByteAccount::NoteMoved(HolderId id, uint64_t bytes, int64_t now_ms) {
   const auto it = holders_.find(id);
-  if (it == holders_.end()) return;
+  if (it == holders_.end()) return false;
   Holder& holder = it->second;
   holder.moved_bytes += bytes;
-  if (holder.moved_bytes < options_.step) return;
+  if (holder.moved_bytes < options_.step) return false;
   holder.moved_bytes = 0;
   holder.moved_ms = now_ms;
+  return true;
 }
 
 bool ByteAccount::MayGrow(HolderId id, uint64_t more) const {
@@ -93,15 +94,6 @@
   return chosen;
 }
 
-int64_t ByteAccount::StalledMs(HolderId id, int64_t now_ms) const {
-  const auto it = holders_.find(id);
-  if (it == holders_.end() || it->second.stage != HolderStage::kReading ||
-      !Stalled(id, now_ms)) {
-    return 0;
-  }
-  return now_ms - it->second.moved_ms;
-}
-
 bool ByteAccount::Stalled(HolderId id, int64_t now_ms) const {
   const auto it = holders_.find(id);
   return it != holders_.end() &&
--- a/src/byte_account.h
+++ b/src/byte_account.h
@@ -64,8 +64,9 @@
   void SetBytes(HolderId id, uint64_t bytes);
   // `id` enters `stage`; it counts as having moved.
   void SetStage(HolderId id, HolderStage stage, int64_t now_ms);
-  // `bytes` of `id` have arrived or were taken by its reader.
-  void NoteMoved(HolderId id, uint64_t bytes, int64_t now_ms);
+  // `bytes` of `id` have arrived or were taken by its reader. Returns whether
+  // `id` counts as having moved.
+  bool NoteMoved(HolderId id, uint64_t bytes, int64_t now_ms);
 
   // Lets `id` grow without regard to others, until it is removed: when all that
   // is held belongs to requests in progress, they go on one after the other.
@@ -74,12 +75,10 @@
   // Whether `id` may hold `more` bytes beyond what it holds.
   bool MayGrow(HolderId id, uint64_t more) const;
   // Whom to close for the room that `asking` waits for: the one that holds most
-  // and has moved least, a stream only when there is no other, and `asking`
-  // itself last. Empty when nobody may be closed now.
+  // and has moved least, a stream only when there is no other, then one of
+  // those that hold little and have stalled if `asking` holds little too, and
+  // `asking` itself last. Empty when nobody may be closed now.
   std::optional<HolderId> ToClose(HolderId asking, int64_t now_ms) const;
-  // For how long `id`, whose request is being read, has stalled; 0 when it has
-  // not. Its connection gives way to new ones.
-  int64_t StalledMs(HolderId id, int64_t now_ms) const;
 
   uint64_t held() const { return held_; }
   uint64_t budget() const { return options_.budget; }
--- a/src/byte_broker.cc
+++ b/src/byte_broker.cc
@@ -17,19 +17,9 @@
 
 // One holder is closed at a time, and gives its bytes back before the next.
 constexpr milliseconds kRelieveInterval{20};
-constexpr uint64_t kMegabyte = 1024 * 1024;
-// The rest of the memory is the process's own: its tables, connections, code,
-// and what the allocator cannot reuse.
-constexpr uint64_t kMemoryShare = 4;
-constexpr uint64_t kDefaultBudget = 256 * kMegabyte;
 
 }  // namespace
 
-uint64_t HeldBytesBudget(int64_t memory_mb) {
-  if (memory_mb <= 0) return kDefaultBudget;
-  return static_cast<uint64_t>(memory_mb) * kMegabyte / kMemoryShare;
-}
-
 ByteBroker::ByteBroker(asio::io_context& io, ByteAccount::Options options)
     : io_(io), account_(options) {}
 
@@ -54,8 +44,8 @@
   broker_.account_.SetStage(id_, stage, SteadyMs());
 }
 
-void ByteBroker::Holder::NoteMoved(uint64_t bytes) {
-  broker_.account_.NoteMoved(id_, bytes, SteadyMs());
+bool ByteBroker::Holder::NoteMoved(uint64_t bytes) {
+  return broker_.account_.NoteMoved(id_, bytes, SteadyMs());
 }
 
 bool ByteBroker::Holder::MayGrow(uint64_t more) const {
@@ -87,6 +77,13 @@
   co_return may_grow && !closed();
 }
 
+void ByteBroker::Holder::Abandon() {
+  broker_.close_.erase(id_);
+  // Not chosen to be closed while it gives its bytes back.
+  broker_.account_.SetStage(id_, HolderStage::kInProgress, SteadyMs());
+  broker_.Wake(id_);
+}
+
 bool ByteBroker::Holder::closed() const {
   return !broker_.close_.contains(id_);
 }
--- a/src/byte_broker.h
+++ b/src/byte_broker.h
@@ -19,10 +19,6 @@
 
 namespace pimento {
 
-// The share of a host's memory that is held for others, in bytes. `memory_mb` 0
-// means that the settings name no limit.
-uint64_t HeldBytesBudget(int64_t memory_mb);
-
 // Not thread-safe; must outlive its holders.
 class ByteBroker {
  public:
@@ -41,12 +37,15 @@
 
     void SetBytes(uint64_t bytes);
     void SetStage(HolderStage stage);
-    void NoteMoved(uint64_t bytes);
+    // Returns whether the holder counts as having moved.
+    bool NoteMoved(uint64_t bytes);
     bool MayGrow(uint64_t more) const;
     // Waits until the holder may grow by `more`, is closed, or `deadline` has
     // passed. Returns whether it may grow.
     boost::asio::awaitable<bool> WaitForRoom(
         uint64_t more, std::chrono::steady_clock::time_point deadline);
+    // Ends its wait for room, since its connection was closed.
+    void Abandon();
     // True once the connection was refused or closed.
     bool closed() const;
     ByteAccount::HolderId id() const { return id_; }
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -7,7 +7,8 @@
 //
 // What connections hold is on the account of the process (byte_broker.h), and
 // when as many are open as may be, one that is idle or has stalled gives way to
-// a new one.
+// a new one (connection_places.h). Where none can, the new one is refused with
+// 503.
 #pragma once
 
 #include <boost/asio.hpp>
@@ -17,6 +18,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "src/byte_broker.h"
 #include "src/desired_state.h"
@@ -58,7 +61,27 @@
 using CallHandler = std::function<boost::asio::awaitable<void>(
     const CallerRequest&, ResponseWriter&, StopToken&)>;
 
+// Why a connection or its request was refused by the server itself.
+enum class ServerRefusal : uint8_t {
+  // The connection gave way to a new one.
+  kGaveWay,
+  // The connection came when no other could give way.
+  kConnectionLimit,
+  // The process holds as many bytes as it may.
+  kMemoryShort,
+  kBadRequest,
+  kHeaderTooLarge,
+  kBodyTooLarge,
+  // The request did not arrive in time; its connection is closed.
+  kReadTimeout,
+  kCount,
+};
+
+std::string_view Name(ServerRefusal refusal);
+
 struct CallerServerOptions {
+  // Names the server in metrics.
+  std::string listener = "callers";
   // Returns the current limits on callers.
   std::function<CallerLimits()> limits;
   CallHandler handler;
@@ -66,6 +89,14 @@
   // has one of its own.
   ByteBroker* broker = nullptr;
   size_t max_connections = 1'500;
+  // A connection is closed when one write takes longer than this.
+  std::chrono::milliseconds write_timeout{10'000};
+  // Whether a request must have one Host field.
+  bool requires_host = true;
+  // Value of Retry-After in refusals of the server itself, seconds.
+  std::string retry_after = "0.5";
+  // Body of such a refusal, JSON; null: none.
+  std::function<std::string(ServerRefusal)> refusal_body = {};
 };
 
 class CallerServer {
@@ -78,12 +109,18 @@
   // New connections are still accepted, and close after `idle_grace` without a
   // request.
   void Drain(std::chrono::milliseconds idle_grace);
-  // Closes the listening sockets and idle connections: callers that come now
-  // are refused at once and go elsewhere.
+  // Closes the listening sockets: callers that come now are refused at once and
+  // go elsewhere.
+  void CloseListeners();
+  // The same, and closes idle connections.
   void StopAccepting();
   // Requests that a handler is processing.
   size_t requests_in_flight() const;
   size_t connections() const;
+  // Open connections, their limit and refusals by reason of all `servers`,
+  // Prometheus text.
+  static std::string MetricsText(
+      const std::vector<const CallerServer*>& servers);
 
   struct State;
 
--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -3,9 +3,9 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <exception>
 
-#include "src/boot_clock.h"
 #include "src/connection_pool.h"
 #include "src/errors.h"
 #include "src/event_log.h"
@@ -20,8 +20,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-// A connection is closed when one write to the caller takes longer than this.
-constexpr milliseconds kWriteTimeout{10'000};
 // Limit on unacknowledged data; see SetTcpTimeouts().
 constexpr milliseconds kUnackedTimeout{5'000};
 // After a last response, what else arrives is discarded for so long.
@@ -38,38 +36,86 @@
 constexpr size_t kMaxCollectedBytes = 8 * 1024 * 1024;
 // Longer bodies are sent in pieces of this size.
 constexpr size_t kSendPieceBytes = 64 * 1024;
-// Callers whose request was refused for want of memory come back after this.
-constexpr const char* kRetryAfterS = "0.5";
-constexpr std::string_view kRefusal =
-    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
-    "Retry-After: 0.5\r\nContent-Length: 0\r\n\r\n";
+// What a connection does while its request is in a stage, by HolderStage.
+constexpr std::array kUseOfStage = {PlaceUse::kReading, PlaceUse::kSending,
+                                    PlaceUse::kStreaming, PlaceUse::kBusy};
+
+struct RefusalRow {
+  ServerRefusal refusal;
+  http::status status;
+};
+
+// Those that are answered.
+constexpr std::array kAnsweredRefusals = {
+    RefusalRow{ServerRefusal::kMemoryShort, http::status::service_unavailable},
+    RefusalRow{ServerRefusal::kBadRequest, http::status::bad_request},
+    RefusalRow{ServerRefusal::kHeaderTooLarge,
+               http::status::request_header_fields_too_large},
+    RefusalRow{ServerRefusal::kBodyTooLarge, http::status::payload_too_large},
+};
 
 }  // namespace
 
+std::string CallerServer::State::RefusalBytes(ServerRefusal refusal) const {
+  const std::string body =
+      options.refusal_body ? options.refusal_body(refusal) : "";
+  return "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+         "Retry-After: " +
+         options.retry_after +
+         (body.empty() ? "" : "\r\nContent-Type: application/json") +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
 CallerSession::CallerSession(std::shared_ptr<State> state, tcp::socket socket)
-    : state_(std::move(state)), stream_(std::move(socket)) {
-  position_ = state_->sessions.insert(state_->sessions.end(), this);
-  ++state_->open_connections;
+    : state_(std::move(state)),
+      stream_(std::move(socket)),
+      place_(state_->places.Add(SteadyMs())) {
+  state_->sessions.emplace(place_, this);
 }
 
 CallerSession::~CallerSession() {
   CloseSocket();
-  state_->sessions.erase(position_);
+  state_->sessions.erase(place_);
 }
 
 void CallerSession::CloseSocket() {
   beast::error_code ignored;  // the connection is discarded in any case
   stream_.socket().close(ignored);
-  if (counted_) --state_->open_connections;
-  counted_ = false;
+  state_->places.Remove(place_);
+  // It may wait for room to read on.
+  if (holder_) holder_->Abandon();
+}
+
+void CallerSession::BreakOff() {
+  const bool unread =
+      use_ == PlaceUse::kSending || use_ == PlaceUse::kStreaming;
+  beast::error_code ignored;  // the connection is discarded in any case
+  // What the peer has not taken would stay in the kernel for a while.
+  if (unread)
+    stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  Abort();
+}
+
+void CallerSession::SetUse(PlaceUse use) {
+  use_ = use;
+  state_->places.SetUse(place_, use, SteadyMs());
 }
 
 void CallerSession::SetStage(HolderStage stage) {
   if (holder_) holder_->SetStage(stage);
+  SetUse(kUseOfStage[static_cast<size_t>(stage)]);
 }
 
-void CallerSession::SetFraming(Header& header) const {
+void CallerSession::NoteMoved(size_t bytes) {
+  if (holder_ && holder_->NoteMoved(bytes))
+    state_->places.NoteMoved(place_, SteadyMs());
+}
+
+void CallerSession::SetFraming(Header& header) {
   header.version(11);
+  // When all places are taken, none is kept for a further request.
+  if (state_->places.full()) closing_ = true;
   if (closing_ || state_->draining) {
     header.set(http::field::connection, "close");
   }
@@ -85,7 +131,7 @@
   // buffer for the parser.
   stream_.expires_after(idle);
   waiting_ = true;
-  waiting_since_ms_ = SteadyMs();
+  SetUse(used_ ? PlaceUse::kIdle : PlaceUse::kUnused);
   beast::error_code error;
   const size_t received = co_await stream_.async_read_some(
       buffer_.prepare(kFirstReadBytes),
@@ -95,16 +141,25 @@
   co_return !error && received > 0;
 }
 
-asio::awaitable<void> CallerSession::Reject(unsigned status) {
+asio::awaitable<void> CallerSession::Reject(ServerRefusal refusal) {
+  const auto row = std::find_if(
+      kAnsweredRefusals.begin(), kAnsweredRefusals.end(),
+      [refusal](const RefusalRow& r) { return r.refusal == refusal; });
   closing_ = true;
+  state_->Count(refusal);
   Header header;
-  header.result(status);
-  if (status == static_cast<unsigned>(http::status::service_unavailable))
-    header.set(http::field::retry_after, kRetryAfterS);
+  header.result(row->status);
+  if (row->status == http::status::service_unavailable)
+    header.set(http::field::retry_after, state_->options.retry_after);
   EventLine(Event::kConnectionRefused)
       .Text("reason", "request_unread")
-      .Number("status", static_cast<int64_t>(status));
-  co_await Send(std::move(header), "");
+      .Number("status", static_cast<int64_t>(row->status));
+  std::string body;
+  if (state_->options.refusal_body) {
+    header.set(http::field::content_type, "application/json");
+    body = state_->options.refusal_body(refusal);
+  }
+  co_await Send(std::move(header), std::move(body));
 }
 
 asio::awaitable<bool> CallerSession::ReadRequest() {
@@ -113,9 +168,12 @@
   ended_ = false;
   handler_bytes_ = 0;
   holder_.emplace(state_->broker, [this] { OnShortOfMemory(); });
+  SetUse(PlaceUse::kReading);
   {
     RequestParser parser;
-    RequestReader reader(stream_, buffer_, *holder_);
+    RequestReader reader(stream_, buffer_, *holder_, [this] {
+      state_->places.NoteMoved(place_, SteadyMs());
+    });
     const ReadOutcome outcome = co_await ReadWithin(reader, parser);
     if (outcome == ReadOutcome::kDone) {
       request_bytes_ = reader.HeldBytes(parser);
@@ -151,30 +209,37 @@
   // undefined.
   const bool bad_coding =
       header.count(http::field::transfer_encoding) > 0 && !parser.chunked();
-  if (bad_coding || header.count(http::field::host) != 1) {
+  const bool bad_host =
+      state_->options.requires_host && header.count(http::field::host) != 1;
+  if (bad_coding || bad_host) {
     reader.set_error(http::error::bad_field);
     co_return ReadOutcome::kFailed;
   }
   co_return co_await reader.ReadBody(
-      parser, steady_clock::now() + milliseconds(limits.idle_timeout_ms));
+      parser, steady_clock::now() + milliseconds(limits.body_timeout_ms > 0
+                                                     ? limits.body_timeout_ms
+                                                     : limits.idle_timeout_ms));
 }
 
 asio::awaitable<void> CallerSession::RejectUnread(
     ReadOutcome outcome, const beast::error_code& error) {
   if (outcome == ReadOutcome::kNoRoom) {
-    co_await Reject(503);
+    // It may have given way while it waited for room.
+    if (stream_.socket().is_open())
+      co_await Reject(ServerRefusal::kMemoryShort);
   } else if (error == http::error::header_limit) {
-    co_await Reject(431);
+    co_await Reject(ServerRefusal::kHeaderTooLarge);
   } else if (error == http::error::body_limit) {
-    co_await Reject(413);
+    co_await Reject(ServerRefusal::kBodyTooLarge);
   } else if (error == beast::error::timeout) {
     // Beast closes the socket on a timeout, so no response can be sent.
+    state_->Count(ServerRefusal::kReadTimeout);
     EventLine(Event::kConnectionRefused).Text("reason", "read_timeout");
   } else if (error.category() ==
                  http::make_error_code(http::error::bad_field).category() &&
              error != http::error::end_of_stream &&
              error != http::error::partial_message) {
-    co_await Reject(400);
+    co_await Reject(ServerRefusal::kBadRequest);
   }
 }
 
@@ -236,7 +301,7 @@
   if (holder_)
     holder_->SetBytes(request_bytes_ +
                       std::max<uint64_t>(handler_bytes_, body.capacity()));
-  stream_.expires_after(kWriteTimeout);
+  stream_.expires_after(state_->options.write_timeout);
   beast::error_code error;
   if (body.size() > kSendPieceBytes && !is_head_request_) {
     error = co_await SendLong(std::move(header), body);
@@ -271,7 +336,7 @@
                      std::min(kSendPieceBytes, body.size() - at)),
         asio::redirect_error(asio::use_awaitable, error));
     at += sent;
-    if (holder_) holder_->NoteMoved(sent);
+    NoteMoved(sent);
   }
   co_return error;
 }
@@ -286,10 +351,13 @@
   header.set(http::field::transfer_encoding, "chunked");
   http::response<http::empty_body> response(std::move(header));
   http::response_serializer<http::empty_body> serializer(response);
-  stream_.expires_after(kWriteTimeout);
+  // A caller that does not read may leave no room even for the header.
+  SetStage(HolderStage::kStreaming);
+  stream_.expires_after(state_->options.write_timeout);
   beast::error_code error;
   co_await http::async_write_header(
       stream_, serializer, asio::redirect_error(asio::use_awaitable, error));
+  SetStage(HolderStage::kInProgress);
   co_return !error;
 }
 
@@ -298,7 +366,7 @@
     co_return co_await Collect(piece);
   }
   SetStage(HolderStage::kStreaming);
-  stream_.expires_after(kWriteTimeout);
+  stream_.expires_after(state_->options.write_timeout);
   beast::error_code error;
   co_await asio::async_write(stream_, http::make_chunk(asio::buffer(piece)),
                              asio::redirect_error(asio::use_awaitable, error));
@@ -309,8 +377,8 @@
 asio::awaitable<bool> CallerSession::Collect(const std::string& piece) {
   if (collected_.size() + piece.size() > kMaxCollectedBytes) co_return false;
   if (holder_ && !holder_->MayGrow(piece.size()))
-    co_await holder_->WaitForRoom(piece.size(),
-                                  steady_clock::now() + kWriteTimeout);
+    co_await holder_->WaitForRoom(
+        piece.size(), steady_clock::now() + state_->options.write_timeout);
   collected_ += piece;
   if (holder_)
     holder_->SetBytes(request_bytes_ + handler_bytes_ + collected_.capacity());
@@ -322,7 +390,7 @@
     co_return co_await Send(std::move(collected_header_),
                             std::move(collected_));
   SetStage(HolderStage::kSending);
-  stream_.expires_after(kWriteTimeout);
+  stream_.expires_after(state_->options.write_timeout);
   beast::error_code error;
   co_await asio::async_write(stream_, http::make_chunk_last(),
                              asio::redirect_error(asio::use_awaitable, error));
@@ -351,7 +419,7 @@
   if (token_ == nullptr && !begun_) {
     stream_.cancel();
   } else {
-    Abort();
+    BreakOff();
   }
 }
 
@@ -365,38 +433,29 @@
   if (arrived <= 0) stream_.socket().cancel(ignored);
 }
 
-std::pair<SpareRank, int64_t> CallerSession::Spare(int64_t now_ms) const {
-  if (!counted_) return {SpareRank::kNotSpare, 0};
-  if (discarding_) return {SpareRank::kEnded, waiting_since_ms_};
-  if (waiting_)
-    return {used_ ? SpareRank::kIdle : SpareRank::kUnused, waiting_since_ms_};
-  if (!holder_) return {SpareRank::kNotSpare, 0};
-  const int64_t stalled_ms =
-      state_->broker.account().StalledMs(holder_->id(), now_ms);
-  if (stalled_ms == 0) return {SpareRank::kNotSpare, 0};
-  return {SpareRank::kStalled, now_ms - stalled_ms};
-}
-
 bool CallerSession::GiveWay() {
   const int handle = stream_.socket().native_handle();
   if (waiting_) {
     char byte;
     if (recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) {
       // Its request is about to be read.
-      waiting_since_ms_ = SteadyMs();
+      SetUse(PlaceUse::kReading);
       return false;
     }
-  } else if (!discarding_) {
+  } else if (use_ == PlaceUse::kReading) {
     // Nothing of the request has run. Errors are ignored: a closed connection
     // promises less.
-    send(handle, kRefusal.data(), kRefusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    const std::string refusal =
+        state_->RefusalBytes(ServerRefusal::kConnectionLimit);
+    send(handle, refusal.data(), refusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
   }
-  Abort();
+  state_->Count(ServerRefusal::kGaveWay);
+  BreakOff();
   return true;
 }
 
 asio::awaitable<void> CallerSession::DiscardRest() {
-  discarding_ = true;
+  SetUse(PlaceUse::kEnded);
   beast::error_code error;
   stream_.expires_after(kDiscardTime);
   char discarded[1024];
--- a/src/caller_session.h
+++ b/src/caller_session.h
@@ -2,14 +2,18 @@
 // their responses. Internal header of the server for callers.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <list>
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <utility>
 
+#include "src/boot_clock.h"
 #include "src/caller_connection.h"
+#include "src/connection_places.h"
 #include "src/request_reader.h"
 
 namespace pimento {
@@ -23,34 +27,32 @@
         own_broker(options.broker == nullptr ? std::make_unique<ByteBroker>(
                                                    io, ByteAccount::Options{})
                                              : nullptr),
-        broker(options.broker == nullptr ? *own_broker : *options.broker) {}
+        broker(options.broker == nullptr ? *own_broker : *options.broker),
+        places({.limit = options.max_connections}) {}
+
+  void Count(ServerRefusal refusal) {
+    ++refusals[static_cast<size_t>(refusal)];
+  }
+  // A refusal with 503, as bytes, for a connection that is closed.
+  std::string RefusalBytes(ServerRefusal refusal) const;
 
   boost::asio::io_context& io;
   CallerServerOptions options;
   std::unique_ptr<ByteBroker> own_broker;
   ByteBroker& broker;
   std::list<boost::asio::ip::tcp::acceptor> acceptors;
-  std::list<CallerSession*> sessions;
-  // Sessions whose socket is open.
-  size_t open_connections = 0;
+  // Those whose socket is open, and all sessions by the id of their place.
+  ConnectionPlaces places;
+  std::unordered_map<ConnectionPlaces::Id, CallerSession*> sessions;
+  // New connections that are being refused.
+  size_t refusing = 0;
+  // By ServerRefusal.
+  std::array<uint64_t, static_cast<size_t>(ServerRefusal::kCount)> refusals{};
   size_t requests_in_flight = 0;
   bool draining = false;
   std::chrono::milliseconds idle_grace{0};
 };
 
-// What a connection does that may give way to a new one, in the order in which
-// connections do.
-enum class SpareRank : uint8_t {
-  // Its last response was sent, and it discards what else arrives.
-  kEnded,
-  // It waits for its first request, or for a further one.
-  kUnused,
-  kIdle,
-  // It has stalled in the middle of a request.
-  kStalled,
-  kNotSpare,
-};
-
 class CallerSession : public ResponseWriter,
                       public std::enable_shared_from_this<CallerSession> {
  public:
@@ -63,11 +65,10 @@
   boost::asio::awaitable<void> Run();
   // Ends the connection if it waits for a request of which nothing has arrived.
   void CloseIfIdle();
-  // Whether the connection may give way, and since when it does nothing.
-  std::pair<SpareRank, int64_t> Spare(int64_t now_ms) const;
   // Closes the connection, unless a request has arrived meanwhile. A request
-  // that was being read is refused, as far as the socket takes the answer.
-  // Returns whether it was closed.
+  // that was being read is refused, as far as the socket takes the answer; an
+  // answer that its caller does not read is broken off. Returns whether the
+  // connection was closed.
   bool GiveWay();
 
   boost::asio::awaitable<bool> Send(Header header, std::string body) override;
@@ -89,7 +90,7 @@
   // Answers a request that could not be read; closes the connection.
   boost::asio::awaitable<void> RejectUnread(
       ReadOutcome outcome, const boost::beast::error_code& error);
-  boost::asio::awaitable<void> Reject(unsigned status);
+  boost::asio::awaitable<void> Reject(ServerRefusal refusal);
   boost::asio::awaitable<void> HandleRequest(RequestParser& parser);
   // Keeps a piece of a stream that is sent whole, on the account. Returns false
   // when the stream is too long.
@@ -100,17 +101,22 @@
   boost::asio::awaitable<void> DiscardRest();
   void WatchForClose();
   void OnReadable();
-  void SetFraming(Header& header) const;
+  void SetFraming(Header& header);
   // Called by the account: refuses the request that is being read, or breaks
   // off the response.
   void OnShortOfMemory();
   void CloseSocket();
+  // Closes the connection in the middle of a request or an answer.
+  void BreakOff();
   void SetStage(HolderStage stage);
+  void SetUse(PlaceUse use);
+  void NoteMoved(size_t bytes);
 
   std::shared_ptr<State> state_;
   boost::beast::tcp_stream stream_;
-  // Own entry in the list of sessions.
-  std::list<CallerSession*>::iterator position_;
+  // Its place, given back when the socket is closed.
+  ConnectionPlaces::Id place_;
+  PlaceUse use_ = PlaceUse::kUnused;
   boost::beast::flat_buffer buffer_;
   // What the present request holds; absent between requests.
   std::optional<ByteBroker::Holder> holder_;
@@ -121,15 +127,10 @@
   StopToken* token_ = nullptr;
   // True while a wait started by WatchForClose() is pending.
   bool watching_ = false;
-  // True while the first bytes of the next request are awaited, and since when.
+  // True while the first bytes of the next request are awaited.
   bool waiting_ = false;
-  int64_t waiting_since_ms_ = 0;
   // Whether a request was answered.
   bool used_ = false;
-  // Whether what arrives is discarded.
-  bool discarding_ = false;
-  // Whether the socket counts as open.
-  bool counted_ = true;
   // Whether the current response was started and completely written.
   bool begun_ = false;
   bool ended_ = false;
--- a/src/desired_state.h
+++ b/src/desired_state.h
@@ -83,6 +83,8 @@
   uint64_t body_bytes = 4 * 1024 * 1024;
   int64_t header_timeout_ms = 3'000;
   int64_t idle_timeout_ms = 15'000;
+  // Time for a body; 0: as long as a connection may idle.
+  int64_t body_timeout_ms = 0;
 };
 
 class DesiredState {
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -259,7 +259,7 @@
     buffer.max_size(std::max(buffer.size(), kReadAheadBytes));
     parser.header_limit(state.limits.header_bytes);
     parser.body_limit(state.limits.body_bytes);
-    RequestReader reader(stream, buffer, holder);
+    RequestReader reader(stream, buffer, holder, [] {});
     const auto deadline = std::chrono::steady_clock::now() +
                           std::chrono::milliseconds(state.limits.read_ms);
     ReadOutcome outcome = co_await reader.ReadHeader(parser, deadline);
--- a/src/request_reader.cc
+++ b/src/request_reader.cc
@@ -58,7 +58,7 @@
       stream_, buffer_, parser,
       asio::redirect_error(asio::use_awaitable, error_));
   holder_.SetBytes(HeldBytes(parser));
-  holder_.NoteMoved(consumed);
+  if (holder_.NoteMoved(consumed)) on_moved_();
   if (holder_.closed()) co_return ReadOutcome::kNoRoom;
   co_return error_ ? ReadOutcome::kFailed : ReadOutcome::kDone;
 }
--- a/src/request_reader.h
+++ b/src/request_reader.h
@@ -9,7 +9,9 @@
 #include <boost/optional.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <utility>
 
 #include "src/byte_broker.h"
 
@@ -79,9 +81,15 @@
  public:
   using Deadline = std::chrono::steady_clock::time_point;
 
+  // `on_moved` is called when so much has arrived that the connection does not
+  // count as stalled.
   RequestReader(boost::beast::tcp_stream& stream,
-                boost::beast::flat_buffer& buffer, ByteBroker::Holder& holder)
-      : stream_(stream), buffer_(buffer), holder_(holder) {}
+                boost::beast::flat_buffer& buffer, ByteBroker::Holder& holder,
+                std::function<void()> on_moved)
+      : stream_(stream),
+        buffer_(buffer),
+        holder_(holder),
+        on_moved_(std::move(on_moved)) {}
 
   // Reads until the header, or the whole request, was parsed. Limits on sizes
   // are those of `parser`.
@@ -101,6 +109,7 @@
   boost::beast::tcp_stream& stream_;
   boost::beast::flat_buffer& buffer_;
   ByteBroker::Holder& holder_;
+  std::function<void()> on_moved_;
   Deadline deadline_{};
   boost::beast::error_code error_;
   // What the header takes, once it was parsed.
