Each listener has places of its own: clients of the directory shut nobody out

Cause: one server with one limit had the directory, readiness, metrics and other hosts. Clients reach the directory, and could so make a host look unready and cut it off from the hosts that mirror the store from it. Roles that share an address share its places, as they did.

--- a/src/gateway_server.cc
+++ b/src/gateway_server.cc
@@ -1,6 +1,5 @@
 #include "src/gateway_server.h"
 
-#include <set>
 #include <utility>
 
 #include "platform/object_codec.h"
@@ -63,26 +62,42 @@
                       return ServeCall(state, request, response, token);
                     },
                 .broker = &broker_,
-                .max_connections = ConnectionsOf(state).callers}),
-      internal_(
-          state.io(),
-          {.limits = InternalLimits,
-           .handler =
-               [this](const CallerRequest& request, ResponseWriter& response,
-                      StopToken&) { return ServeInternal(request, response); },
-           .broker = &broker_,
-           .max_connections = ConnectionsOf(state).internal}) {}
+                .max_connections = ConnectionsOf(state).callers}) {}
 
 void GatewayServer::Listen() {
   const auto& settings = state_.settings();
+  const ConnectionLimits limits = ConnectionsOf(state_);
   callers_.Listen(settings.callers_address);
-  const std::set<std::string> addresses = {
-      settings.ip + ":" + std::to_string(settings.first_port),
-      settings.ready_address, settings.directory_address,
-      settings.ip + ":" + platform::kMetricsPort};
-  for (const std::string& address : addresses) {
-    if (!address.empty()) internal_.Listen(address);
-  }
+  ListenInternal("hosts",
+                 settings.ip + ":" + std::to_string(settings.first_port),
+                 limits.internal);
+  ListenInternal("readiness", settings.ready_address, limits.readiness);
+  ListenInternal("directory", settings.directory_address, limits.directory);
+  ListenInternal("metrics", settings.ip + ":" + platform::kMetricsPort,
+                 limits.metrics);
+}
+
+void GatewayServer::ListenInternal(const std::string& listener,
+                                   const std::string& address,
+                                   size_t max_connections) {
+  if (address.empty() || internal_.contains(address)) return;
+  CallerServer server(
+      state_.io(),
+      {.listener = listener,
+       .limits = InternalLimits,
+       .handler = [this](
+                      const CallerRequest& request, ResponseWriter& response,
+                      StopToken&) { return ServeInternal(request, response); },
+       .broker = &broker_,
+       .max_connections = max_connections});
+  internal_.emplace(address, std::move(server)).first->second.Listen(address);
+}
+
+std::string GatewayServer::MetricsText() const {
+  std::vector<const CallerServer*> servers = {&callers_};
+  for (const auto& [address, server] : internal_) servers.push_back(&server);
+  return state_.metrics().PrometheusText() + state_.ViewMetrics() +
+         broker_.MetricsText() + CallerServer::MetricsText(servers);
 }
 
 asio::awaitable<void> GatewayServer::ServeInternal(const CallerRequest& request,
@@ -105,8 +120,7 @@
   } else if (path == "/metrics") {
     header.result(http::status::ok);
     header.set(http::field::content_type, "text/plain; version=0.0.4");
-    body = state_.metrics().PrometheusText() + state_.ViewMetrics() +
-           broker_.MetricsText();
+    body = MetricsText();
   } else {
     header.result(http::status::not_found);
   }
--- a/src/gateway_server.h
+++ b/src/gateway_server.h
@@ -1,9 +1,12 @@
 // Listens on the addresses of a gateway: one for callers' requests, and
 // internal ones for the directory, readiness, metrics and mirrored store
-// objects.
+// objects. Each address has places of its own, so that clients of one cannot
+// shut out those of another.
 #pragma once
 
-#include <memory>
+#include <functional>
+#include <map>
+#include <string>
 #include <vector>
 
 #include "platform/store_mirror.h"
@@ -23,6 +26,11 @@
   void Drain(std::function<void()> on_done);
 
  private:
+  // Listens on `address` for internal requests, unless it is empty or another
+  // internal listener has it.
+  void ListenInternal(const std::string& listener, const std::string& address,
+                      size_t max_connections);
+  std::string MetricsText() const;
   boost::asio::awaitable<void> ServeInternal(const CallerRequest& request,
                                              ResponseWriter& response);
   // Serves another gateway from this gateway's mirror of the store.
@@ -34,8 +42,9 @@
   // What all connections of this process hold.
   ByteBroker broker_;
   CallerServer callers_;
-  // Directory, readiness, metrics and mirrored store objects.
-  CallerServer internal_;
+  // By address. All serve the directory, readiness, metrics and mirrored store
+  // objects.
+  std::map<std::string, CallerServer> internal_;
 };
 
 }  // namespace pimento
