--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -9,7 +9,6 @@
 #include "platform/object_codec.h"
 #include "platform/wire_names.h"
 #include "src/background_loop.h"
-#include "src/connection_limits.h"
 #include "src/errors.h"
 #include "src/event_log.h"
 #include "src/loop_clock.h"
@@ -92,15 +91,8 @@
       rpc_(pool),
       journal_(options_.data_dir),
       broker_(io, {.budget = HeldBytesBudget(options_.memory_mb)}),
-      server_(io,
-              {.limits = PeerLimits,
-               .handler = [this](const CallerRequest& request,
-                                 ResponseWriter& answer,
-                                 StopToken&) { return Serve(request, answer); },
-               .broker = &broker_,
-               .max_connections =
-                   LimitsOfConnections(options_.memory_mb, options_.max_fds)
-                       .internal}),
+      server_(io, ServerOptions("hosts", &ConnectionLimits::internal)),
+      metrics_server_(io, ServerOptions("metrics", &ConnectionLimits::metrics)),
       registration_watch_(io, store, {.kind = kArchiveKind}),
       list_watch_(io, store,
                   {.kind = kMemberListKind,
@@ -109,6 +101,19 @@
                         {.kind = std::string(platform::kRetirementKind)}),
       observing_since_(LoopClock::Of(io).Now()) {}
 
+CallerServerOptions ArchiveNode::ServerOptions(
+    const std::string& listener, size_t ConnectionLimits::*limit) {
+  const ConnectionLimits limits =
+      LimitsOfConnections(options_.memory_mb, options_.max_fds);
+  return {
+      .listener = listener,
+      .limits = PeerLimits,
+      .handler = [this](const CallerRequest& request, ResponseWriter& answer,
+                        StopToken&) { return Serve(request, answer); },
+      .broker = &broker_,
+      .max_connections = limits.*limit};
+}
+
 void ArchiveNode::Start() {
   id_ = journal_.MemberId();
   size_t entries = 0;
@@ -133,7 +138,129 @@
   EndStartPart(StartPart::kJournal);
   server_.Listen(options_.address);
   if (!options_.metrics_address.empty())
-    server_.Listen(options_.metrics_address);
+    metrics_server_.Listen(options_.metrics_address);
+  EndStartPart(StartPart::kPorts);
+  const auto adopt = [this] { AdoptList(); };
+  list_watch_.Start(adopt);
+  registration_watch_.Start([] {});
+  retirement_watch_.Start([] {});
+  KeepRunning(io_, "loop clock",
+              [this] { return LoopClock::Of(io_).RunTurns(kTurnInterval); });
+  KeepRunning(io_, "registration", [this] { return Register(); });
+  KeepRunning(io_, "membership", [this] { return RunMembership(); });
+}
+
+bool ArchiveNode::IsMember() const {
+  return std::any_of(list_.members.begin(), list_.members.end(),
+                     [this](const ArchiveMember& m) { return m.id == id_; });
+}
+
+void ArchiveNode::AdoptList() {
+  try {
+    uint64_t revision = 0;
+    MemberList list = MemberListFromObjects(list_watch_.objects(), revision);
+    if (list.version <= list_.version) return;
+    list_ = std::move(list);
+    list_revision_ = revision;
+    EventLine(Event::kMembersChanged)
+        .Number("version", static_cast<int64_t>(list_.version))
+        .Text("list", EncodeMemberList(list_))
+        .Text("self", std::to_string(id_));
+  } catch (const StateError& e) {
+    EventLine(Event::kHandlerFailed).Text("error", e.what());
+  }
+}
+
+asio::awaitable<void> ArchiveNode::Serve(const CallerRequest& request,
+                                         ResponseWriter& answer) {
+  ResponseWriter::Header header;
+  if (request.header.target() == "/metrics") {
+    header.result(http::status::ok);
+    header.set(http::field::content_type, "text/plain; version=0.0.4");
+    co_await answer.Send(std::move(header), MetricsText());
+    co_return;
+  }
+  ++calls_;
+  std::optional<ArchiveCall> call;
+  try {
+    call = DecodeCall(request.body);
+  } catch (const StateError& e) {
+    EventLine(Event::kHandlerFailed).Text("error", e.what());
+  }
+  if (!call) {
+    header.result(http::status::bad_request);
+    co_await answer.Send(std::move(header), "");
+    co_return;
+  }
+  ArchiveReply reply = co_await Handle(std::move(*call));
+  reply.member = id_;
+  reply.intact = IsMember();
+  reply.list_version = std::max(list_.version, fence_);
+  reply.store_overdue_ms = store_.OverdueMs();
+  header.result(http::status::ok);
+  co_await answer.Send(std::move(header), EncodeReply(reply));
+}
+
+asio::awaitable<ArchiveReply> ArchiveNode::Handle(ArchiveCall call) {
+  ArchiveReply reply{.verdict = ArchiveVerdict::kDone};
+  const int64_t now_ms = SteadyMs();
+  if (std::holds_alternative<PingCall>(call.body)) {
+    // Tells a host that drives a change whether the copy is complete.
+    reply.next = copied_version_;
+    co_return reply;
+  }
+  if (const auto* fence = std::get_if<FenceCall>(&call.body)) {
+    const uint64_t version = std::max(fence_, fence->version);
+    fence_ = version;
+    const JournalEntry entry = FenceCall{version};
+    if (!co_await Commit(entry)) reply.verdict = ArchiveVerdict::kFailed;
+    co_return reply;
+  }
+  if (const auto* copy = std::get_if<CopyCall>(&call.body)) {
+    auto page = archive_.ReadPage(copy->from, kCopyPageBytes);
+    for (auto& record : page.records) {
+      if (auto* turn = std::get_if<TurnRecord>(&record))
+        reply.turns.push_back(std::move(*turn));
+      else
+        reply.reservations.push_back(
+            std::move(std::get<TokenReservation>(record)));
+    }
+    reply.next = page.next;
+    reply.more = page.more;
+    co_return reply;
+  }
+  if (call.list_version < fence_) {
+    reply.verdict = ArchiveVerdict::kStaleList;
+    if (list_.version > call.list_version)
+      reply.members = EncodeMemberList(list_);
+    co_return reply;
+  }
+  if (const auto* history = std::get_if<HistoryCall>(&call.body)) {
+    auto found = archive_.HistoryOf(history->turn, history->team);
+    reply.turns = std::move(found.turns);
+    reply.missing = std::move(found.missing);
+    co_return reply;
+  }
+  if (const auto* collect = std::get_if<CollectCall>(&call.body)) {
+    reply.reservations = archive_.ReservationsOf(collect->program);
+    co_return reply;
+  }
+  if (auto* turn = std::get_if<TurnRecord>(&call.body)) {
+    archive_.Apply(*turn, now_ms);
+    } else {
+      archive_.Apply(std::get<TokenReservation>(entry), now_ms);
+    }
+  };
+  journal_.Replay(apply, ThrowIfStopRequested);
+  EventLine(Event::kJournal)
+      .Text("outcome", "replayed")
+      .Number("entries", static_cast<int64_t>(entries))
+      .Number("turns", static_cast<int64_t>(archive_.turns()))
+      .Text("member", std::to_string(id_));
+  EndStartPart(StartPart::kJournal);
+  server_.Listen(options_.address);
+  if (!options_.metrics_address.empty())
+    metrics_server_.Listen(options_.metrics_address);
   EndStartPart(StartPart::kPorts);
   const auto adopt = [this] { AdoptList(); };
   list_watch_.Start(adopt);
@@ -241,6 +368,10 @@
     co_return reply;
   }
   if (auto* turn = std::get_if<TurnRecord>(&call.body)) {
+    if (!archive_.MayKeep(*turn)) {
+      reply.verdict = RefuseFull("turn", turn->team);
+      co_return reply;
+    }
     archive_.Apply(*turn, now_ms);
     const JournalEntry entry = std::move(*turn);
     if (!co_await Commit(entry)) reply.verdict = ArchiveVerdict::kFailed;
@@ -335,7 +466,8 @@
       << "pimento_archive_slowest_sync_ms " << slowest_sync_ms_ << "\n"
       << "pimento_archive_store_overdue_ms " << store_.OverdueMs() << "\n"
       << "pimento_archive_list_version " << list_.version << "\n";
-  return out.str() + broker_.MetricsText();
+  return out.str() + broker_.MetricsText() +
+         CallerServer::MetricsText({&server_, &metrics_server_});
 }
 
 }  // namespace pimento
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -21,6 +21,7 @@
 #include "src/archive_rpc.h"
 #include "src/byte_broker.h"
 #include "src/caller_connection.h"
+#include "src/connection_limits.h"
 #include "src/loop_delay.h"
 #include "src/member_list.h"
 #include "src/store_watch.h"
@@ -66,6 +67,9 @@
   template <class T>
   using Async = boost::asio::awaitable<T>;
 
+  // Options of the server named `listener`, with that limit on connections.
+  CallerServerOptions ServerOptions(const std::string& listener,
+                                    size_t ConnectionLimits::*limit);
   Async<void> Serve(const CallerRequest& request, ResponseWriter& answer);
   std::string MetricsText() const;
   Async<ArchiveReply> Handle(ArchiveCall call);
@@ -114,6 +118,8 @@
   // What the connections of this process hold.
   ByteBroker broker_;
   CallerServer server_;
+  // Metrics, where they have an address of their own.
+  CallerServer metrics_server_;
   uint64_t id_ = 0;
 
   // An entry that is not synced yet.
