Programs under way are known, and told to the peers, beside made-up ones

Now, beyond the limit, the program that was named once and longest ago is forgotten, and one that goes on last. What waits to be told is bounded (2,048), each team has its turn in a message, and a program that goes on before the peers know of it is told next. Counters: programs_forgotten_total, program_gossip_dropped_total.

--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -87,7 +87,9 @@
 
 void GatewayCall::NoteAdmittedProgram() const {
   if (!head_.program.empty())
-    state_.programs().OnAdmitted(head_.program, SteadyMs());
+    state_.programs().OnAdmitted(head_.program,
+                                 team_ == nullptr ? "" : team_->name,
+                                 SteadyMs());
 }
 
 void GatewayCall::LogRateDecision(Event event) const {
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -250,6 +250,11 @@
         << "pimento_upstream_read_tokens_per_ms" << label
         << pace.read_tokens_per_ms << "\n";
   }
+  out << "pimento_programs_recent " << programs_.size() << "\n"
+      << "pimento_programs_forgotten_total " << programs_.forgotten() << "\n"
+      << "pimento_program_gossip_pending " << programs_.pending_gossip() << "\n"
+      << "pimento_program_gossip_dropped_total " << programs_.gossip_dropped()
+      << "\n";
   return out.str() + rollouts_.MetricsText();
 }
 
--- a/test/correctness/team_quota_test.cc
+++ b/test/correctness/team_quota_test.cc
@@ -308,7 +308,7 @@
     if (quota.TryAcquire("large", status, now) != 0)
       ++refused;
     else
-      programs.OnAdmitted(program, now);
+      programs.OnAdmitted(program, "large", now);
     now += 20;
   };
   for (int i = 0; i < 40; ++i) {
