Calls in progress leave places for others, half of them at most to one team

Calls that wait for an upstream never give way, rightly, and they took every place, each until its deadline.

Now at most an eighth as many calls as there are descriptors for sockets are in progress (487 with 4,100), half of them of one team, or of all open routes together; a further one is refused at once, 503 with Retry-After, reason call_limit. A gateway of the target size has 315 in progress (105 a second, 3 s each). A call leaves the count when it needs no upstream any more, not when its caller has read the answer.

--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -87,9 +87,7 @@
 
 void GatewayCall::NoteAdmittedProgram() const {
   if (!head_.program.empty())
-    state_.programs().OnAdmitted(head_.program,
-                                 team_ == nullptr ? "" : team_->name,
-                                 SteadyMs());
+    state_.programs().OnAdmitted(head_.program, TeamName(), SteadyMs());
 }
 
 void GatewayCall::LogRateDecision(Event event) const {
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -69,6 +69,21 @@
   priority_ = CallRank(team_->priority, route_->priority);
 }
 
+void GatewayCall::Enter() {
+  entered_ = state_.calls().Enter(TeamName());
+  if (!entered_)
+    throw Refusal(Reason::kCallLimit, RunState::kNotRun,
+                  std::to_string(state_.calls().of(TeamName())) + " of " +
+                      std::to_string(state_.calls().in_progress()) +
+                      " calls in progress are of this team.",
+                  kShortRetryAfterMs);
+}
+
+void GatewayCall::Leave() {
+  if (entered_) state_.calls().Leave(TeamName());
+  entered_ = false;
+}
+
 RequestFingerprints GatewayCall::Fingerprints() const {
   const auto target = request_.header.target();
   return FingerprintsOf(head_.host + std::string(target),
@@ -177,6 +192,7 @@
   try {
     ParseRequest();
     Authenticate();
+    Enter();
     StartDeadline();
     RefuseSuspect();
     co_await Admit();
@@ -189,6 +205,7 @@
   timer_.cancel();
   *alive_ = false;
   ReleaseUnused();
+  Leave();
   if (!refusal) co_return;
   if (token_.reason() != StopReason::kCallerLeft) {
     co_await SendRefusal(*refusal);
--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -2,6 +2,7 @@
 //
 //   ParseRequest    headers, route, service               gateway_call.cc
 //   Authenticate    key, team, priority                   gateway_call.cc
+//   Enter           calls in progress of the team         gateway_call.cc
 //   StartDeadline   deadline timer                        gateway_call.cc
 //   RefuseSuspect   request that crashes upstreams        gateway_call.cc
 //   Admit           rate limit of the team                gateway_admission.cc
@@ -56,6 +57,9 @@
         response_(response),
         token_(token),
         timer_(state.io()) {}
+  ~GatewayCall() { Leave(); }
+  GatewayCall(const GatewayCall&) = delete;
+  GatewayCall& operator=(const GatewayCall&) = delete;
 
   boost::asio::awaitable<void> Run();
 
@@ -63,6 +67,11 @@
   // The stages listed above and their helpers; they may throw Refusal.
   void ParseRequest();
   void Authenticate();
+  // Counts the call as in progress for its team, until Leave(): it needs no
+  // upstream any more.
+  void Enter();
+  void Leave();
+  std::string TeamName() const { return team_ == nullptr ? "" : team_->name; }
   // Throws Refusal while the request is refused for crashing upstreams.
   void RefuseSuspect() const;
   // For how long it is; 0 when it may be sent.
@@ -205,6 +214,8 @@
   // Answer of the team's rate limit, and true once the request was charged.
   RateDecision rate_decision_;
   bool admitted_ = false;
+  // True while the call is counted as in progress.
+  bool entered_ = false;
   // True while the archive may hold an unsettled token reservation.
   bool reserved_ = false;
   // Inputs and outputs of the previous turns, oldest first.
--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -10,6 +10,7 @@
 #include "platform/wire_names.h"
 #include "src/archive_node.h"
 #include "src/background_loop.h"
+#include "src/connection_limits.h"
 #include "src/errors.h"
 #include "src/event_log.h"
 #include "src/loop_clock.h"
@@ -116,6 +117,7 @@
               .cold_slack = settings.cold_slack,
               .zone = settings.zone}),
       dispatcher_(io, table_, metrics),
+      calls_(LimitsOfConnections(settings.memory_mb, settings.max_fds).calls),
       archive_(io, pool_, {.zone = settings.zone}),
       view_(kInitialSilentAfterMs),
       peers_(io, settings.ip, settings.first_port),
@@ -254,7 +256,8 @@
       << "pimento_programs_forgotten_total " << programs_.forgotten() << "\n"
       << "pimento_program_gossip_pending " << programs_.pending_gossip() << "\n"
       << "pimento_program_gossip_dropped_total " << programs_.gossip_dropped()
-      << "\n";
+      << "\n"
+      << "pimento_calls_in_progress " << calls_.in_progress() << "\n";
   return out.str() + rollouts_.MetricsText();
 }
 
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -13,6 +13,7 @@
 #include "platform/boot_settings.h"
 #include "platform/store_client.h"
 #include "src/archive_client.h"
+#include "src/calls_in_progress.h"
 #include "src/crash_detector.h"
 #include "src/crash_suspects.h"
 #include "src/desired_state.h"
@@ -57,6 +58,7 @@
   Dispatcher& dispatcher() { return dispatcher_; }
   SharedRates& rates() { return rates_; }
   RecentPrograms& programs() { return programs_; }
+  CallsInProgress& calls() { return calls_; }
   ArchiveClient& archive() { return archive_; }
   RolloutControl& rollouts() { return rollouts_; }
   const CrashSuspects& suspects() const { return suspects_; }
@@ -137,6 +139,7 @@
   UpstreamTable table_;
   Dispatcher dispatcher_;
   RecentPrograms programs_;
+  CallsInProgress calls_;
   ArchiveClient archive_;
   GatewayView view_;
   GatewayPeers peers_;
--- a/src/reason.h
+++ b/src/reason.h
@@ -58,6 +58,9 @@
   kCrashesUpstreams,
   // The program would begin while its service is full.
   kNoRoom,
+  // The caller's team, or all callers together, have as many calls in progress
+  // as they may.
+  kCallLimit,
   kInternal,
   kCount,
 };
