An answer that its caller does not read holds no slot of its upstream

Cause: the upstream's connection and slot were given back after the answer had been sent to the caller, up to 10 s after the upstream had done its work. Now a whole answer is kept (on the account, as before), the connection and the slot are given back, and then it is sent. The time of the call that the upstream's pace is learned from ends there too. Streams are sent event by event and hold their slot until they end or give way; that is left.

--- a/src/gateway_call_state.h
+++ b/src/gateway_call_state.h
@@ -151,9 +151,12 @@
   boost::asio::awaitable<void> Account(uint64_t more);
   // Reads the rest of a response, on the account of the process.
   boost::asio::awaitable<std::string> CollectBody(PooledConnection& connection);
+  // Reads a whole answer, which SendAnswer() sends.
   boost::asio::awaitable<AttemptResult> RelayBuffered(
       PooledConnection& connection,
       const PooledConnection::ResponseHeader& header);
+  // Sends the answer that was read, if there is one.
+  boost::asio::awaitable<void> SendAnswer();
   boost::asio::awaitable<AttemptResult> RelayEvents(
       PooledConnection& connection,
       const PooledConnection::ResponseHeader& header,
@@ -220,6 +223,13 @@
   bool reserved_ = false;
   // Inputs and outputs of the previous turns, oldest first.
   std::string history_;
+  struct BufferedAnswer {
+    int status = 0;
+    ResponseWriter::Header header = {};
+    std::string body = {};
+  };
+  // A whole answer of an upstream that was not sent yet.
+  std::optional<BufferedAnswer> answer_;
   // Upstream that ran the previous turn; empty when unknown.
   std::string previous_upstream_;
 
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -200,6 +200,9 @@
         token_.stopped() ? CallOutcome::kAbandoned : CallOutcome::kFailed;
   NoteVersion(upstream, result);
   state_.dispatcher().Release(upstream.id, result);
+  // Neither the upstream's connection nor its slot waits for the caller to
+  // read.
+  co_await SendAnswer();
   if (attempt != AttemptResult::kDone) {
     last_failure_ =
         failure.empty()
@@ -417,12 +420,21 @@
   ResponseWriter::Header out = platform::HeaderForCaller(header);
   const auto head = platform::DecodeResponse(header);
   std::string body = co_await CollectBody(connection);
-  token_.clear_on_stop();
-  co_await response_.Send(std::move(out), std::move(body));
-  LogEnd("answered", head.status);
+  answer_.emplace(BufferedAnswer{.status = head.status,
+                                 .header = std::move(out),
+                                 .body = std::move(body)});
   co_return AttemptResult::kDone;
 }
 
+asio::awaitable<void> GatewayCall::SendAnswer() {
+  if (!answer_) co_return;
+  BufferedAnswer answer = std::move(*answer_);
+  answer_.reset();
+  Leave();
+  co_await response_.Send(std::move(answer.header), std::move(answer.body));
+  LogEnd("answered", answer.status);
+}
+
 asio::awaitable<bool> GatewayCall::ForwardEvents(
     std::vector<StreamEvent> events,
     const PooledConnection::ResponseHeader& header) {
