An archive's records have a limit, and one team at most half of it

Nothing bounded what an archive keeps, by bytes or by number; reservations were not counted.

No turn begins once three quarters of that are taken, nor one of a team that has taken half; the last quarter is for turns that have begun, which are refused beyond it. The gateway answers 503 archive_full, not run, with Retry-After 1 s: the reservation is refused before any upstream sees the turn. What is given up unrun takes no room. A history of more than an eighth of the room is not handed out, and one is on the account of held bytes before it is copied. Reservations name their team (a new field of the schema, empty from older gateways). Counter: pimento_archive_refused_full_total.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -166,6 +166,8 @@
   turn @1 :Text;
   tokens @2 :UInt64;
   settled @3 :Bool;
+  # Whose turn it is; empty on a route that is open to all.
+  team @4 :Text;
 }
 
 struct TurnRecord {
@@ -196,6 +198,8 @@
     # The member is still copying records, so one that it lacks may exist.
     notIntact @2;
     failed @3;
+    # The member, or the team's share of it, is full.
+    full @4;
   }
   verdict @0 :Verdict;
   memberId @1 :UInt64;
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -36,6 +36,7 @@
   STALE_LIST,
   NOT_INTACT,
   FAILED,
+  FULL,
 };
 CAPNP_DECLARE_ENUM(Verdict, 89c7bd22c2583057);
 
@@ -213,7 +214,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae87ab28acdefdd1, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ae87ab28acdefdd1, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1448,6 +1449,9 @@
 
   inline bool getSettled() const;
 
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1496,6 +1500,13 @@
   inline bool getSettled();
   inline void setSettled(bool value);
 
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3470,6 +3481,40 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Reservation::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Reservation::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Reservation::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Reservation::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Reservation::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Reservation::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Reservation::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Reservation::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool TurnRecord::Reader::hasTurn() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/archive_client.cc
+++ b/src/archive_client.cc
@@ -40,6 +40,8 @@
   bool stale_list = false;
   // True when a call failed, so that the remaining members are needed.
   bool member_failed = false;
+  // Whether a member had no room for the record.
+  bool full = false;
   // The encoded list sent by the member that rejected the call's list; may be
   // empty.
   std::string newer_list;
@@ -145,6 +147,7 @@
                 fan_out->replies.emplace(member.id, std::move(reply));
               } else {
                 fan_out->member_failed = true;
+                fan_out->full |= reply.verdict == ArchiveVerdict::kFull;
               }
             } catch (const TransportError&) {
               // CallMember() logged the failure; other members may make the
@@ -203,6 +206,9 @@
         asio::redirect_error(asio::use_awaitable, ignored));
   }
   if (!fan_out->stale_list && !enough()) {
+    if (fan_out->full)
+      throw ArchiveFullError(
+          "Members of the archive have no room for the record.");
     throw ArchiveError(std::to_string(fan_out->replies.size()) + " of " +
                        std::to_string(list->All().size()) +
                        " members of the archive responded.");
--- a/src/archive_client.h
+++ b/src/archive_client.h
@@ -31,6 +31,12 @@
   using std::runtime_error::runtime_error;
 };
 
+// Members that are needed have no room for the record.
+class ArchiveFullError : public ArchiveError {
+ public:
+  using ArchiveError::ArchiveError;
+};
+
 struct ArchiveClientOptions {
   // Availability zone of this gateway; its members are called first.
   std::string zone = {};
--- a/src/archive_codec.cc
+++ b/src/archive_codec.cc
@@ -63,13 +63,15 @@
   out.setTurn(reservation.turn);
   out.setTokens(reservation.tokens);
   out.setSettled(reservation.settled);
+  out.setTeam(reservation.team);
 }
 
 TokenReservation Read(wire::Reservation::Reader in) {
   return {.program = Text(in.getProgram()),
           .turn = Text(in.getTurn()),
           .tokens = in.getTokens(),
-          .settled = in.getSettled()};
+          .settled = in.getSettled(),
+          .team = Text(in.getTeam())};
 }
 
 void Fill(wire::TurnRecord::Builder out, const TurnRecord& record) {
--- a/src/archive_codec.h
+++ b/src/archive_codec.h
@@ -50,7 +50,9 @@
   // The member is still copying records from the others.
   kNotIntact,
   // The record could not be synced to disk.
-  kFailed
+  kFailed,
+  // There is no room for the record.
+  kFull
 };
 
 struct ArchiveReply {
--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -26,6 +26,8 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
+// Callers give up by then.
+constexpr milliseconds kMaxWaitForRoom{1'000};
 constexpr size_t kCopyPageBytes = 256 * 1024;
 // Longer than the lifetime of any record, so that a removed journal segment
 // holds only expired ones.
@@ -90,6 +92,7 @@
       options_(std::move(options)),
       rpc_(pool),
       journal_(options_.data_dir),
+      archive_(RecordBytesLimit(options_.memory_mb)),
       broker_(io, {.budget = HeldBytesBudget(options_.memory_mb)}),
       server_(io, ServerOptions("hosts", &ConnectionLimits::internal)),
       metrics_server_(io, ServerOptions("metrics", &ConnectionLimits::metrics)),
@@ -192,127 +195,12 @@
     co_await answer.Send(std::move(header), "");
     co_return;
   }
-  ArchiveReply reply = co_await Handle(std::move(*call));
-  reply.member = id_;
-  reply.intact = IsMember();
-  reply.list_version = std::max(list_.version, fence_);
-  reply.store_overdue_ms = store_.OverdueMs();
-  header.result(http::status::ok);
-  co_await answer.Send(std::move(header), EncodeReply(reply));
-}
-
-asio::awaitable<ArchiveReply> ArchiveNode::Handle(ArchiveCall call) {
-  ArchiveReply reply{.verdict = ArchiveVerdict::kDone};
-  const int64_t now_ms = SteadyMs();
-  if (std::holds_alternative<PingCall>(call.body)) {
-    // Tells a host that drives a change whether the copy is complete.
-    reply.next = copied_version_;
-    co_return reply;
-  }
-  if (const auto* fence = std::get_if<FenceCall>(&call.body)) {
-    const uint64_t version = std::max(fence_, fence->version);
-    fence_ = version;
-    const JournalEntry entry = FenceCall{version};
-    if (!co_await Commit(entry)) reply.verdict = ArchiveVerdict::kFailed;
-    co_return reply;
-  }
-  if (const auto* copy = std::get_if<CopyCall>(&call.body)) {
-    auto page = archive_.ReadPage(copy->from, kCopyPageBytes);
-    for (auto& record : page.records) {
-      if (auto* turn = std::get_if<TurnRecord>(&record))
-        reply.turns.push_back(std::move(*turn));
-      else
-        reply.reservations.push_back(
-            std::move(std::get<TokenReservation>(record)));
-    }
-    reply.next = page.next;
-    reply.more = page.more;
-    co_return reply;
-  }
-  if (call.list_version < fence_) {
-    reply.verdict = ArchiveVerdict::kStaleList;
-    if (list_.version > call.list_version)
-      reply.members = EncodeMemberList(list_);
-    co_return reply;
-  }
-  if (const auto* history = std::get_if<HistoryCall>(&call.body)) {
-    auto found = archive_.HistoryOf(history->turn, history->team);
-    reply.turns = std::move(found.turns);
-    reply.missing = std::move(found.missing);
-    co_return reply;
-  }
-  if (const auto* collect = std::get_if<CollectCall>(&call.body)) {
-    reply.reservations = archive_.ReservationsOf(collect->program);
-    co_return reply;
-  }
-  if (auto* turn = std::get_if<TurnRecord>(&call.body)) {
-    archive_.Apply(*turn, now_ms);
-    } else {
-      archive_.Apply(std::get<TokenReservation>(entry), now_ms);
-    }
-  };
-  journal_.Replay(apply, ThrowIfStopRequested);
-  EventLine(Event::kJournal)
-      .Text("outcome", "replayed")
-      .Number("entries", static_cast<int64_t>(entries))
-      .Number("turns", static_cast<int64_t>(archive_.turns()))
-      .Text("member", std::to_string(id_));
-  EndStartPart(StartPart::kJournal);
-  server_.Listen(options_.address);
-  if (!options_.metrics_address.empty())
-    metrics_server_.Listen(options_.metrics_address);
-  EndStartPart(StartPart::kPorts);
-  const auto adopt = [this] { AdoptList(); };
-  list_watch_.Start(adopt);
-  registration_watch_.Start([] {});
-  retirement_watch_.Start([] {});
-  KeepRunning(io_, "loop clock",
-              [this] { return LoopClock::Of(io_).RunTurns(kTurnInterval); });
-  KeepRunning(io_, "registration", [this] { return Register(); });
-  KeepRunning(io_, "membership", [this] { return RunMembership(); });
-}
-
-bool ArchiveNode::IsMember() const {
-  return std::any_of(list_.members.begin(), list_.members.end(),
-                     [this](const ArchiveMember& m) { return m.id == id_; });
-}
-
-void ArchiveNode::AdoptList() {
-  try {
-    uint64_t revision = 0;
-    MemberList list = MemberListFromObjects(list_watch_.objects(), revision);
-    if (list.version <= list_.version) return;
-    list_ = std::move(list);
-    list_revision_ = revision;
-    EventLine(Event::kMembersChanged)
-        .Number("version", static_cast<int64_t>(list_.version))
-        .Text("list", EncodeMemberList(list_))
-        .Text("self", std::to_string(id_));
-  } catch (const StateError& e) {
-    EventLine(Event::kHandlerFailed).Text("error", e.what());
-  }
-}
-
-asio::awaitable<void> ArchiveNode::Serve(const CallerRequest& request,
-                                         ResponseWriter& answer) {
-  ResponseWriter::Header header;
-  if (request.header.target() == "/metrics") {
-    header.result(http::status::ok);
-    header.set(http::field::content_type, "text/plain; version=0.0.4");
-    co_await answer.Send(std::move(header), MetricsText());
-    co_return;
-  }
-  ++calls_;
-  std::optional<ArchiveCall> call;
-  try {
-    call = DecodeCall(request.body);
-  } catch (const StateError& e) {
-    EventLine(Event::kHandlerFailed).Text("error", e.what());
-  }
-  if (!call) {
-    header.result(http::status::bad_request);
-    co_await answer.Send(std::move(header), "");
-    co_return;
+  if (const auto* history = std::get_if<HistoryCall>(&call->body)) {
+    // As it is found, in the message, and as bytes.
+    constexpr uint64_t kCopies = 3;
+    co_await answer.Hold(
+        kCopies * archive_.HistoryBytes(history->turn, history->team),
+        steady_clock::now() + kMaxWaitForRoom);
   }
   ArchiveReply reply = co_await Handle(std::move(*call));
   reply.member = id_;
@@ -358,6 +246,11 @@
     co_return reply;
   }
   if (const auto* history = std::get_if<HistoryCall>(&call.body)) {
+    const size_t bytes = archive_.HistoryBytes(history->turn, history->team);
+    if (archive_.max_bytes() > 0 && bytes > archive_.max_history_bytes()) {
+      reply.verdict = RefuseFull("history", history->team);
+      co_return reply;
+    }
     auto found = archive_.HistoryOf(history->turn, history->team);
     reply.turns = std::move(found.turns);
     reply.missing = std::move(found.missing);
@@ -378,6 +271,15 @@
     co_return reply;
   }
   const auto reservation = std::get<TokenReservation>(call.body);
+  if (!archive_.MayBegin(reservation.team)) {
+    if (!reservation.settled) {
+      reply.verdict = RefuseFull("reservation", reservation.team);
+      co_return reply;
+    }
+    // What was refused here takes no room when the turn is given up.
+    const bool given_up = reservation.tokens == 0;
+    if (given_up && !archive_.HasReservation(reservation)) co_return reply;
+  }
   archive_.Apply(reservation, now_ms);
   // The reply lists the reservations made before this call; the replies to
   // later ones will list this one. Of two reservations at least one sees the
@@ -389,6 +291,18 @@
   co_return reply;
 }
 
+ArchiveVerdict ArchiveNode::RefuseFull(std::string_view what,
+                                       const std::string& team) {
+  ++refused_full_;
+  EventLine(Event::kArchiveFailed)
+      .Text("what", what)
+      .Text("error", "full")
+      .Text("team", team)
+      .Number("bytes", static_cast<int64_t>(archive_.bytes()))
+      .Number("max_bytes", static_cast<int64_t>(archive_.max_bytes()));
+  return ArchiveVerdict::kFull;
+}
+
 asio::awaitable<bool> ArchiveNode::Commit(const JournalEntry& entry) {
   PendingEntry pending = MakePendingEntry(EncodeEntry(entry));
   const auto done_signal = pending.done_signal;
@@ -461,6 +375,8 @@
   out << "pimento_archive_turns " << archive_.turns() << "\n"
       << "pimento_archive_programs " << archive_.programs() << "\n"
       << "pimento_archive_bytes " << archive_.bytes() << "\n"
+      << "pimento_archive_bytes_limit " << archive_.max_bytes() << "\n"
+      << "pimento_archive_refused_full_total " << refused_full_ << "\n"
       << "pimento_archive_calls_total " << calls_ << "\n"
       << "pimento_archive_syncs_total " << syncs_ << "\n"
       << "pimento_archive_slowest_sync_ms " << slowest_sync_ms_ << "\n"
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -73,6 +73,8 @@
   Async<void> Serve(const CallerRequest& request, ResponseWriter& answer);
   std::string MetricsText() const;
   Async<ArchiveReply> Handle(ArchiveCall call);
+  // Counts and logs a record of `team` for which there is no room.
+  ArchiveVerdict RefuseFull(std::string_view what, const std::string& team);
   // Queues `entry` for the journal. Returns true once it is synced to disk, and
   // false when its batch failed. Entries queued earlier belong to the same or
   // an earlier batch.
@@ -120,6 +122,7 @@
   CallerServer server_;
   // Metrics, where they have an address of their own.
   CallerServer metrics_server_;
+  uint64_t refused_full_ = 0;
   uint64_t id_ = 0;
 
   // An entry that is not synced yet.
--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -22,6 +22,8 @@
 constexpr std::array<std::string_view, 3> kStandingNames = {
     "new programs.", "running programs.", "programs whose budget is spent."};
 constexpr int kSettleAttempts = 4;
+// Records leave an archive with time only.
+constexpr int64_t kArchiveFullRetryAfterMs = 1'000;
 constexpr milliseconds kSettleRetryDelay{300};
 
 }  // namespace
@@ -121,8 +123,8 @@
 }
 
 asio::awaitable<void> GatewayCall::LoadHistory() {
-  const std::string team = team_ == nullptr ? "" : team_->name;
-  auto turns = co_await state_.archive().History(head_.previous_turn, team);
+  auto turns =
+      co_await state_.archive().History(head_.previous_turn, TeamName());
   if (!turns)
     throw Refusal(Reason::kNotFound, RunState::kNotRun,
                   "Turn " + head_.previous_turn + " does not exist.");
@@ -144,7 +146,8 @@
     const TokenReservation reservation{
         .program = head_.program,
         .turn = head_.request_id,
-        .tokens = static_cast<uint64_t>(head_.max_output_tokens.value_or(0))};
+        .tokens = static_cast<uint64_t>(head_.max_output_tokens.value_or(0)),
+        .team = TeamName()};
     const auto budget = static_cast<uint64_t>(*head_.token_budget);
     const bool fits = co_await state_.archive().Reserve(reservation, budget);
     state_.programs().set_budget_spent(head_.program, !fits);
@@ -160,6 +163,9 @@
         .Number("list_version",
                 static_cast<int64_t>(state_.archive().list().version))
         .Number("took_ms", ElapsedMs());
+  } catch (const ArchiveFullError& e) {
+    throw Refusal(Reason::kArchiveFull, RunState::kNotRun, e.what(),
+                  kArchiveFullRetryAfterMs);
   } catch (const ArchiveError& e) {
     throw Refusal(Reason::kRecordNotCommitted, RunState::kNotRun, e.what(),
                   kShortRetryAfterMs);
@@ -175,7 +181,8 @@
       .program = head_.program,
       .turn = head_.request_id,
       .tokens = static_cast<uint64_t>(events_ * per_event),
-      .settled = true};
+      .settled = true,
+      .team = TeamName()};
   RunTask(state_.io(), "settle",
           [&state = state_, used]() -> asio::awaitable<void> {
             for (int tries = 0; tries < kSettleAttempts; ++tries) {
--- a/src/reason.cc
+++ b/src/reason.cc
@@ -55,6 +55,7 @@
     ReasonRow{Reason::kCrashesUpstreams, "crashes_upstreams", 503, false},
     ReasonRow{Reason::kNoRoom, "no_room", 503, false},
     ReasonRow{Reason::kCallLimit, "call_limit", 503, false},
+    ReasonRow{Reason::kArchiveFull, "archive_full", 503, false},
     ReasonRow{Reason::kInternal, "internal", 500, false},
 };
 static_assert(kReasons.size() == static_cast<size_t>(Reason::kCount));
--- a/src/reason.h
+++ b/src/reason.h
@@ -61,6 +61,8 @@
   // The caller's team, or all callers together, have as many calls in progress
   // as they may.
   kCallLimit,
+  // The archive has no room for a further turn of the team.
+  kArchiveFull,
   kInternal,
   kCount,
 };
--- a/src/turn_archive.cc
+++ b/src/turn_archive.cc
@@ -13,13 +13,61 @@
 // flight.
 constexpr int64_t kTurnRetentionSlackMs = 30'000;
 
+// Of a record, beside its texts.
+constexpr size_t kOverheadBytes = 400;
+// Copies of a record's key: in the record, in the table, in order of arrival.
+constexpr size_t kKeyCopies = 3;
+// Shares of the room, in quarters: one team's, and that of turns that begin.
+constexpr size_t kTeamQuarters = 2;
+constexpr size_t kBeginQuarters = 3;
+constexpr size_t kQuarters = 4;
+// Share of the room of one history.
+constexpr size_t kHistoryShare = 8;
+
 size_t BytesOf(const TurnRecord& record) {
-  constexpr size_t kOverhead = 400;
-  return record.input.size() + record.output.size() + kOverhead;
+  return record.input.size() + record.output.size() +
+         record.turn.size() * kKeyCopies + record.previous.size() +
+         record.program.size() + kOverheadBytes;
+}
+
+size_t BytesOf(const TokenReservation& reservation) {
+  return reservation.turn.size() * kKeyCopies + reservation.program.size() +
+         kOverheadBytes;
 }
 
 }  // namespace
 
+bool TurnArchive::MayBegin(const std::string& team) const {
+  if (max_bytes_ == 0) return true;
+  const auto it = bytes_by_team_.find(team);
+  const size_t own = it == bytes_by_team_.end() ? 0 : it->second;
+  return bytes_ < max_bytes_ / kQuarters * kBeginQuarters &&
+         own < max_bytes_ / kQuarters * kTeamQuarters;
+}
+
+bool TurnArchive::MayKeep(const TurnRecord& record) const {
+  return max_bytes_ == 0 || turns_.contains(record.turn) ||
+         bytes_ + BytesOf(record) <= max_bytes_;
+}
+
+bool TurnArchive::HasReservation(const TokenReservation& reservation) const {
+  const auto it = programs_.find(reservation.program);
+  return it != programs_.end() &&
+         it->second.reservations.contains(reservation.turn);
+}
+
+void TurnArchive::AddBytes(const std::string& team, size_t bytes) {
+  bytes_ += bytes;
+  bytes_by_team_[team] += bytes;
+}
+
+void TurnArchive::RemoveBytes(const std::string& team, size_t bytes) {
+  bytes_ -= bytes;
+  const auto it = bytes_by_team_.find(team);
+  it->second -= bytes;
+  if (it->second == 0) bytes_by_team_.erase(it);
+}
+
 void TurnArchive::Apply(const ArchiveRecord& record, int64_t now_ms) {
   if (const auto* reservation = std::get_if<TokenReservation>(&record)) {
     ApplyReservation(*reservation, now_ms + kProgramRetentionMs);
@@ -31,10 +79,19 @@
 void TurnArchive::ApplyReservation(const TokenReservation& reservation,
                                    int64_t expires_ms) {
   const auto [it, added] = programs_.try_emplace(reservation.program);
-  if (added) arrivals_.push_back("/" + reservation.program);
   Program& program = it->second;
+  if (added) {
+    arrivals_.push_back("/" + reservation.program);
+    program.team = reservation.team;
+  }
   program.expires_ms = std::max(program.expires_ms, expires_ms);
-  TokenReservation& held = program.reservations[reservation.turn];
+  const auto [entry, is_new] =
+      program.reservations.try_emplace(reservation.turn);
+  TokenReservation& held = entry->second;
+  if (is_new) {
+    program.bytes += BytesOf(reservation);
+    AddBytes(program.team, BytesOf(reservation));
+  }
   // A settled reservation is final; an open one that arrives later is ignored.
   if (held.settled && !reservation.settled) return;
   if (held.settled && held.tokens >= reservation.tokens) return;
@@ -47,14 +104,15 @@
     ApplyReservation({.program = record.program,
                       .turn = record.turn,
                       .tokens = record.tokens,
-                      .settled = true},
+                      .settled = true,
+                      .team = record.team},
                      std::max(expires_ms, now_ms + kProgramRetentionMs));
   }
   const auto [it, added] = turns_.try_emplace(record.turn);
   if (added) {
     it->second.record = record;
     arrivals_.push_back(record.turn);
-    bytes_ += BytesOf(record);
+    AddBytes(record.team, BytesOf(record));
   }
   // Extend the expiry of all predecessors, so that the chain stays complete.
   for (auto turn = it; turn != turns_.end();
@@ -94,6 +152,25 @@
   return history;
 }
 
+size_t TurnArchive::HistoryBytes(const std::string& turn,
+                                 const std::string& team) const {
+  size_t bytes = 0;
+  size_t turns = 0;
+  // Longer than all turns is a circle.
+  for (auto it = turns_.find(turn);
+       it != turns_.end() && it->second.record.team == team &&
+       turns < turns_.size();
+       it = turns_.find(it->second.record.previous)) {
+    bytes += BytesOf(it->second.record);
+    ++turns;
+  }
+  return bytes;
+}
+
+size_t TurnArchive::max_history_bytes() const {
+  return max_bytes_ / kHistoryShare;
+}
+
 TurnArchive::Page TurnArchive::ReadPage(uint64_t from, size_t max_bytes) const {
   Page page;
   uint64_t position = std::max(from, first_position_);
@@ -125,11 +202,13 @@
       ++it;
       continue;
     }
-    bytes_ -= BytesOf(it->second.record);
+    RemoveBytes(it->second.record.team, BytesOf(it->second.record));
     it = turns_.erase(it);
   }
-  std::erase_if(programs_, [now_ms](const auto& program) {
-    return program.second.expires_ms <= now_ms;
+  std::erase_if(programs_, [this, now_ms](const auto& program) {
+    if (program.second.expires_ms > now_ms) return false;
+    RemoveBytes(program.second.team, program.second.bytes);
+    return true;
   });
   while (!arrivals_.empty()) {
     const std::string& key = arrivals_.front();
--- a/src/turn_archive.h
+++ b/src/turn_archive.h
@@ -23,6 +23,8 @@
   std::string turn = {};
   uint64_t tokens = 0;
   bool settled = false;
+  // Empty on a route that is open to all.
+  std::string team = {};
 };
 
 // A finished turn.
@@ -46,8 +48,24 @@
 
 using ArchiveRecord = std::variant<TokenReservation, TurnRecord>;
 
+// Load: a client with a valid key whose turns are as long as they may be, a
+// hundred a second, each kept for a minute. So no turn begins once three
+// quarters of the room are taken, nor one of a team that has taken half of it;
+// the last quarter is for turns that have begun.
 class TurnArchive {
  public:
+  TurnArchive() = default;
+  // `max_bytes`: approximate memory of all records; 0: not limited.
+  explicit TurnArchive(size_t max_bytes) : max_bytes_(max_bytes) {}
+
+  // Whether a turn of `team` may begin, and whether one that has run may be
+  // kept. Records that are copied from other members are always applied.
+  bool MayBegin(const std::string& team) const;
+  bool MayKeep(const TurnRecord& record) const;
+
+  // Whether the reservation's turn has a reservation here.
+  bool HasReservation(const TokenReservation& reservation) const;
+
   // Merges a record; applying it again has no effect but a later expiry.
   void Apply(const ArchiveRecord& record, int64_t now_ms);
 
@@ -65,6 +83,12 @@
   // missing.
   History HistoryOf(const std::string& turn, const std::string& team) const;
 
+  // Approximate memory of the turns that HistoryOf() returns.
+  size_t HistoryBytes(const std::string& turn, const std::string& team) const;
+  // A longer history is not handed out: each is copied more than once. 0: any
+  // is.
+  size_t max_history_bytes() const;
+
   struct Page {
     std::vector<ArchiveRecord> records = {};
     // Position from which the next page is read.
@@ -80,6 +104,7 @@
   size_t turns() const { return turns_.size(); }
   size_t programs() const { return programs_.size(); }
   size_t bytes() const { return bytes_; }
+  size_t max_bytes() const { return max_bytes_; }
 
  private:
   struct Turn {
@@ -89,7 +114,12 @@
   struct Program {
     std::unordered_map<std::string, TokenReservation> reservations;
     int64_t expires_ms = 0;
+    // Memory of its reservations, and the team that it counts for.
+    size_t bytes = 0;
+    std::string team;
   };
+  void AddBytes(const std::string& team, size_t bytes);
+  void RemoveBytes(const std::string& team, size_t bytes);
   void ApplyReservation(const TokenReservation& reservation,
                         int64_t expires_ms);
   void ApplyTurn(const TurnRecord& record, int64_t now_ms);
@@ -101,8 +131,10 @@
   std::deque<std::string> arrivals_;
   // Position of the first key in `arrivals_`.
   uint64_t first_position_ = 0;
-  // Approximate memory of `turns_`.
+  size_t max_bytes_ = 0;
+  // Approximate memory of all records, and of those of each team that has any.
   size_t bytes_ = 0;
+  std::unordered_map<std::string, size_t> bytes_by_team_;
 };
 
 }  // namespace pimento
--- a/test/correctness/turn_archive_test.cc
+++ b/test/correctness/turn_archive_test.cc
@@ -139,3 +139,66 @@
   CHECK_THROWS_AS(DecodeCall("not a message"), StateError);
   CHECK_THROWS_AS(DecodeCall(""), StateError);
 }
+
+TEST_CASE(
+    "an archive keeps room for other teams and for turns that have begun") {
+  constexpr size_t kRoom = 1'000'000;
+  TurnArchive archive(kRoom);
+  const auto apply = [&](const std::string& id, const std::string& team) {
+    TurnRecord turn = Turn(id, "");
+    turn.team = team;
+    turn.input = std::string(10'000, 'i');
+    if (archive.MayKeep(turn)) archive.Apply(turn, 0);
+  };
+  int kept = 0;
+  while (archive.MayBegin("crowd"))
+    apply("crowd-" + std::to_string(kept++), "crowd");
+  CHECK(archive.bytes() >= kRoom / 2);
+  CHECK(archive.bytes() < kRoom / 2 + 20'000);
+  CHECK(archive.MayBegin("quilters"));
+  while (archive.MayBegin("quilters"))
+    apply("quilters-" + std::to_string(kept++), "quilters");
+  // No team may begin now, but turns that have begun are kept, up to the limit.
+  CHECK(!archive.MayBegin("others"));
+  CHECK(archive.MayKeep(Turn("begun", "")));
+  for (int i = 0; i < 1'000; ++i) apply("late-" + std::to_string(i), "others");
+  CHECK(archive.bytes() <= kRoom);
+  // A turn that is kept may be stored again.
+  CHECK(archive.MayKeep(Turn("crowd-0", "")));
+  archive.RemoveExpired(1'000'000);
+  CHECK(archive.bytes() == 0);
+  CHECK(archive.MayBegin("crowd"));
+}
+
+TEST_CASE("reservations count for the room of an archive") {
+  TurnArchive archive(1'000'000);
+  int made = 0;
+  for (; archive.MayBegin("crowd") && made < 100'000; ++made) {
+    const std::string id = std::string(200, 'x') + std::to_string(made);
+    archive.Apply(
+        TokenReservation{
+            .program = "p" + id, .turn = id, .tokens = 1, .team = "crowd"},
+        0);
+  }
+  CHECK(made < 1'000);
+  CHECK(archive.MayBegin("quilters"));
+  CHECK(archive.HasReservation({.program = "p" + std::string(200, 'x') + "0",
+                                .turn = std::string(200, 'x') + "0"}));
+  archive.RemoveExpired(1'000'000);
+  CHECK(archive.bytes() == 0);
+}
+
+TEST_CASE("the length of a history is known before it is read") {
+  TurnArchive archive(1'000'000);
+  archive.Apply(Turn("a", ""), 0);
+  archive.Apply(Turn("b", "a"), 0);
+  CHECK(archive.HistoryBytes("b", "quilters") >
+        archive.HistoryBytes("a", "quilters"));
+  CHECK(archive.HistoryBytes("b", "others") == 0);
+  CHECK(archive.HistoryBytes("unknown", "quilters") == 0);
+  CHECK(archive.max_history_bytes() == 125'000);
+  // A circle ends.
+  archive.Apply(Turn("c", "d"), 0);
+  archive.Apply(Turn("d", "c"), 0);
+  CHECK(archive.HistoryBytes("c", "quilters") > 0);
+}
