The own interface stands on the gateway's connections, with limits from its settings

Cause: HttpServer had a loop of its own beside the gateway's, a constant budget of 256 MB and 4,096 connections that no setting tied to the process. Now it is an adapter of CallerServer: one HTTP loop, one account, one rule for who gives way, one set of metrics. What callers saw of its own stays: JSON refusals with their reasons, whole seconds in Retry-After, no demand for a Host field. HTTP/1.0 callers get streams whole instead of in chunks.

[limits] of entries and schedulers has `memory` (256MiB) and `descriptors` (0: what the system allows the process): a quarter of the memory for what is held, an eighth for connections at 8 KiB, half of the descriptors; of a scheduler the admin address gets a quarter of that memory and a sixteenth of the descriptors. By default that is the 4,096 connections of before and 64 MB in place of 256.

--- a/bench/lib/test_fleet.cc
+++ b/bench/lib/test_fleet.cc
@@ -154,15 +154,17 @@
                 "\n[log]\nlevel = " + options_.log_level +
                 "\n[timing]\nreplace_hold = " + options_.replace_hold +
                 "\nrebalance_after = " + options_.rebalance_after +
-                "\n[policy]\nqueue = " + options_.queue_policy + "\nchoice = " +
-                options_.choice_policy + "\n[testing]\nfaults = true\n");
+                "\n[policy]\nqueue = " + options_.queue_policy +
+                "\nchoice = " + options_.choice_policy + "\n[limits]\n" +
+                options_.scheduler_limits + "\n[testing]\nfaults = true\n");
   WriteFile(Path(host + "-entry.ini"),
             "[host]\nname = " + host + "\nzone = " + zones_.at(host) +
                 "\nhttp_address = " + entries_.at(host) +
                 "\n[schedulers]\naddresses = " + JoinWithCommas(schedulers) +
                 "\n[log]\nlevel = " + options_.log_level +
                 "\n[policy]\nrefusal_cache = " +
-                (options_.refusal_cache ? "true" : "false") + "\n");
+                (options_.refusal_cache ? "true" : "false") + "\n[limits]\n" +
+                options_.entry_limits + "\n");
 }
 
 void TestFleet::StartPlatform() {
--- a/bench/lib/test_fleet.h
+++ b/bench/lib/test_fleet.h
@@ -35,6 +35,9 @@
   std::string replace_hold = "2s";
   std::string rebalance_after = "4s";
   std::string log_level = "info";
+  // Lines of the section [limits] of entries and schedulers.
+  std::string entry_limits = {};
+  std::string scheduler_limits = {};
 };
 
 // One HTTP answer, as a caller sees it.
--- a/src/caller_routes.cc
+++ b/src/caller_routes.cc
@@ -269,6 +269,7 @@
                                                     HttpResponder& responder) {
   HttpResponse answer{.body = metrics_.PrometheusText(),
                       .content_type = "text/plain; version=0.0.4"};
+  if (server_metrics_) answer.body += server_metrics_();
   co_await responder.Send(std::move(answer));
 }
 
--- a/src/caller_routes.h
+++ b/src/caller_routes.h
@@ -29,6 +29,10 @@
   // whose key it no longer contains, and clears the refusal cache because rates
   // may have changed.
   void AbortRequestsOfWithdrawnKeys();
+  // Sets what the server adds to the metrics.
+  void set_server_metrics(std::function<std::string()> text) {
+    server_metrics_ = std::move(text);
+  }
 
  private:
   // A request in progress and the digest of its key; empty without a key.
@@ -83,6 +87,7 @@
   EntryForwarder& forwarder_;
   Metrics& metrics_;
   std::string host_;
+  std::function<std::string()> server_metrics_;
   // Start of this process, microseconds since 1970: makes request ids unique
   // across restarts.
   uint64_t start_us_;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -1,5 +1,7 @@
-// An HTTP/1.1 server on Boost.Beast. Everything that a client could let grow is
-// limited: connections, header and body sizes, and the time to read and write.
+// The HTTP/1.1 server of the project's own interface: requests and responses as
+// plain values, on the connections of CallerServer. Everything that a client
+// could let grow is limited: connections, bytes held for them, header and body
+// sizes, and the time to read and write.
 #pragma once
 
 #include <boost/asio.hpp>
@@ -12,17 +14,21 @@
 namespace pimento {
 
 struct HttpLimits {
-  // Most open connections. Further ones are answered with 503 and closed.
+  // Memory and descriptors of the process; 0: not limited. A quarter of the
+  // memory may be held for all connections together: requests being read and
+  // responses being sent. Beyond it reading pauses, and then those that hold
+  // most and move least are refused with 503 or closed.
+  int64_t memory_mb = 256;
+  int64_t descriptors = 0;
+  // Most open connections; fewer where memory or descriptors bear less. At the
+  // limit an idle or stalled one gives way to a new one. Where none can, the
+  // new one is answered with 503 and closed.
   size_t connections = 4'096;
   // Sizes of the header and the body of a request. Larger requests are refused
   // with 431 and 413.
   uint32_t header_bytes = 16 * 1024;
   uint64_t body_bytes = 1024 * 1024;
-  // What all connections together may hold: requests being read and responses
-  // being sent. Beyond it reading pauses, and then those that hold most and
-  // move least are refused with 503 or closed.
-  uint64_t held_bytes = 256 * 1024 * 1024;
-  // Time to read a request, from its first byte.
+  // Time to read a header from its first byte, and time to read a body.
   int64_t read_ms = 10'000;
   // Time for each write: a whole response, a head or a chunk.
   int64_t write_ms = 10'000;
@@ -76,15 +82,18 @@
 // Serves requests on `io`, which must run on a single thread.
 class HttpServer {
  public:
-  HttpServer(boost::asio::io_context& io, HttpLimits limits,
-             HttpHandler handler);
+  // `name` is that of the listener in metrics.
+  HttpServer(boost::asio::io_context& io, const std::string& name,
+             HttpLimits limits, HttpHandler handler);
 
   // Throws TransportError if listening on `address` ("127.0.0.1:8080") fails.
   void Listen(const std::string& address);
   // Stops accepting connections; requests in progress are completed.
   void Drain();
-  // Number of requests in progress.
+  // Number of requests in progress. May be called on any thread.
   size_t active_requests() const;
+  // Bytes held and connections, Prometheus text.
+  std::string MetricsText() const;
 
  private:
   struct State;
--- a/src/main/entry_main.cc
+++ b/src/main/entry_main.cc
@@ -40,10 +40,11 @@
   EntryForwarder forwarder(callers.io(), peers, metrics, settings);
   CallerRoutes routes(callers.io(), forwarder, metrics, settings.host);
   HttpServer server(
-      callers.io(), settings.limits,
+      callers.io(), "callers", settings.limits,
       [&routes](const HttpRequest& request, HttpResponder& responder) {
         return routes.Handle(request, responder);
       });
+  routes.set_server_metrics([&server] { return server.MetricsText(); });
   rpc.Start();
   server.Listen(settings.http_address);
   forwarder.Start([&routes] { routes.AbortRequestsOfWithdrawnKeys(); });
--- a/src/scheduler_node.cc
+++ b/src/scheduler_node.cc
@@ -1,5 +1,6 @@
 #include "src/scheduler_node.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <future>
 #include <utility>
@@ -111,8 +112,8 @@
 void SchedulerNode::Start() {
   rpc_.Start();
   server_.Listen(settings_.rpc_address);
-  admin_ = std::make_unique<HttpServer>(admin_thread_.io(), HttpLimits{},
-                                        AdminHandler());
+  admin_ = std::make_unique<HttpServer>(admin_thread_.io(), "admin",
+                                        settings_.admin_limits, AdminHandler());
   admin_->Listen(settings_.admin_address);
   shards_.Start(Hooks());
   slots_.Start();
@@ -306,7 +307,7 @@
             .body = ready ? R"({"ready":true})" : R"({"ready":false})"};
   }
   if (request.path == "/metrics") {
-    return {.body = metrics_.PrometheusText(),
+    return {.body = metrics_.PrometheusText() + admin_->MetricsText(),
             .content_type = "text/plain; version=0.0.4"};
   }
   if (request.path == "/explain") {
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -1,8 +1,12 @@
 #include "src/settings.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
+#include "src/connection_limits.h"
 #include "src/errors.h"
 
 namespace pimento {
@@ -30,6 +34,24 @@
   return {.name = name, .kind = ValueKind::kAddress, .required = true};
 }
 
+// Memory and descriptors of a process, from which it derives what it holds for
+// clients and how many connections it takes.
+KeyRule MemoryRule() {
+  return {.name = "memory",
+          .kind = ValueKind::kSize,
+          .default_value = "256MiB",
+          .min_value = 16LL * 1024 * 1024,
+          .max_value = 1LL << 40};
+}
+
+KeyRule DescriptorsRule() {
+  return {.name = "descriptors",
+          .kind = ValueKind::kCount,
+          .default_value = "0",
+          .min_value = 0,
+          .max_value = 1'000'000};
+}
+
 KeyRule Required(const char* name) { return {.name = name, .required = true}; }
 
 LogSettings ReadLog(const IniFile& file) {
@@ -37,6 +59,36 @@
   return {.level = section.Text("level"), .format = section.Text("format")};
 }
 
+// 0 in the settings stands for what the system allows the process.
+int64_t DescriptorsOf(const IniSection& limits) {
+  const int64_t named = limits.Count("descriptors");
+  rlimit allowed{};
+  constexpr rlim_t kMost = 1'000'000;
+  if (named > 0 || getrlimit(RLIMIT_NOFILE, &allowed) != 0) return named;
+  return static_cast<int64_t>(std::min(allowed.rlim_cur, kMost));
+}
+
+int64_t MegabytesOf(const IniSection& limits) {
+  constexpr int64_t kMegabyte = 1024LL * 1024;
+  return limits.Bytes("memory") / kMegabyte;
+}
+
+// Callers do not reach the scheduler: most of what it may hold is for messages
+// of other hosts.
+void SetSchedulerLimits(const IniSection& section,
+                        SchedulerSettings& settings) {
+  constexpr int64_t kAdminShare = 4;
+  const int64_t memory_mb = MegabytesOf(section);
+  const int64_t descriptors = DescriptorsOf(section);
+  const ConnectionLimits places = LimitsOfConnections(memory_mb, descriptors);
+  settings.admin_limits = {.memory_mb = memory_mb / kAdminShare,
+                           .descriptors = descriptors,
+                           .connections = places.directory};
+  settings.rpc_limits = {.connections = PlacesForCallers(
+                             RpcLimits{}.connections, memory_mb, descriptors),
+                         .held_bytes = HeldBytesBudget(memory_mb)};
+}
+
 SchedulerTiming ReadTiming(const IniFile& file) {
   const IniSection section = file.SingleSection("timing");
   SchedulerTiming timing;
@@ -83,7 +135,9 @@
                  .kind = ValueKind::kCount,
                  .default_value = "4096",
                  .min_value = 16,
-                 .max_value = 65'000}}},
+                 .max_value = 65'000},
+                MemoryRule(),
+                DescriptorsRule()}},
       {.kind = "testing",
        .keys = {{.name = "faults",
                  .kind = ValueKind::kBool,
@@ -109,6 +163,8 @@
                  .default_value = "4096",
                  .min_value = 1,
                  .max_value = 100'000},
+                MemoryRule(),
+                DescriptorsRule(),
                 {.name = "header",
                  .kind = ValueKind::kSize,
                  .default_value = "16KiB",
@@ -165,8 +221,9 @@
       file.SingleSection("timing").Milliseconds("stop_limit");
   settings.queue_policy = file.SingleSection("policy").Text("queue");
   settings.choice_policy = file.SingleSection("policy").Text("choice");
-  settings.ring_capacity =
-      static_cast<size_t>(file.SingleSection("limits").Count("ring"));
+  const IniSection limits = file.SingleSection("limits");
+  settings.ring_capacity = static_cast<size_t>(limits.Count("ring"));
+  SetSchedulerLimits(limits, settings);
   settings.fault_injection = file.SingleSection("testing").Bool("faults");
   return settings;
 }
@@ -183,6 +240,8 @@
   settings.schedulers = file.SingleSection("schedulers").List("addresses");
   settings.log = ReadLog(file);
   settings.limits = {
+      .memory_mb = MegabytesOf(limits),
+      .descriptors = DescriptorsOf(limits),
       .connections = static_cast<size_t>(limits.Count("connections")),
       .header_bytes = static_cast<uint32_t>(limits.Bytes("header")),
       .body_bytes = static_cast<uint64_t>(limits.Bytes("body")),
--- a/src/settings.h
+++ b/src/settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "src/connection_limits.h"
 #include "src/http_server.h"
 #include "src/ini_file.h"
 #include "src/scheduler_context.h"
@@ -35,6 +36,8 @@
   int64_t stop_limit_ms = 20'000;
   // Tasks that may wait for each thread; more are refused.
   size_t ring_capacity = 4'096;
+  HttpLimits admin_limits;
+  RpcLimits rpc_limits;
   // Enables the admin request /faults, with which test scenarios cut
   // connections.
   bool fault_injection = false;
--- a/standins/standin_main.h
+++ b/standins/standin_main.h
@@ -69,7 +69,7 @@
     boost::asio::io_context io(1);
     const HttpHandler handler = make_handler(io);
     HttpServer server(
-        io, {.body_bytes = 8 * 1024 * 1024},
+        io, "standin", {.memory_mb = 1'024, .body_bytes = 8 * 1024 * 1024},
         [&](const HttpRequest& request,
             HttpResponder& responder) -> boost::asio::awaitable<void> {
           if (request.path == "/faults") {
