Connections to a scheduler's RPC port and their messages are bounded

Cause: the RPC library takes any number of connections, and memory for a message of 64 MiB as soon as its length is known. RpcConnections accepts them in its place: ConnectionPlaces says who gives way, and a stream that follows the framing keeps each body on an account before the library sees its length. A message longer than the budget ends its connection, as does one that takes 10 s. Calls that are not answered count, 2 KiB at least; the library's flow limit is half of the budget a connection. A call for a document waits 30 s at most.

Bytes that are no message were refused before, and are.

--- a/src/peer_server.cc
+++ b/src/peer_server.cc
@@ -9,6 +9,7 @@
 #include "src/errors.h"
 #include "src/log.h"
 #include "src/peer_codec.h"
+#include "src/rpc_connections.h"
 #include "src/rpc_loop_context.h"
 
 namespace pimento {
@@ -19,16 +20,23 @@
 
 const Log kLog("rpc");
 
+// What a call in progress takes beside its parameters.
+constexpr uint64_t kCallBytes = 2 * 1024;
+
 }  // namespace
 
 struct PeerServer::State {
   State(RpcLoop& rpc_loop, WorkerThread& handler_worker,
-        PeerHandler& peer_handler)
-      : loop(rpc_loop), worker(handler_worker), handler(peer_handler) {}
+        PeerHandler& peer_handler, RpcLimits server_limits)
+      : loop(rpc_loop),
+        worker(handler_worker),
+        handler(peer_handler),
+        limits(server_limits) {}
 
   RpcLoop& loop;
   WorkerThread& worker;
   PeerHandler& handler;
+  RpcLimits limits;
   // The maps and `next_id` are used on the RPC thread only. `pending` holds the
   // completion of each call in progress, which takes the error or a pointer to
   // the reply; `sinks` the receivers of streamed answers, by call; `writes` the
@@ -37,7 +45,7 @@
   std::map<uint64_t, wire::Sink::Client> sinks;
   std::map<uint64_t, kj::Promise<void>> writes;
   uint64_t next_id = 1;
-  kj::Own<capnp::TwoPartyServer> server;
+  kj::Own<RpcConnections> connections;
   kj::Promise<void> listening = nullptr;
 };
 
@@ -69,12 +77,13 @@
 template <class State>
 class PeerImplementation final : public Peer::Server {
  public:
-  explicit PeerImplementation(State& state) : state_(state) {}
+  PeerImplementation(State& state, std::shared_ptr<RpcConnectionUse> use)
+      : state_(state), use_(std::move(use)) {}
 
   kj::Promise<void> append(AppendContext context) override {
     auto request = FromWire(context.getParams().getRequest());
     return Serve<AppendReply>(
-        [this, request] { return state_.handler.OnAppend(request); },
+        context, [this, request] { return state_.handler.OnAppend(request); },
         [context](const AppendReply& r) mutable {
           ToWire(r, context.getResults().initReply());
         });
@@ -82,7 +91,7 @@
   kj::Promise<void> seal(SealContext context) override {
     auto request = FromWire(context.getParams().getRequest());
     return Serve<SealReply>(
-        [this, request] { return state_.handler.OnSeal(request); },
+        context, [this, request] { return state_.handler.OnSeal(request); },
         [context](const SealReply& r) mutable {
           ToWire(r, context.getResults().initReply());
         });
@@ -90,7 +99,7 @@
   kj::Promise<void> gossip(GossipContext context) override {
     auto received = FromWireList<HostGossip>(context.getParams().getNews());
     return Serve<std::vector<HostGossip>>(
-        [this, received] { return state_.handler.OnGossip(received); },
+        context, [this, received] { return state_.handler.OnGossip(received); },
         [context](const std::vector<HostGossip>& r) mutable {
           ToWireList(r, context.getResults().initNews(r.size()));
         });
@@ -98,7 +107,7 @@
   kj::Promise<void> probe(ProbeContext context) override {
     const std::string target = Text(context.getParams().getRpcAddress());
     return Serve<bool>(
-        [this, target] { return state_.handler.OnProbe(target); },
+        context, [this, target] { return state_.handler.OnProbe(target); },
         [context](bool alive) mutable {
           context.getResults().setAlive(alive);
         });
@@ -106,7 +115,7 @@
   kj::Promise<void> create(CreateContext context) override {
     auto request = FromWire(context.getParams().getRequest());
     return Serve<ProgramView>(
-        [this, request] { return state_.handler.OnCreate(request); },
+        context, [this, request] { return state_.handler.OnCreate(request); },
         [context](const ProgramView& r) mutable {
           ToWire(r, context.getResults().initView());
         });
@@ -124,6 +133,7 @@
       });
     };
     return Serve<CallReply>(
+        context,
         [this, request, sink] { return state_.handler.OnCall(request, sink); },
         [context, state, id](const CallReply& r) mutable {
           state->sinks.erase(id);
@@ -134,6 +144,7 @@
     const std::string program = Text(context.getParams().getProgram());
     const std::string team = Text(context.getParams().getTeam());
     return Serve<ProgramView>(
+        context,
         [this, program, team] { return state_.handler.OnView(program, team); },
         [context](const ProgramView& r) mutable {
           ToWire(r, context.getResults().initView());
@@ -143,6 +154,7 @@
     const std::string program = Text(context.getParams().getProgram());
     const std::string team = Text(context.getParams().getTeam());
     return Serve<ProgramView>(
+        context,
         [this, program, team] { return state_.handler.OnEnd(program, team); },
         [context](const ProgramView& r) mutable {
           ToWire(r, context.getResults().initView());
@@ -151,7 +163,7 @@
   kj::Promise<void> credits(CreditsContext context) override {
     auto request = FromWire(context.getParams().getRequest());
     return Serve<CreditReply>(
-        [this, request] { return state_.handler.OnCredits(request); },
+        context, [this, request] { return state_.handler.OnCredits(request); },
         [context](const CreditReply& r) mutable {
           ToWire(r, context.getResults().initReply());
         });
@@ -159,7 +171,7 @@
   kj::Promise<void> slot(SlotContext context) override {
     auto request = FromWire(context.getParams().getRequest());
     return Serve<SlotReply>(
-        [this, request] { return state_.handler.OnSlot(request); },
+        context, [this, request] { return state_.handler.OnSlot(request); },
         [context](const SlotReply& r) mutable {
           ToWire(r, context.getResults().initReply());
         });
@@ -167,12 +179,13 @@
   kj::Promise<void> slotDone(SlotDoneContext context) override {
     auto request = FromWire(context.getParams().getRequest());
     return Serve<bool>(
-        [this, request] { return state_.handler.OnSlotDone(request); },
+        context, [this, request] { return state_.handler.OnSlotDone(request); },
         [context](bool) mutable { context.getResults(); });
   }
   kj::Promise<void> inFlight(InFlightContext context) override {
     const std::string upstream = Text(context.getParams().getUpstream());
     return Serve<std::vector<SlotRequest>>(
+        context,
         [this, upstream] { return state_.handler.OnInFlight(upstream); },
         [context](const std::vector<SlotRequest>& r) mutable {
           ToWireList(r, context.getResults().initSlots(r.size()));
@@ -182,6 +195,7 @@
     const uint64_t after = context.getParams().getAfter();
     const int64_t wait_ms = context.getParams().getWaitMs();
     return Serve<DocumentReply>(
+        context,
         [this, after, wait_ms] {
           return state_.handler.OnDocument(after, wait_ms);
         },
@@ -192,7 +206,7 @@
   kj::Promise<void> owner(OwnerContext context) override {
     const uint32_t shard = context.getParams().getShard();
     return Serve<OwnerReply>(
-        [this, shard] { return state_.handler.OnOwner(shard); },
+        context, [this, shard] { return state_.handler.OnOwner(shard); },
         [context](const OwnerReply& r) mutable {
           ToWire(r, context.getResults().initReply());
         });
@@ -204,7 +218,7 @@
                                   .holder = FromWire(params.getHolder()),
                                   .list = FromWire(params.getList())};
     return Serve<bool>(
-        [this, request] { return state_.handler.OnTakeOver(request); },
+        context, [this, request] { return state_.handler.OnTakeOver(request); },
         [context](bool accepted) mutable {
           context.getResults().setAccepted(accepted);
         });
@@ -243,15 +257,21 @@
   // Runs `work` on the worker thread, then `write` on the RPC thread. Whatever
   // holds RPC objects stays in `pending`, so that only the RPC thread destroys
   // it.
-  template <class Reply>
-  kj::Promise<void> Serve(std::function<asio::awaitable<Reply>()> work,
+  template <class Reply, class Context>
+  kj::Promise<void> Serve(Context& context,
+                          std::function<asio::awaitable<Reply>()> work,
                           std::function<void(const Reply&)> write) {
     const uint64_t id = state_.next_id++;
+    const uint64_t bytes =
+        kCallBytes +
+        context.getParams().totalSize().wordCount * sizeof(capnp::word);
+    use_->BeginCall(bytes);
     auto paf = kj::newPromiseAndFulfiller<void>();
     auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
         kj::mv(paf.fulfiller));
-    state_.pending[id] = [fulfiller, write](const std::exception_ptr& error,
-                                            void* reply) {
+    state_.pending[id] = [fulfiller, write, use = use_, bytes](
+                             const std::exception_ptr& error, void* reply) {
+      use->EndCall(bytes);
       if (error) {
         (*fulfiller)->reject(KJ_EXCEPTION(FAILED, ExceptionMessage(error)));
         return;
@@ -272,19 +292,21 @@
     });
     if (!offered) {
       state_.pending.erase(id);
+      use_->EndCall(bytes);
       return KJ_EXCEPTION(OVERLOADED, "the task queue of the handler is full");
     }
     return kj::mv(paf.promise);
   }
 
   State& state_;
+  std::shared_ptr<RpcConnectionUse> use_;
 };
 
 }  // namespace
 
 PeerServer::PeerServer(RpcLoop& loop, WorkerThread& worker,
-                       PeerHandler& handler)
-    : state_(std::make_shared<State>(loop, worker, handler)) {}
+                       PeerHandler& handler, RpcLimits limits)
+    : state_(std::make_shared<State>(loop, worker, handler, limits)) {}
 
 PeerServer::~PeerServer() = default;
 
@@ -293,16 +315,22 @@
   state_->loop.Deliver([this, &result, address] {
     State& state = *state_;
     auto& network = state.loop.context().io->provider->getNetwork();
-    state.server = kj::heap<capnp::TwoPartyServer>(
-        kj::heap<PeerImplementation<State>>(state));
+    state.connections = kj::heap<RpcConnections>(
+        state.loop.context().io->provider->getTimer(),
+        RpcConnections::Options{.max_connections = state.limits.connections,
+                                .budget = state.limits.held_bytes},
+        [&state](std::shared_ptr<RpcConnectionUse> use) {
+          return capnp::Capability::Client(
+              kj::heap<PeerImplementation<State>>(state, std::move(use)));
+        });
     state.listening =
         network.parseAddress(address)
             .then([&state, &result](kj::Own<kj::NetworkAddress> parsed) {
               auto receiver = parsed->listen();
               result.set_value("");
               auto& kept = *receiver;
-              return state.server->listen(kept).attach(kj::mv(receiver),
-                                                       kj::mv(parsed));
+              return state.connections->Listen(kept).attach(kj::mv(receiver),
+                                                            kj::mv(parsed));
             })
             .eagerlyEvaluate([&result](kj::Exception&& e) {
               kLog.Error() << "The RPC listener failed: "
@@ -318,6 +346,16 @@
     throw TransportError("Cannot listen on " + address + ": " + error, false);
 }
 
+std::string PeerServer::MetricsText() {
+  std::promise<std::string> text;
+  state_->loop.Deliver([state = state_, &text] {
+    text.set_value(state->connections.get() == nullptr
+                       ? ""
+                       : state->connections->MetricsText());
+  });
+  return text.get_future().get();
+}
+
 void PeerServer::Close() {
   state_->loop.Deliver([state = state_] { state->listening = nullptr; });
 }
--- a/src/peer_server.h
+++ b/src/peer_server.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "src/connection_limits.h"
 #include "src/membership.h"
 #include "src/peer_client.h"
 #include "src/peer_messages.h"
@@ -46,14 +47,17 @@
 
 class PeerServer {
  public:
-  // All three must outlive the server.
-  PeerServer(RpcLoop& loop, WorkerThread& worker, PeerHandler& handler);
+  // The first three must outlive the server.
+  PeerServer(RpcLoop& loop, WorkerThread& worker, PeerHandler& handler,
+             RpcLimits limits);
   ~PeerServer();
 
   // Throws TransportError if listening on `address` fails.
   void Listen(const std::string& address);
   // Stops accepting connections.
   void Close();
+  // Connections and held bytes, Prometheus text. Waits for the RPC thread.
+  std::string MetricsText();
 
  private:
   struct State;
--- a/src/scheduler_node.cc
+++ b/src/scheduler_node.cc
@@ -18,6 +18,7 @@
 
 constexpr size_t kMaxExplainLines = 20'000;
 constexpr int64_t kDocumentPollIntervalMs = 150;
+constexpr int64_t kMaxDocumentWaitMs = 30'000;
 constexpr int64_t kGaugeIntervalMs = 1'000;
 constexpr int64_t kAnnounceIntervalMs = 100;
 // After this long without contact to the platform or any peer, the document of
@@ -78,7 +79,7 @@
       membership_(
           membership_thread_, context_,
           {.self = SelfInfo(), .seeds = settings_.seeds, .membership = {}}),
-      server_(rpc_, shards_thread_, *this) {}
+      server_(rpc_, shards_thread_, *this, settings_.rpc_limits) {}
 
 SchedulerNode::~SchedulerNode() = default;
 
@@ -250,7 +251,8 @@
 
 SchedulerNode::Async<DocumentReply> SchedulerNode::OnDocument(uint64_t after,
                                                               int64_t wait_ms) {
-  const int64_t deadline_ms = NowMs() + wait_ms;
+  const int64_t deadline_ms =
+      NowMs() + std::clamp<int64_t>(wait_ms, 0, kMaxDocumentWaitMs);
   while (context_.environment.load()->generation <= after &&
          NowMs() < deadline_ms) {
     co_await Sleep(kDocumentPollIntervalMs);
@@ -307,7 +309,8 @@
             .body = ready ? R"({"ready":true})" : R"({"ready":false})"};
   }
   if (request.path == "/metrics") {
-    return {.body = metrics_.PrometheusText() + admin_->MetricsText(),
+    return {.body = metrics_.PrometheusText() + admin_->MetricsText() +
+                    server_.MetricsText(),
             .content_type = "text/plain; version=0.0.4"};
   }
   if (request.path == "/explain") {
