Calls and appends of the own interface are copied less often on their way

Cause: a std::function copies what it holds each time that it is copied, and each step between threads copies it; an append exists for each member, with its records.

What is left: records are copied for each member and again into the message.

--- a/src/peer_client.cc
+++ b/src/peer_client.cc
@@ -246,13 +246,14 @@
 PeerClient::Async<AppendReply> PeerClient::Append(Address to,
                                                   AppendRequest request,
                                                   int64_t timeout_ms) {
-  return Invoke<AppendReply>(
-      to, timeout_ms, [request](wire::Peer::Client peer) {
-        auto call = peer.appendRequest();
-        ToWire(request, call.initRequest());
-        return call.send().then(
-            [](auto&& result) { return FromWire(result.getReply()); });
-      });
+  // Shared: a std::function copies what it holds each time that it is copied.
+  const auto kept = std::make_shared<const AppendRequest>(std::move(request));
+  return Invoke<AppendReply>(to, timeout_ms, [kept](wire::Peer::Client peer) {
+    auto call = peer.appendRequest();
+    ToWire(*kept, call.initRequest());
+    return call.send().then(
+        [](auto&& result) { return FromWire(result.getReply()); });
+  });
 }
 
 PeerClient::Async<SealReply> PeerClient::Seal(Address to, SealRequest request,
--- a/src/peer_server.cc
+++ b/src/peer_server.cc
@@ -51,6 +51,12 @@
 
 namespace {
 
+// Kept once for all copies of the work that uses it.
+template <class Request>
+std::shared_ptr<const Request> Shared(Request request) {
+  return std::make_shared<const Request>(std::move(request));
+}
+
 template <class Reply>
 concept HasOutcome = requires(Reply reply) {
   reply.outcome.reason;
@@ -81,9 +87,9 @@
       : state_(state), use_(std::move(use)) {}
 
   kj::Promise<void> append(AppendContext context) override {
-    auto request = FromWire(context.getParams().getRequest());
+    const auto request = Shared(FromWire(context.getParams().getRequest()));
     return Serve<AppendReply>(
-        context, [this, request] { return state_.handler.OnAppend(request); },
+        context, [this, request] { return state_.handler.OnAppend(*request); },
         [context](const AppendReply& r) mutable {
           ToWire(r, context.getResults().initReply());
         });
@@ -113,16 +119,16 @@
         });
   }
   kj::Promise<void> create(CreateContext context) override {
-    auto request = FromWire(context.getParams().getRequest());
+    const auto request = Shared(FromWire(context.getParams().getRequest()));
     return Serve<ProgramView>(
-        context, [this, request] { return state_.handler.OnCreate(request); },
+        context, [this, request] { return state_.handler.OnCreate(*request); },
         [context](const ProgramView& r) mutable {
           ToWire(r, context.getResults().initView());
         });
   }
   // Pieces of the answer go to the caller's sink until the reply is sent.
   kj::Promise<void> call(CallContext context) override {
-    auto request = FromWire(context.getParams().getRequest());
+    const auto request = Shared(FromWire(context.getParams().getRequest()));
     const uint64_t id = state_.next_id++;
     state_.sinks.emplace(id, context.getParams().getSink());
     State* state = &state_;
@@ -134,7 +140,7 @@
     };
     return Serve<CallReply>(
         context,
-        [this, request, sink] { return state_.handler.OnCall(request, sink); },
+        [this, request, sink] { return state_.handler.OnCall(*request, sink); },
         [context, state, id](const CallReply& r) mutable {
           state->sinks.erase(id);
           ToWire(r, context.getResults().initReply());
--- a/src/upstream_client.cc
+++ b/src/upstream_client.cc
@@ -198,16 +198,19 @@
 
 asio::awaitable<UpstreamAnswer> UpstreamClient::Generate(
     EngineRequest request) {
-  std::function<asio::awaitable<UpstreamAnswer>()> work = [request] {
-    return RunGenerate(request);
+  // Shared: a std::function copies what it holds each time that it is copied.
+  const auto kept = std::make_shared<EngineRequest>(std::move(request));
+  std::function<asio::awaitable<UpstreamAnswer>()> work = [kept] {
+    return RunGenerate(*kept);
   };
   co_return co_await RunOn<UpstreamAnswer>(thread_, std::move(work));
 }
 
 asio::awaitable<UpstreamAnswer> UpstreamClient::InvokeService(
     ServiceRequest request) {
-  std::function<asio::awaitable<UpstreamAnswer>()> work = [request] {
-    return RunInvokeService(request);
+  const auto kept = std::make_shared<ServiceRequest>(std::move(request));
+  std::function<asio::awaitable<UpstreamAnswer>()> work = [kept] {
+    return RunInvokeService(*kept);
   };
   co_return co_await RunOn<UpstreamAnswer>(thread_, std::move(work));
 }
