--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -19,8 +19,9 @@
 
 // During a shutdown, connections without a request stay open for so long.
 constexpr std::chrono::milliseconds kIdleGrace{500};
-// Seconds.
+// The same time in the header, in seconds, and in the body.
 constexpr const char* kRetryAfter = "1";
+constexpr int64_t kRetryAfterMs = 1'000;
 
 std::string PercentDecode(const std::string& text) {
   std::string out;
@@ -110,27 +111,31 @@
 struct RefusalText {
   std::string_view reason;
   std::string_view message;
+  // 0 where a retry would be refused again.
+  int64_t retry_after_ms = 0;
 };
 
 RefusalText TextOf(ServerRefusal refusal) {
   switch (refusal) {
     case ServerRefusal::kMemoryShort:
-      return {"memory_short", "This host holds as many bytes as it may."};
+      return {"memory_short", "This host holds as many bytes as it may.",
+              kRetryAfterMs};
     case ServerRefusal::kBadRequest:
       return {"bad_request", "The request is malformed."};
     case ServerRefusal::kHeaderTooLarge:
     case ServerRefusal::kBodyTooLarge:
       return {"too_large", "The request exceeds a size limit of this host."};
     default:
-      return {"connection_limit",
-              "This host has reached its connection limit."};
+      return {"connection_limit", "This host has reached its connection limit.",
+              kRetryAfterMs};
   }
 }
 
 std::string RefusalBody(ServerRefusal refusal) {
   const RefusalText text = TextOf(refusal);
   return R"({"error":{"reason":")" + std::string(text.reason) +
-         R"(","run":"not_run","retry_after_ms":0,"message":")" +
+         R"(","run":"not_run","retry_after_ms":)" +
+         std::to_string(text.retry_after_ms) + R"(,"message":")" +
          std::string(text.message) + R"("}})";
 }
 
