--- a/src/connection_limits.cc
+++ b/src/connection_limits.cc
@@ -45,11 +45,14 @@
 }
 
 size_t PlacesForCallers(size_t most, int64_t memory_mb, int64_t max_fds) {
-  if (max_fds > 0)
-    most = AtMost(most, (max_fds - kFileDescriptors) / kCallersShare);
-  if (memory_mb > 0)
-    most =
-        AtMost(most, memory_mb * kMegabyte / kMemoryShare / kConnectionBytes);
+  if (max_fds > 0) {
+    const int64_t sockets = max_fds - kFileDescriptors;
+    most = AtMost(most, sockets / kCallersShare);
+  }
+  if (memory_mb > 0) {
+    const int64_t bytes = memory_mb * kMegabyte / kMemoryShare;
+    most = AtMost(most, bytes / kConnectionBytes);
+  }
   return most;
 }
 
--- a/src/connection_places.cc
+++ b/src/connection_places.cc
@@ -24,8 +24,10 @@
   const auto it = places_.find(id);
   if (it == places_.end()) return;
   Of(it->second.use).erase(it->second.in_use);
-  if (it->second.use == PlaceUse::kReading)
-    by_read_start_.erase(it->second.in_read_start);
+  const Place& place = it->second;
+  if (place.use == PlaceUse::kReading) {
+    by_read_start_.erase(place.in_read_start);
+  }
   places_.erase(it);
 }
 
@@ -74,8 +76,8 @@
   }
   if (by_read_start_.empty()) return std::nullopt;
   const Id longest = by_read_start_.front();
-  if (now_ms - places_.at(longest).read_since_ms < options_.longest_read_ms)
-    return std::nullopt;
+  const int64_t read_ms = now_ms - places_.at(longest).read_since_ms;
+  if (read_ms < options_.longest_read_ms) return std::nullopt;
   return longest;
 }
 
@@ -86,12 +88,12 @@
   };
   for (const PlaceUse use : kGiveWay) {
     const auto& list = by_use_[static_cast<size_t>(use)];
-    if (!list.empty())
-      consider(places_.at(list.front()).moved_ms + options_.shortest_ms);
+    if (list.empty()) continue;
+    consider(places_.at(list.front()).moved_ms + options_.shortest_ms);
   }
-  if (!by_read_start_.empty())
-    consider(places_.at(by_read_start_.front()).read_since_ms +
-             options_.longest_read_ms);
+  if (by_read_start_.empty()) return next;
+  const Place& longest = places_.at(by_read_start_.front());
+  consider(longest.read_since_ms + options_.longest_read_ms);
   return next;
 }
 
