An archive's limit is above what a site's ordinary turns take

Limit: 66% of the memory (79 MB of 120). A turn may begin up to nine tenths of it, and of a team with less than a thirty-second of the room up to its end, so that teams with little are served beside those that filled it; a team has half of it as before. For that, the bytes that an archive holds for its connections are an eighth of the memory, not a quarter: records, held bytes and the process itself are 106 MB of 120.

The replay in turn_archive_test asks for the new rule.

--- a/src/connection_limits.cc
+++ b/src/connection_limits.cc
@@ -20,8 +20,10 @@
 // its tables, connections, code, and what the allocator cannot reuse.
 constexpr int64_t kHeldShare = 4;
 constexpr int64_t kDefaultHeldMb = 256;
-// Share of an archive's memory for its records.
-constexpr int64_t kRecordsPercent = 40;
+// Share of an archive's memory for its records, and how much less than other
+// processes it holds for others.
+constexpr int64_t kRecordsPercent = 66;
+constexpr uint64_t kArchiveHeldShare = 2;
 constexpr int64_t kMegabyte = 1024LL * 1024;
 // A listener that is given less serves nobody.
 constexpr int64_t kFewest = 8;
@@ -39,6 +41,10 @@
   return static_cast<uint64_t>(held);
 }
 
+uint64_t HeldBytesBudgetOfArchive(int64_t memory_mb) {
+  return HeldBytesBudget(memory_mb) / kArchiveHeldShare;
+}
+
 uint64_t RecordBytesLimit(int64_t memory_mb) {
   return static_cast<uint64_t>(std::max<int64_t>(0, memory_mb)) * kMegabyte *
          kRecordsPercent / 100;
--- a/src/connection_limits.h
+++ b/src/connection_limits.h
@@ -37,6 +37,9 @@
 // that the settings name no limit.
 uint64_t HeldBytesBudget(int64_t memory_mb);
 
+// The same of an archive, most of whose memory is for its records.
+uint64_t HeldBytesBudgetOfArchive(int64_t memory_mb);
+
 // Approximate memory of the records of an archive, in bytes; 0: not limited.
 uint64_t RecordBytesLimit(int64_t memory_mb);
 
--- a/src/turn_archive.cc
+++ b/src/turn_archive.cc
@@ -17,10 +17,11 @@
 constexpr size_t kOverheadBytes = 400;
 // Copies of a record's key: in the record, in the table, in order of arrival.
 constexpr size_t kKeyCopies = 3;
-// Shares of the room, in quarters: one team's, and that of turns that begin.
-constexpr size_t kTeamQuarters = 2;
-constexpr size_t kBeginQuarters = 3;
-constexpr size_t kQuarters = 4;
+// Parts of the room: what one team may have, what a team with little has, and
+// what is left to turns that have begun.
+constexpr size_t kTeamShare = 2;
+constexpr size_t kLittleShare = 32;
+constexpr size_t kBegunShare = 10;
 // Share of the room of one history.
 constexpr size_t kHistoryShare = 8;
 
@@ -41,8 +42,9 @@
   if (max_bytes_ == 0) return true;
   const auto it = bytes_by_team_.find(team);
   const size_t own = it == bytes_by_team_.end() ? 0 : it->second;
-  return bytes_ < max_bytes_ / kQuarters * kBeginQuarters &&
-         own < max_bytes_ / kQuarters * kTeamQuarters;
+  const bool crowded = bytes_ >= max_bytes_ - max_bytes_ / kBegunShare;
+  if (crowded) return bytes_ < max_bytes_ && own < max_bytes_ / kLittleShare;
+  return own < max_bytes_ / kTeamShare;
 }
 
 bool TurnArchive::MayKeep(const TurnRecord& record) const {
--- a/src/turn_archive.h
+++ b/src/turn_archive.h
@@ -49,9 +49,9 @@
 using ArchiveRecord = std::variant<TokenReservation, TurnRecord>;
 
 // Load: a client with a valid key whose turns are as long as they may be, a
-// hundred a second, each kept for a minute. So no turn begins once three
-// quarters of the room are taken, nor one of a team that has taken half of it;
-// the last quarter is for turns that have begun.
+// hundred a second, each kept for a minute. So no turn begins once nine tenths
+// of the room are taken, but of a team that has little, nor one of a team that
+// has taken half of it. What is left is for turns that have begun.
 class TurnArchive {
  public:
   TurnArchive() = default;
--- a/test/correctness/turn_archive_test.cc
+++ b/test/correctness/turn_archive_test.cc
@@ -158,11 +158,14 @@
   CHECK(archive.MayBegin("quilters"));
   while (archive.MayBegin("quilters"))
     apply("quilters-" + std::to_string(kept++), "quilters");
-  // No team may begin now, but turns that have begun are kept, up to the limit.
-  CHECK(!archive.MayBegin("others"));
+  // Neither may go on to begin turns, but a team that has little may, and turns
+  // that have begun are kept, up to the limit.
+  CHECK(!archive.MayBegin("crowd"));
+  CHECK(archive.MayBegin("others"));
   CHECK(archive.MayKeep(Turn("begun", "")));
   for (int i = 0; i < 1'000; ++i) apply("late-" + std::to_string(i), "others");
   CHECK(archive.bytes() <= kRoom);
+  CHECK(!archive.MayBegin("others"));
   // A turn that is kept may be stored again.
   CHECK(archive.MayKeep(Turn("crowd-0", "")));
   archive.RemoveExpired(1'000'000);
