--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -157,7 +157,21 @@
     # Reads a page of all records.
     copy @7 :UInt64;
     ping @8 :Void;
+    # Reads the hashes of the records from this position on.
+    digest @9 :UInt64;
+    # Reads the records at these positions of a digest.
+    fetch @10 :FetchCall;
   }
+  # In the journal only: when the entry was written, by the member's uptime and
+  # by Unix time, milliseconds.
+  uptimeMs @11 :UInt64;
+  unixMs @12 :UInt64;
+}
+
+struct FetchCall {
+  # The run of the member in which the positions hold.
+  run @0 :UInt64;
+  positions @1 :List(UInt64);
 }
 
 # Tokens that one turn of a program may use or, once settled, has used.
@@ -168,6 +182,8 @@
   settled @3 :Bool;
   # Whose turn it is; empty on a route that is open to all.
   team @4 :Text;
+  # In a copy: how long its source would have kept it; 0 in a new record.
+  remainingMs @5 :UInt64;
 }
 
 struct TurnRecord {
@@ -183,6 +199,8 @@
   # is empty.
   program @7 :Text;
   tokens @8 :UInt64;
+  # As in Reservation.
+  remainingMs @9 :UInt64;
 }
 
 struct HistoryCall {
@@ -217,4 +235,9 @@
   storeSilentMs @10 :Int64;
   # How long an answer of the store to the member has been overdue; 0 if none is.
   storeOverdueMs @11 :Int64;
+  # Of a digest: the run of the member in which positions hold, and hashes of
+  # records with their positions.
+  run @12 :UInt64;
+  hashes @13 :List(UInt64);
+  positions @14 :List(UInt64);
 }
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(c0d5bb8739d052f5);
 CAPNP_DECLARE_SCHEMA(b1772c2b428967cb);
 CAPNP_DECLARE_SCHEMA(8a2746bd67320ae3);
+CAPNP_DECLARE_SCHEMA(b06541f0cdf3bada);
 CAPNP_DECLARE_SCHEMA(ae87ab28acdefdd1);
 CAPNP_DECLARE_SCHEMA(849288b10a928ab2);
 CAPNP_DECLARE_SCHEMA(86dc6ee0750ebbcb);
@@ -196,10 +197,27 @@
     FENCE,
     COPY,
     PING,
+    DIGEST,
+    FETCH,
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a2746bd67320ae3, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8a2746bd67320ae3, 5, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FetchCall {
+  FetchCall() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b06541f0cdf3bada, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -214,7 +232,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae87ab28acdefdd1, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ae87ab28acdefdd1, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -229,7 +247,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(849288b10a928ab2, 2, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(849288b10a928ab2, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -261,7 +279,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd38a5c82d5a0291, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(bd38a5c82d5a0291, 7, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1312,6 +1330,17 @@
   inline bool isPing() const;
   inline  ::capnp::Void getPing() const;
 
+  inline bool isDigest() const;
+  inline  ::uint64_t getDigest() const;
+
+  inline bool isFetch() const;
+  inline bool hasFetch() const;
+  inline  ::pimento::wire::FetchCall::Reader getFetch() const;
+
+  inline  ::uint64_t getUptimeMs() const;
+
+  inline  ::uint64_t getUnixMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1396,6 +1425,24 @@
   inline  ::capnp::Void getPing();
   inline void setPing( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool isDigest();
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
+
+  inline bool isFetch();
+  inline bool hasFetch();
+  inline  ::pimento::wire::FetchCall::Builder getFetch();
+  inline void setFetch( ::pimento::wire::FetchCall::Reader value);
+  inline  ::pimento::wire::FetchCall::Builder initFetch();
+  inline void adoptFetch(::capnp::Orphan< ::pimento::wire::FetchCall>&& value);
+  inline ::capnp::Orphan< ::pimento::wire::FetchCall> disownFetch();
+
+  inline  ::uint64_t getUptimeMs();
+  inline void setUptimeMs( ::uint64_t value);
+
+  inline  ::uint64_t getUnixMs();
+  inline void setUnixMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1422,6 +1469,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class FetchCall::Reader {
+public:
+  typedef FetchCall Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRun() const;
+
+  inline bool hasPositions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getPositions() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FetchCall::Builder {
+public:
+  typedef FetchCall Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
+  inline bool hasPositions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getPositions();
+  inline void setPositions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPositions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initPositions(unsigned int size);
+  inline void adoptPositions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownPositions();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FetchCall::Pipeline {
+public:
+  typedef FetchCall Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Reservation::Reader {
 public:
   typedef Reservation Reads;
@@ -1452,6 +1586,8 @@
   inline bool hasTeam() const;
   inline  ::capnp::Text::Reader getTeam() const;
 
+  inline  ::uint64_t getRemainingMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1507,6 +1643,9 @@
   inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownTeam();
 
+  inline  ::uint64_t getRemainingMs();
+  inline void setRemainingMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1575,6 +1714,8 @@
 
   inline  ::uint64_t getTokens() const;
 
+  inline  ::uint64_t getRemainingMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1658,6 +1799,9 @@
   inline  ::uint64_t getTokens();
   inline void setTokens( ::uint64_t value);
 
+  inline  ::uint64_t getRemainingMs();
+  inline void setRemainingMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1820,6 +1964,14 @@
 
   inline  ::int64_t getStoreOverdueMs() const;
 
+  inline  ::uint64_t getRun() const;
+
+  inline bool hasHashes() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getHashes() const;
+
+  inline bool hasPositions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getPositions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1900,6 +2052,25 @@
   inline  ::int64_t getStoreOverdueMs();
   inline void setStoreOverdueMs( ::int64_t value);
 
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
+  inline bool hasHashes();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getHashes();
+  inline void setHashes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHashes(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initHashes(unsigned int size);
+  inline void adoptHashes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownHashes();
+
+  inline bool hasPositions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getPositions();
+  inline void setPositions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPositions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initPositions(unsigned int size);
+  inline void adoptPositions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownPositions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3385,6 +3556,166 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ArchiveCall::Reader::isDigest() const {
+  return which() == ArchiveCall::DIGEST;
+}
+inline bool ArchiveCall::Builder::isDigest() {
+  return which() == ArchiveCall::DIGEST;
+}
+inline  ::uint64_t ArchiveCall::Reader::getDigest() const {
+  KJ_IREQUIRE((which() == ArchiveCall::DIGEST),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ArchiveCall::Builder::getDigest() {
+  KJ_IREQUIRE((which() == ArchiveCall::DIGEST),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ArchiveCall::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField<ArchiveCall::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ArchiveCall::DIGEST);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ArchiveCall::Reader::isFetch() const {
+  return which() == ArchiveCall::FETCH;
+}
+inline bool ArchiveCall::Builder::isFetch() {
+  return which() == ArchiveCall::FETCH;
+}
+inline bool ArchiveCall::Reader::hasFetch() const {
+  if (which() != ArchiveCall::FETCH) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ArchiveCall::Builder::hasFetch() {
+  if (which() != ArchiveCall::FETCH) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pimento::wire::FetchCall::Reader ArchiveCall::Reader::getFetch() const {
+  KJ_IREQUIRE((which() == ArchiveCall::FETCH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pimento::wire::FetchCall>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pimento::wire::FetchCall::Builder ArchiveCall::Builder::getFetch() {
+  KJ_IREQUIRE((which() == ArchiveCall::FETCH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pimento::wire::FetchCall>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ArchiveCall::Builder::setFetch( ::pimento::wire::FetchCall::Reader value) {
+  _builder.setDataField<ArchiveCall::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ArchiveCall::FETCH);
+  ::capnp::_::PointerHelpers< ::pimento::wire::FetchCall>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pimento::wire::FetchCall::Builder ArchiveCall::Builder::initFetch() {
+  _builder.setDataField<ArchiveCall::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ArchiveCall::FETCH);
+  return ::capnp::_::PointerHelpers< ::pimento::wire::FetchCall>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ArchiveCall::Builder::adoptFetch(
+    ::capnp::Orphan< ::pimento::wire::FetchCall>&& value) {
+  _builder.setDataField<ArchiveCall::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ArchiveCall::FETCH);
+  ::capnp::_::PointerHelpers< ::pimento::wire::FetchCall>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pimento::wire::FetchCall> ArchiveCall::Builder::disownFetch() {
+  KJ_IREQUIRE((which() == ArchiveCall::FETCH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pimento::wire::FetchCall>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ArchiveCall::Reader::getUptimeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ArchiveCall::Builder::getUptimeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ArchiveCall::Builder::setUptimeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ArchiveCall::Reader::getUnixMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ArchiveCall::Builder::getUnixMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ArchiveCall::Builder::setUnixMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FetchCall::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FetchCall::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FetchCall::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FetchCall::Reader::hasPositions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FetchCall::Builder::hasPositions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FetchCall::Reader::getPositions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FetchCall::Builder::getPositions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FetchCall::Builder::setPositions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void FetchCall::Builder::setPositions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FetchCall::Builder::initPositions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FetchCall::Builder::adoptPositions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FetchCall::Builder::disownPositions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Reservation::Reader::hasProgram() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3515,6 +3846,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Reservation::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Reservation::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Reservation::Builder::setRemainingMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TurnRecord::Reader::hasTurn() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3781,6 +4126,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t TurnRecord::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TurnRecord::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TurnRecord::Builder::setRemainingMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HistoryCall::Reader::hasTurn() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4097,6 +4456,96 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t ArchiveReply::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ArchiveReply::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void ArchiveReply::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ArchiveReply::Reader::hasHashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ArchiveReply::Builder::hasHashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ArchiveReply::Reader::getHashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ArchiveReply::Builder::getHashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ArchiveReply::Builder::setHashes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void ArchiveReply::Builder::setHashes(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ArchiveReply::Builder::initHashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ArchiveReply::Builder::adoptHashes(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ArchiveReply::Builder::disownHashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool ArchiveReply::Reader::hasPositions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool ArchiveReply::Builder::hasPositions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ArchiveReply::Reader::getPositions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ArchiveReply::Builder::getPositions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void ArchiveReply::Builder::setPositions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void ArchiveReply::Builder::setPositions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ArchiveReply::Builder::initPositions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void ArchiveReply::Builder::adoptPositions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ArchiveReply::Builder::disownPositions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/archive_codec.cc
+++ b/src/archive_codec.cc
@@ -3,6 +3,7 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
+#include <algorithm>
 #include <cstring>
 
 #include "schema/fleet.capnp.h"
@@ -64,6 +65,13 @@
   out.setTokens(reservation.tokens);
   out.setSettled(reservation.settled);
   out.setTeam(reservation.team);
+  out.setRemainingMs(static_cast<uint64_t>(reservation.remaining_ms));
+}
+
+// A time that another process wrote, milliseconds.
+int64_t TimeMs(uint64_t ms) {
+  constexpr uint64_t kMaxMs = 1'000'000'000'000'000;
+  return static_cast<int64_t>(std::min(ms, kMaxMs));
 }
 
 TokenReservation Read(wire::Reservation::Reader in) {
@@ -71,7 +79,8 @@
           .turn = Text(in.getTurn()),
           .tokens = in.getTokens(),
           .settled = in.getSettled(),
-          .team = Text(in.getTeam())};
+          .team = Text(in.getTeam()),
+          .remaining_ms = TimeMs(in.getRemainingMs())};
 }
 
 void Fill(wire::TurnRecord::Builder out, const TurnRecord& record) {
@@ -84,6 +93,7 @@
   out.setRetainMs(static_cast<uint64_t>(record.retain_ms));
   out.setProgram(record.program);
   out.setTokens(record.tokens);
+  out.setRemainingMs(static_cast<uint64_t>(record.remaining_ms));
 }
 
 TurnRecord Read(wire::TurnRecord::Reader in) {
@@ -95,7 +105,13 @@
           .upstream = Text(in.getUpstream()),
           .retain_ms = static_cast<int64_t>(in.getRetainMs()),
           .program = Text(in.getProgram()),
-          .tokens = in.getTokens()};
+          .tokens = in.getTokens(),
+          .remaining_ms = TimeMs(in.getRemainingMs())};
+}
+
+template <class List, class Values>
+void FillList(List out, const Values& values) {
+  for (unsigned i = 0; i < out.size(); ++i) out.set(i, values[i]);
 }
 
 // Sets the union member of the message that corresponds to the call.
@@ -114,6 +130,12 @@
   }
   void operator()(const FenceCall& call) { out.setFence(call.version); }
   void operator()(const CopyCall& call) { out.setCopy(call.from); }
+  void operator()(const DigestCall& call) { out.setDigest(call.from); }
+  void operator()(const FetchCall& call) {
+    auto fetch = out.initFetch();
+    fetch.setRun(call.run);
+    FillList(fetch.initPositions(call.positions.size()), call.positions);
+  }
 };
 
 // The list, unless it has more elements than fit into the message. Elements
@@ -127,7 +149,25 @@
   return list;
 }
 
-ArchiveCall ReadCall(wire::ArchiveCall::Reader in) {
+FetchCall Read(wire::FetchCall::Reader in, const Reader& reader) {
+  FetchCall call{.run = in.getRun()};
+  for (const uint64_t position : Checked(in.getPositions(), reader))
+    call.positions.push_back(position);
+  return call;
+}
+
+// Entries whose hash or position is missing are left out.
+std::vector<TurnArchive::DigestEntry> ReadDigest(wire::ArchiveReply::Reader in,
+                                                 const Reader& reader) {
+  std::vector<TurnArchive::DigestEntry> digest;
+  const auto hashes = Checked(in.getHashes(), reader);
+  const auto positions = Checked(in.getPositions(), reader);
+  for (unsigned i = 0; i < hashes.size() && i < positions.size(); ++i)
+    digest.push_back({.hash = hashes[i], .position = positions[i]});
+  return digest;
+}
+
+ArchiveCall ReadCall(wire::ArchiveCall::Reader in, const Reader& reader) {
   ArchiveCall call;
   call.list_version = in.getListVersion();
   switch (in.which()) {
@@ -153,6 +193,12 @@
     case wire::ArchiveCall::COPY:
       call.body = CopyCall{in.getCopy()};
       break;
+    case wire::ArchiveCall::DIGEST:
+      call.body = DigestCall{in.getDigest()};
+      break;
+    case wire::ArchiveCall::FETCH:
+      call.body = Read(in.getFetch(), reader);
+      break;
     case wire::ArchiveCall::PING:
       break;
   }
@@ -172,16 +218,23 @@
   }
 }
 
-}  // namespace
-
-std::string EncodeCall(const ArchiveCall& call) {
+// `written` is set in the journal.
+std::string EncodeMessage(const ArchiveCall& call, ArchiveTime written) {
   capnp::MallocMessageBuilder message;
   auto out = message.initRoot<wire::ArchiveCall>();
   out.setListVersion(call.list_version);
+  out.setUptimeMs(static_cast<uint64_t>(written.uptime_ms));
+  out.setUnixMs(static_cast<uint64_t>(written.unix_ms));
   std::visit(CallEncoder{out}, call.body);
   return Serialize(message);
 }
 
+}  // namespace
+
+std::string EncodeCall(const ArchiveCall& call) {
+  return EncodeMessage(call, ArchiveTime{});
+}
+
 std::string EncodeReply(const ArchiveReply& reply) {
   capnp::MallocMessageBuilder message;
   auto out = message.initRoot<wire::ArchiveReply>();
@@ -199,12 +252,19 @@
   out.setMore(reply.more);
   out.setMembers(reply.members);
   out.setStoreOverdueMs(reply.store_overdue_ms);
+  out.setRun(reply.run);
+  auto hashes = out.initHashes(reply.digest.size());
+  auto positions = out.initPositions(reply.digest.size());
+  for (unsigned i = 0; i < hashes.size(); ++i) {
+    hashes.set(i, reply.digest[i].hash);
+    positions.set(i, reply.digest[i].position);
+  }
   return Serialize(message);
 }
 
 ArchiveCall DecodeCall(const std::string& bytes) {
   return DecodeMessage(bytes, [](Reader& reader) {
-    return ReadCall(reader.Root<wire::ArchiveCall>());
+    return ReadCall(reader.Root<wire::ArchiveCall>(), reader);
   });
 }
 
@@ -225,23 +285,35 @@
     reply.more = in.getMore();
     reply.members = Text(in.getMembers());
     reply.store_overdue_ms = in.getStoreOverdueMs();
+    reply.run = in.getRun();
+    reply.digest = ReadDigest(in, reader);
     return reply;
   });
 }
 
-std::string EncodeEntry(const JournalEntry& entry) {
+std::string EncodeEntry(const JournalEntry& entry, ArchiveTime written) {
   ArchiveCall call;
   std::visit([&call](const auto& body) { call.body = body; }, entry);
-  return EncodeCall(call);
+  return EncodeMessage(call, written);
 }
 
-JournalEntry DecodeEntry(const std::string& bytes) {
-  const ArchiveCall call = DecodeCall(bytes);
-  if (const auto* body = std::get_if<TokenReservation>(&call.body))
-    return *body;
-  if (const auto* body = std::get_if<TurnRecord>(&call.body)) return *body;
-  if (const auto* body = std::get_if<FenceCall>(&call.body)) return *body;
-  throw StateError("The journal entry has an unexpected type.");
+JournalRecord DecodeEntry(const std::string& bytes) {
+  return DecodeMessage(bytes, [](Reader& reader) {
+    const auto in = reader.Root<wire::ArchiveCall>();
+    const ArchiveCall call = ReadCall(in, reader);
+    JournalRecord record;
+    record.written = {.uptime_ms = TimeMs(in.getUptimeMs()),
+                      .unix_ms = TimeMs(in.getUnixMs())};
+    if (const auto* body = std::get_if<TokenReservation>(&call.body))
+      record.entry = *body;
+    else if (const auto* body = std::get_if<TurnRecord>(&call.body))
+      record.entry = *body;
+    else if (const auto* body = std::get_if<FenceCall>(&call.body))
+      record.entry = *body;
+    else
+      throw StateError("The journal entry has an unexpected type.");
+    return record;
+  });
 }
 
 }  // namespace pimento
--- a/src/archive_codec.h
+++ b/src/archive_codec.h
@@ -29,6 +29,15 @@
 struct CopyCall {
   uint64_t from = 0;
 };
+// Reads the digest of the member's records from position `from` on.
+struct DigestCall {
+  uint64_t from = 0;
+};
+// Reads the records at positions that a digest of the run `run` named.
+struct FetchCall {
+  uint64_t run = 0;
+  std::vector<uint64_t> positions = {};
+};
 // Checks that the member is alive. In the reply, `next` is the version of the
 // member list for which the member has completed its copy.
 struct PingCall {};
@@ -38,7 +47,7 @@
   uint64_t list_version = 0;
   // A TokenReservation or a TurnRecord is a request to store that record.
   std::variant<PingCall, TokenReservation, CollectCall, TurnRecord, HistoryCall,
-               FenceCall, CopyCall>
+               FenceCall, CopyCall, DigestCall, FetchCall>
       body = {};
 };
 
@@ -69,10 +78,15 @@
   // For a HistoryCall, the first turn of the chain that the member does not
   // have; empty when the chain is complete.
   std::string missing = {};
-  // For a CopyCall, the position of the next page; see also PingCall.
+  // For a CopyCall or a DigestCall, the position of the next page; for a
+  // FetchCall, how many of its positions were looked at; see also PingCall.
   uint64_t next = 0;
-  // For a CopyCall, true when there is another page.
+  // For these calls, true when there is another page.
   bool more = false;
+  // For a DigestCall, the run of the member's process: positions of another run
+  // mean nothing.
+  uint64_t run = 0;
+  std::vector<TurnArchive::DigestEntry> digest = {};
   // For kStaleList, the member's newer member list, encoded; empty when it has
   // none.
   std::string members = {};
@@ -89,8 +103,14 @@
 
 // An entry of the journal: a record, or the fenced version of the member list.
 using JournalEntry = std::variant<TokenReservation, TurnRecord, FenceCall>;
-std::string EncodeEntry(const JournalEntry& entry);
+std::string EncodeEntry(const JournalEntry& entry, ArchiveTime written = {});
+
+struct JournalRecord {
+  JournalEntry entry = {};
+  // Zero in entries of earlier versions.
+  ArchiveTime written = {};
+};
 // Throws StateError when `bytes` is not a valid entry.
-JournalEntry DecodeEntry(const std::string& bytes);
+JournalRecord DecodeEntry(const std::string& bytes);
 
 }  // namespace pimento
--- a/src/archive_membership.cc
+++ b/src/archive_membership.cc
@@ -131,7 +131,7 @@
     co_await Pause(io_, kReconcileInterval);
     if (steady_clock::now() - last_sweep > kSweepInterval) {
       last_sweep = steady_clock::now();
-      archive_.RemoveExpired(SteadyMs());
+      archive_.RemoveExpired(Now().uptime_ms);
     }
     if (!registration_watch_.known() || !list_watch_.known() ||
         !retirement_watch_.known())
@@ -234,6 +234,25 @@
   co_await Propose(std::move(settled));
 }
 
+size_t ArchiveNode::Import(ArchiveReply reply) {
+  const ArchiveTime now = Now();
+  const auto import = [&](const auto& record) {
+    archive_.Apply(record, now);
+    pending_.push_back(MakePendingEntry(EncodeEntry(record, now)));
+  };
+  for (const TokenReservation& record : reply.reservations) import(record);
+  for (const TurnRecord& record : reply.turns) import(record);
+  return reply.reservations.size() + reply.turns.size();
+}
+
+asio::awaitable<bool> ArchiveNode::SyncImports(uint64_t fence,
+                                               uint64_t failed_before) {
+  // The imported entries are synced in the batch of this one or earlier.
+  const JournalEntry last = FenceCall{fence};
+  if (!co_await Commit(last)) co_return false;
+  co_return failed_syncs_ == failed_before;
+}
+
 asio::awaitable<bool> ArchiveNode::CopyFromMembers(const MemberList& list) {
   std::set<uint64_t> fenced;
   std::vector<ArchiveMember> sources;
@@ -271,20 +290,11 @@
             co_await rpc_.Call(source.address, std::move(call), kCopyTimeout);
         if (page.verdict != ArchiveVerdict::kDone || page.member != source.id)
           co_return false;
-        auto entries = std::make_shared<std::vector<std::string>>();
-        for (auto& record : page.reservations) {
-          archive_.Apply(record, SteadyMs());
-          entries->push_back(EncodeEntry(record));
-        }
-        for (auto& record : page.turns) {
-          archive_.Apply(record, SteadyMs());
-          entries->push_back(EncodeEntry(record));
-        }
-        records += entries->size();
-        for (auto& entry : *entries)
-          pending_.push_back(MakePendingEntry(std::move(entry)));
-        from = page.next;
-        if (!page.more) break;
+        const uint64_t next = page.next;
+        const bool more = page.more;
+        records += Import(std::move(page));
+        from = next;
+        if (!more) break;
       }
     }
   } catch (const TransportError& e) {
@@ -293,11 +303,7 @@
         .Text("error", e.what());
     co_return false;
   }
-  // The entries queued above are synced in the batch of this entry or in an
-  // earlier one.
-  const JournalEntry last = FenceCall{list.version};
-  if (!co_await Commit(last)) co_return false;
-  if (failed_syncs_ != failed_before) co_return false;
+  if (!co_await SyncImports(list.version, failed_before)) co_return false;
   EventLine(Event::kCopied)
       .Number("version", static_cast<int64_t>(list.version))
       .Number("records", static_cast<int64_t>(records));
--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <random>
 #include <set>
 #include <sstream>
 #include <utility>
@@ -29,6 +30,13 @@
 // Callers give up by then.
 constexpr milliseconds kMaxWaitForRoom{1'000};
 constexpr size_t kCopyPageBytes = 256 * 1024;
+// Of the records in an answer: as they are found, in the message, and as bytes.
+constexpr uint64_t kCopiesOfAnswer = 3;
+// Entries of the journal between two removals of what has expired by then.
+constexpr size_t kReplayedBetweenSweeps = 256;
+constexpr size_t kMaxDigestEntries = 4'096;
+// Younger records are not in digests: they may still be on their way.
+constexpr int64_t kArchiveSettleMs = 1'500;
 // Longer than the lifetime of any record, so that a removed journal segment
 // holds only expired ones.
 constexpr int64_t kSegmentRetentionMs = 600'000;
@@ -53,6 +61,18 @@
       .count();
 }
 
+void AddPage(TurnArchive::Page page, ArchiveReply& reply) {
+  for (auto& record : page.records) {
+    if (auto* turn = std::get_if<TurnRecord>(&record))
+      reply.turns.push_back(std::move(*turn));
+    else
+      reply.reservations.push_back(
+          std::move(std::get<TokenReservation>(record)));
+  }
+  reply.next = page.next;
+  reply.more = page.more;
+}
+
 }  // namespace
 
 ArchiveMember MemberFromRegistration(const std::string& host,
@@ -119,25 +139,11 @@
 
 void ArchiveNode::Start() {
   id_ = journal_.MemberId();
-  size_t entries = 0;
-  const int64_t now_ms = SteadyMs();
-  const auto apply = [&](const std::string& bytes) {
-    ++entries;
-    const JournalEntry entry = DecodeEntry(bytes);
-    if (const auto* fence = std::get_if<FenceCall>(&entry)) {
-      fence_ = std::max(fence_, fence->version);
-    } else if (const auto* turn = std::get_if<TurnRecord>(&entry)) {
-      archive_.Apply(*turn, now_ms);
-    } else {
-      archive_.Apply(std::get<TokenReservation>(entry), now_ms);
-    }
-  };
-  journal_.Replay(apply, ThrowIfStopRequested);
-  EventLine(Event::kJournal)
-      .Text("outcome", "replayed")
-      .Number("entries", static_cast<int64_t>(entries))
-      .Number("turns", static_cast<int64_t>(archive_.turns()))
-      .Text("member", std::to_string(id_));
+  started_ms_ = SteadyMs();
+  no_gaps_ms_ = started_ms_;
+  std::random_device random;
+  run_ = static_cast<uint64_t>(random()) << 32 | random();
+  Replay();
   EndStartPart(StartPart::kJournal);
   server_.Listen(options_.address);
   if (!options_.metrics_address.empty())
@@ -153,6 +159,39 @@
   KeepRunning(io_, "membership", [this] { return RunMembership(); });
 }
 
+ArchiveTime ArchiveNode::Now() const {
+  return {.uptime_ms = earlier_uptime_ms_ + SteadyMs() - started_ms_,
+          .unix_ms = UnixMs()};
+}
+
+void ArchiveNode::ReplayEntry(const JournalRecord& record) {
+  ArchiveTime written = record.written;
+  if (written.unix_ms == 0) written.unix_ms = UnixMs();
+  earlier_uptime_ms_ = std::max(earlier_uptime_ms_, written.uptime_ms);
+  if (const auto* fence = std::get_if<FenceCall>(&record.entry))
+    fence_ = std::max(fence_, fence->version);
+  else if (const auto* turn = std::get_if<TurnRecord>(&record.entry))
+    archive_.Apply(*turn, written);
+  else
+    archive_.Apply(std::get<TokenReservation>(record.entry), written);
+}
+
+void ArchiveNode::Replay() {
+  size_t entries = 0;
+  const auto apply = [&](const std::string& bytes) {
+    ReplayEntry(DecodeEntry(bytes));
+    if (++entries % kReplayedBetweenSweeps == 0)
+      archive_.RemoveExpired(earlier_uptime_ms_);
+  };
+  journal_.Replay(apply, ThrowIfStopRequested);
+  archive_.RemoveExpired(earlier_uptime_ms_);
+  EventLine(Event::kJournal)
+      .Text("outcome", "replayed")
+      .Number("entries", static_cast<int64_t>(entries))
+      .Number("turns", static_cast<int64_t>(archive_.turns()))
+      .Text("member", std::to_string(id_));
+}
+
 bool ArchiveNode::IsMember() const {
   return std::any_of(list_.members.begin(), list_.members.end(),
                      [this](const ArchiveMember& m) { return m.id == id_; });
@@ -196,12 +235,14 @@
     co_return;
   }
   if (const auto* history = std::get_if<HistoryCall>(&call->body)) {
-    // As it is found, in the message, and as bytes.
-    constexpr uint64_t kCopies = 3;
     co_await answer.Hold(
-        kCopies * archive_.HistoryBytes(history->turn, history->team),
+        kCopiesOfAnswer * archive_.HistoryBytes(history->turn, history->team),
         steady_clock::now() + kMaxWaitForRoom);
   }
+  if (std::holds_alternative<FetchCall>(call->body)) {
+    co_await answer.Hold(kCopiesOfAnswer * kCopyPageBytes,
+                         steady_clock::now() + kMaxWaitForRoom);
+  }
   ArchiveReply reply = co_await Handle(std::move(*call));
   reply.member = id_;
   reply.intact = IsMember();
@@ -213,7 +254,7 @@
 
 asio::awaitable<ArchiveReply> ArchiveNode::Handle(ArchiveCall call) {
   ArchiveReply reply{.verdict = ArchiveVerdict::kDone};
-  const int64_t now_ms = SteadyMs();
+  const ArchiveTime now = Now();
   if (std::holds_alternative<PingCall>(call.body)) {
     // Tells a host that drives a change whether the copy is complete.
     reply.next = copied_version_;
@@ -227,16 +268,7 @@
     co_return reply;
   }
   if (const auto* copy = std::get_if<CopyCall>(&call.body)) {
-    auto page = archive_.ReadPage(copy->from, kCopyPageBytes);
-    for (auto& record : page.records) {
-      if (auto* turn = std::get_if<TurnRecord>(&record))
-        reply.turns.push_back(std::move(*turn));
-      else
-        reply.reservations.push_back(
-            std::move(std::get<TokenReservation>(record)));
-    }
-    reply.next = page.next;
-    reply.more = page.more;
+    AddPage(archive_.ReadPage(copy->from, kCopyPageBytes, now), reply);
     co_return reply;
   }
   if (call.list_version < fence_) {
@@ -245,6 +277,23 @@
       reply.members = EncodeMemberList(list_);
     co_return reply;
   }
+  if (const auto* digest = std::get_if<DigestCall>(&call.body)) {
+    auto page = archive_.ReadDigest(digest->from, kMaxDigestEntries,
+                                    now.uptime_ms - kArchiveSettleMs, now);
+    reply.run = run_;
+    reply.digest = std::move(page.entries);
+    reply.next = page.next;
+    reply.more = page.more;
+    co_return reply;
+  }
+  if (const auto* fetch = std::get_if<FetchCall>(&call.body)) {
+    if (fetch->run != run_)
+      reply.verdict = ArchiveVerdict::kFailed;
+    else
+      AddPage(archive_.ReadRecords(fetch->positions, kCopyPageBytes, now),
+              reply);
+    co_return reply;
+  }
   if (const auto* history = std::get_if<HistoryCall>(&call.body)) {
     const size_t bytes = archive_.HistoryBytes(history->turn, history->team);
     if (archive_.max_bytes() > 0 && bytes > archive_.max_history_bytes()) {
@@ -265,7 +314,7 @@
       reply.verdict = RefuseFull("turn", turn->team);
       co_return reply;
     }
-    archive_.Apply(*turn, now_ms);
+    archive_.Apply(*turn, now);
     const JournalEntry entry = std::move(*turn);
     if (!co_await Commit(entry)) reply.verdict = ArchiveVerdict::kFailed;
     co_return reply;
@@ -280,7 +329,7 @@
     const bool given_up = reservation.tokens == 0;
     if (given_up && !archive_.HasReservation(reservation)) co_return reply;
   }
-  archive_.Apply(reservation, now_ms);
+  archive_.Apply(reservation, now);
   // The reply lists the reservations made before this call; the replies to
   // later ones will list this one. Of two reservations at least one sees the
   // other.
@@ -304,7 +353,7 @@
 }
 
 asio::awaitable<bool> ArchiveNode::Commit(const JournalEntry& entry) {
-  PendingEntry pending = MakePendingEntry(EncodeEntry(entry));
+  PendingEntry pending = MakePendingEntry(EncodeEntry(entry, Now()));
   const auto done_signal = pending.done_signal;
   const auto outcome = pending.outcome;
   pending_.push_back(std::move(pending));
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -75,6 +75,11 @@
   Async<ArchiveReply> Handle(ArchiveCall call);
   // Counts and logs a record of `team` for which there is no room.
   ArchiveVerdict RefuseFull(std::string_view what, const std::string& team);
+  // By the clocks of the records.
+  ArchiveTime Now() const;
+  // Reads the journal back.
+  void Replay();
+  void ReplayEntry(const JournalRecord& record);
   // Queues `entry` for the journal. Returns true once it is synced to disk, and
   // false when its batch failed. Entries queued earlier belong to the same or
   // an earlier batch.
@@ -99,6 +104,34 @@
   // Fences the members of `list` and copies their records. Returns true once
   // the copy is complete and synced.
   Async<bool> CopyFromMembers(const MemberList& list);
+  // Applies the records of a reply and queues them for the journal. Returns
+  // their number.
+  size_t Import(ArchiveReply reply);
+  // Waits until the records imported so far are synced, and a fence with them.
+  // Returns false if a sync failed since `failed_before` of them had.
+  Async<bool> SyncImports(uint64_t fence, uint64_t failed_before);
+  // Where the next digest of a member is read from.
+  struct RepairCursor {
+    // Of the member's process.
+    uint64_t run = 0;
+    uint64_t next = 0;
+    // Last answer, by the steady clock.
+    int64_t answered_ms = 0;
+  };
+  // Fetches what this member lacks from the other members, again and again.
+  Async<void> RunRepair();
+  void ForgetOldCursors();
+  // Reads the digests of `member` to their end and fetches what is lacking.
+  // Returns false when it did not answer.
+  Async<bool> RepairFrom(ArchiveMember member);
+  // The same for one page; returns whether more follow. Throws TransportError.
+  Async<bool> RepairPage(const ArchiveMember& member, RepairCursor& cursor);
+  // Fetches records and waits until they are synced. Throws TransportError.
+  Async<void> Fetch(const ArchiveMember& member, uint64_t run,
+                    std::vector<uint64_t> positions);
+  // Throws TransportError also when the member refuses the call.
+  Async<ArchiveReply> AskForRepair(const ArchiveMember& member,
+                                   ArchiveCall call);
   // Reports the progress of host retirements to the platform.
   Async<void> UpdateRetirements();
   Async<void> PingPeers();
@@ -124,6 +157,10 @@
   CallerServer metrics_server_;
   uint64_t refused_full_ = 0;
   uint64_t id_ = 0;
+  // Uptime of earlier runs, by the journal, and start of this one by the steady
+  // clock, milliseconds.
+  int64_t earlier_uptime_ms_ = 0;
+  int64_t started_ms_ = 0;
 
   // An entry that is not synced yet.
   struct PendingEntry {
@@ -163,6 +200,14 @@
   // Last time at which the membership was stable: no change in progress, no
   // retirement, and enough members.
   BootClock::time_point last_stable_{};
+  // Names this run of the process in digests.
+  uint64_t run_ = 0;
+  // By member id.
+  std::map<uint64_t, RepairCursor> repair_cursors_;
+  // Last time without gaps in the chains, by the steady clock.
+  int64_t no_gaps_ms_ = 0;
+  uint64_t repaired_ = 0;
+  uint64_t repair_failures_ = 0;
   uint64_t calls_ = 0;
   uint64_t syncs_ = 0;
   uint64_t failed_syncs_ = 0;
--- a/src/turn_archive.cc
+++ b/src/turn_archive.cc
@@ -1,5 +1,7 @@
 #include "src/turn_archive.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <unordered_set>
 
@@ -13,9 +15,14 @@
 // flight.
 constexpr int64_t kTurnRetentionSlackMs = 30'000;
 
+// Records with less left are not handed to other members, which let them
+// expire at about the same time.
+constexpr int64_t kMinHandedMs = 5'000;
+
 // Of a record, beside its texts.
 constexpr size_t kOverheadBytes = 400;
-// Copies of a record's key: in the record, in the table, in order of arrival.
+// Copies of a record's key: in the record, in the table, and as much again for
+// its place in the log and its hashes.
 constexpr size_t kKeyCopies = 3;
 // Parts of the room: what one team may have, what a team with little has, and
 // what is left to turns that have begun.
@@ -36,8 +43,31 @@
          kOverheadBytes;
 }
 
+// Of texts and a number; texts of other lengths do not run into each other.
+RecordHash HashOfParts(const std::string& first, const std::string& second,
+                       uint64_t number) {
+  const uint64_t parts[] = {XXH3_64bits(first.data(), first.size()),
+                            XXH3_64bits(second.data(), second.size()), number};
+  return XXH3_64bits(parts, sizeof parts);
+}
+
+RecordHash HashOfOpen(const TokenReservation& reservation) {
+  return HashOfParts(reservation.program, reservation.turn, 0);
+}
+
 }  // namespace
 
+RecordHash HashOf(const TokenReservation& reservation) {
+  if (!reservation.settled) return HashOfOpen(reservation);
+  return HashOfParts(reservation.program, reservation.turn,
+                     1 + reservation.tokens);
+}
+
+RecordHash HashOf(const TurnRecord& record) {
+  // No program begins with this, as ids are header fields.
+  return HashOfParts("\n", record.turn, 0);
+}
+
 bool TurnArchive::MayBegin(const std::string& team) const {
   if (max_bytes_ == 0) return true;
   const auto it = bytes_by_team_.find(team);
@@ -52,6 +82,10 @@
          bytes_ + BytesOf(record) <= max_bytes_;
 }
 
+bool TurnArchive::HasRoomForRepair() const {
+  return max_bytes_ == 0 || bytes_ < max_bytes_ - max_bytes_ / kBegunShare;
+}
+
 bool TurnArchive::HasReservation(const TokenReservation& reservation) const {
   const auto it = programs_.find(reservation.program);
   return it != programs_.end() &&
@@ -70,57 +104,100 @@
   if (it->second == 0) bytes_by_team_.erase(it);
 }
 
-void TurnArchive::Apply(const ArchiveRecord& record, int64_t now_ms) {
-  if (const auto* reservation = std::get_if<TokenReservation>(&record)) {
-    ApplyReservation(*reservation, now_ms + kProgramRetentionMs);
+uint64_t TurnArchive::AddToLog(const LogKey& key) {
+  const uint64_t position = next_position_++;
+  log_.emplace(position, key);
+  return position;
+}
+
+void TurnArchive::Apply(const ArchiveRecord& record, ArchiveTime now) {
+  if (const auto* turn = std::get_if<TurnRecord>(&record)) {
+    ApplyTurn(*turn, now);
     return;
   }
-  ApplyTurn(std::get<TurnRecord>(record), now_ms);
+  const auto& reservation = std::get<TokenReservation>(record);
+  const int64_t keep_ms = reservation.remaining_ms > 0
+                              ? reservation.remaining_ms
+                              : kProgramRetentionMs;
+  ApplyReservation(reservation, now, ArchiveLifetime::From(now, keep_ms));
 }
 
 void TurnArchive::ApplyReservation(const TokenReservation& reservation,
-                                   int64_t expires_ms) {
+                                   ArchiveTime now, ArchiveLifetime lifetime) {
   const auto [it, added] = programs_.try_emplace(reservation.program);
   Program& program = it->second;
-  if (added) {
-    arrivals_.push_back("/" + reservation.program);
-    program.team = reservation.team;
-  }
-  program.expires_ms = std::max(program.expires_ms, expires_ms);
+  if (added) program.team = reservation.team;
+  program.lifetime.Extend(lifetime);
   const auto [entry, is_new] =
       program.reservations.try_emplace(reservation.turn);
-  TokenReservation& held = entry->second;
+  Reservation& held = entry->second;
   if (is_new) {
     program.bytes += BytesOf(reservation);
     AddBytes(program.team, BytesOf(reservation));
   }
   // A settled reservation is final; an open one that arrives later is ignored.
-  if (held.settled && !reservation.settled) return;
-  if (held.settled && held.tokens >= reservation.tokens) return;
-  held = reservation;
+  const TokenReservation& before = held.record;
+  if (before.settled && !reservation.settled) return;
+  if (before.settled && before.tokens >= reservation.tokens) return;
+  const bool again = !is_new && before.settled == reservation.settled &&
+                     before.tokens == reservation.tokens;
+  if (again) return;
+  if (!is_new) log_.erase(held.position);
+  if (before.settled) hashes_.erase(HashOf(before));
+  held.record = reservation;
+  held.record.remaining_ms = 0;
+  held.position = AddToLog({.program = &it->first,
+                            .turn = &entry->first,
+                            .arrived_ms = now.uptime_ms});
+  hashes_.insert(HashOfOpen(reservation));
+  hashes_.insert(HashOf(reservation));
 }
 
-void TurnArchive::ApplyTurn(const TurnRecord& record, int64_t now_ms) {
-  const int64_t expires_ms = now_ms + record.retain_ms + kTurnRetentionSlackMs;
+void TurnArchive::ApplyTurn(const TurnRecord& record, ArchiveTime now) {
+  const bool copy = record.remaining_ms > 0;
+  const int64_t keep_ms =
+      copy ? record.remaining_ms : record.retain_ms + kTurnRetentionSlackMs;
+  ArchiveLifetime lifetime = ArchiveLifetime::From(now, keep_ms);
   if (!record.program.empty()) {
+    ArchiveLifetime of_program = lifetime;
+    if (!copy)
+      of_program.Extend(ArchiveLifetime::From(now, kProgramRetentionMs));
     ApplyReservation({.program = record.program,
                       .turn = record.turn,
                       .tokens = record.tokens,
                       .settled = true,
                       .team = record.team},
-                     std::max(expires_ms, now_ms + kProgramRetentionMs));
+                     now, of_program);
   }
   const auto [it, added] = turns_.try_emplace(record.turn);
   if (added) {
     it->second.record = record;
-    arrivals_.push_back(record.turn);
+    it->second.record.remaining_ms = 0;
+    it->second.position = AddToLog(
+        {.program = nullptr, .turn = &it->first, .arrived_ms = now.uptime_ms});
+    hashes_.insert(HashOf(record));
     AddBytes(record.team, BytesOf(record));
+    // Turns that continue it may have come first.
+    if (const auto gap = gaps_.find(record.turn); gap != gaps_.end()) {
+      lifetime.Extend(gap->second);
+      gaps_.erase(gap);
+    }
   }
-  // Extend the expiry of all predecessors, so that the chain stays complete.
-  for (auto turn = it; turn != turns_.end();
-       turn = turns_.find(turn->second.record.previous)) {
-    if (turn->second.expires_ms >= expires_ms) break;
-    turn->second.expires_ms = expires_ms;
+  ExtendChain(record.turn, lifetime);
+}
+
+void TurnArchive::ExtendChain(const std::string& turn,
+                              ArchiveLifetime lifetime) {
+  const std::string* next = &turn;
+  while (!next->empty()) {
+    const auto it = turns_.find(*next);
+    if (it == turns_.end()) {
+      gaps_[*next].Extend(lifetime);
+      return;
+    }
+    if (it->second.lifetime.Covers(lifetime)) return;
+    it->second.lifetime.Extend(lifetime);
+    next = &it->second.record.previous;
   }
 }
 
@@ -130,7 +207,7 @@
   const auto it = programs_.find(program);
   if (it == programs_.end()) return reservations;
   for (const auto& [turn, reservation] : it->second.reservations) {
-    reservations.push_back(reservation);
+    reservations.push_back(reservation.record);
   }
   return reservations;
 }
@@ -173,53 +250,114 @@
   return max_bytes_ / kHistoryShare;
 }
 
-TurnArchive::Page TurnArchive::ReadPage(uint64_t from, size_t max_bytes) const {
+const ArchiveLifetime& TurnArchive::LifetimeOf(const LogKey& key) const {
+  return key.program == nullptr ? turns_.at(*key.turn).lifetime
+                                : programs_.at(*key.program).lifetime;
+}
+
+RecordHash TurnArchive::HashAt(const LogKey& key) const {
+  if (key.program == nullptr) return HashOf(turns_.at(*key.turn).record);
+  return HashOf(programs_.at(*key.program).reservations.at(*key.turn).record);
+}
+
+size_t TurnArchive::AddToPage(const LogKey& key, int64_t remaining_ms,
+                              Page& page) const {
+  if (key.program == nullptr) {
+    TurnRecord record = turns_.at(*key.turn).record;
+    record.remaining_ms = remaining_ms;
+    const size_t bytes = BytesOf(record);
+    page.records.emplace_back(std::move(record));
+    return bytes;
+  }
+  TokenReservation record =
+      programs_.at(*key.program).reservations.at(*key.turn).record;
+  record.remaining_ms = remaining_ms;
+  page.records.emplace_back(std::move(record));
+  constexpr size_t kReservationBytes = 80;
+  return kReservationBytes;
+}
+
+TurnArchive::Page TurnArchive::ReadPage(uint64_t from, size_t max_bytes,
+                                        ArchiveTime now) const {
   Page page;
-  uint64_t position = std::max(from, first_position_);
   size_t bytes = 0;
-  const uint64_t end = first_position_ + arrivals_.size();
-  for (; position < end && bytes < max_bytes; ++position) {
-    const std::string& key = arrivals_[position - first_position_];
-    if (key.starts_with('/')) {
-      constexpr size_t kReservationBytes = 80;
-      for (auto& reservation : ReservationsOf(key.substr(1))) {
-        page.records.emplace_back(std::move(reservation));
-        bytes += kReservationBytes;
-      }
-      continue;
-    }
-    const auto it = turns_.find(key);
-    if (it == turns_.end()) continue;
-    page.records.emplace_back(it->second.record);
-    bytes += BytesOf(it->second.record);
+  auto it = log_.lower_bound(from);
+  for (; it != log_.end() && bytes < max_bytes; ++it) {
+    // A member that joins needs all that this one still holds.
+    const int64_t left_ms = LifetimeOf(it->second).uptime_ms - now.uptime_ms;
+    if (left_ms > 0) bytes += AddToPage(it->second, left_ms, page);
   }
-  page.next = position;
-  page.more = position < end;
+  page.next = it == log_.end() ? next_position_ : it->first;
+  page.more = it != log_.end();
   return page;
 }
 
-void TurnArchive::RemoveExpired(int64_t now_ms) {
-  for (auto it = turns_.begin(); it != turns_.end();) {
-    if (it->second.expires_ms > now_ms) {
-      ++it;
-      continue;
+TurnArchive::Digest TurnArchive::ReadDigest(uint64_t from, size_t max_entries,
+                                            int64_t settled_ms,
+                                            ArchiveTime now) const {
+  Digest digest;
+  auto it = log_.lower_bound(from);
+  for (; it != log_.end() && digest.entries.size() < max_entries; ++it) {
+    const LogKey& key = it->second;
+    if (key.arrived_ms >= settled_ms) {
+      digest.next = it->first;
+      return digest;
     }
-    RemoveBytes(it->second.record.team, BytesOf(it->second.record));
-    it = turns_.erase(it);
+    if (LifetimeOf(key).RemainingMs(now) < kMinHandedMs) continue;
+    digest.entries.push_back({.hash = HashAt(key), .position = it->first});
+  }
+  digest.more = it != log_.end();
+  digest.next = digest.more ? it->first : next_position_;
+  return digest;
+}
+
+TurnArchive::Page TurnArchive::ReadRecords(
+    const std::vector<uint64_t>& positions, size_t max_bytes,
+    ArchiveTime now) const {
+  Page page;
+  size_t bytes = 0;
+  for (const uint64_t position : positions) {
+    if (bytes >= max_bytes) break;
+    ++page.next;
+    const auto it = log_.find(position);
+    if (it == log_.end()) continue;
+    const int64_t left_ms = LifetimeOf(it->second).RemainingMs(now);
+    if (left_ms < kMinHandedMs) continue;
+    bytes += AddToPage(it->second, left_ms, page);
+  }
+  page.more = page.next < positions.size();
+  return page;
+}
+
+void TurnArchive::RemoveTurn(const Turn& turn) {
+  RemoveBytes(turn.record.team, BytesOf(turn.record));
+  hashes_.erase(HashOf(turn.record));
+  log_.erase(turn.position);
+}
+
+void TurnArchive::RemoveProgram(const Program& program) {
+  RemoveBytes(program.team, program.bytes);
+  for (const auto& [turn, reservation] : program.reservations) {
+    hashes_.erase(HashOfOpen(reservation.record));
+    hashes_.erase(HashOf(reservation.record));
+    log_.erase(reservation.position);
   }
-  std::erase_if(programs_, [this, now_ms](const auto& program) {
-    if (program.second.expires_ms > now_ms) return false;
-    RemoveBytes(program.second.team, program.second.bytes);
+}
+
+void TurnArchive::RemoveExpired(int64_t now_ms) {
+  std::erase_if(turns_, [this, now_ms](const auto& entry) {
+    if (entry.second.lifetime.uptime_ms > now_ms) return false;
+    RemoveTurn(entry.second);
     return true;
   });
-  while (!arrivals_.empty()) {
-    const std::string& key = arrivals_.front();
-    const bool held = key.starts_with('/') ? programs_.contains(key.substr(1))
-                                           : turns_.contains(key);
-    if (held) break;
-    arrivals_.pop_front();
-    ++first_position_;
-  }
+  std::erase_if(programs_, [this, now_ms](const auto& entry) {
+    if (entry.second.lifetime.uptime_ms > now_ms) return false;
+    RemoveProgram(entry.second);
+    return true;
+  });
+  std::erase_if(gaps_, [now_ms](const auto& gap) {
+    return gap.second.uptime_ms <= now_ms;
+  });
 }
 
 }  // namespace pimento
--- a/test/correctness/turn_archive_test.cc
+++ b/test/correctness/turn_archive_test.cc
@@ -107,7 +107,7 @@
   TurnArchive copy;
   uint64_t from = 0;
   for (;;) {
-    const auto page = archive.ReadPage(from, 2'000);
+    const auto page = archive.ReadPage(from, 2'000, {});
     for (const auto& record : page.records) copy.Apply(record, 0);
     from = page.next;
     if (!page.more) break;
@@ -205,3 +205,128 @@
   archive.Apply(Turn("d", "c"), 0);
   CHECK(archive.HistoryBytes("c", "quilters") > 0);
 }
+
+// A member kept a turn's predecessors only as far back as it had them when the
+// turn came: what it got later did not make up for that.
+TEST_CASE("a turn that comes late keeps its chain as long as its successors") {
+  TurnArchive archive;
+  archive.Apply(Turn("a", ""), 0);
+  archive.Apply(Turn("c", "b"), 60'000);
+  CHECK(archive.gaps() == 1);
+  TurnRecord late = Turn("b", "a");
+  late.remaining_ms = 20'000;
+  archive.Apply(late, 61'000);
+  CHECK_FALSE(archive.HasGaps());
+  archive.RemoveExpired(149'000);
+  CHECK(archive.HistoryOf("c", "quilters").missing.empty());
+  archive.RemoveExpired(150'001);
+  CHECK(archive.turns() == 0);
+}
+
+// Copies began their whole retention anew, and members handed expired records
+// to each other for ever.
+TEST_CASE("a copy expires with its source and is not handed back") {
+  TurnArchive source;
+  source.Apply(Turn("a", ""), 0);
+  source.Apply(
+      TokenReservation{
+          .program = "p", .turn = "a", .tokens = 5, .settled = true},
+      0);
+  constexpr int64_t kTurnEnds = 90'000;
+  constexpr int64_t kProgramEnds = 180'000;
+  TurnArchive copy;
+  const auto page = source.ReadPage(0, 100'000, {80'000, 80'000});
+  for (const auto& record : page.records) copy.Apply(record, 80'000);
+  copy.RemoveExpired(kTurnEnds - 1);
+  CHECK(copy.turns() == 1);
+  const ArchiveTime near_end{kTurnEnds - 1'000, kTurnEnds - 1'000};
+  CHECK(copy.ReadDigest(0, 10, near_end.uptime_ms, near_end).entries.size() ==
+        1);
+  copy.RemoveExpired(kTurnEnds);
+  CHECK(copy.turns() == 0);
+  CHECK(copy.programs() == 1);
+  copy.RemoveExpired(kProgramEnds);
+  CHECK(copy.programs() == 0);
+}
+
+// After a long absence a member holds what the others have let expire.
+TEST_CASE("a member hands out nothing that has expired while it was away") {
+  TurnArchive archive;
+  archive.Apply(Turn("a", ""), ArchiveTime{1'000, 1'000});
+  const ArchiveTime soon{3'000, 3'000};
+  CHECK(archive.ReadDigest(0, 10, soon.uptime_ms, soon).entries.size() == 1);
+  // Stopped for 100 s: it still holds the turn, but does not hand it out.
+  const ArchiveTime later{3'000, 103'000};
+  archive.RemoveExpired(later.uptime_ms);
+  CHECK(archive.turns() == 1);
+  CHECK(archive.ReadDigest(0, 10, later.uptime_ms, later).entries.empty());
+  CHECK(archive.ReadRecords({0}, 1'000, later).records.empty());
+  // A conversation that goes on keeps it for the others too.
+  archive.Apply(Turn("b", "a"), later);
+  const ArchiveTime after{6'000, 106'000};
+  CHECK(archive.ReadDigest(0, 10, after.uptime_ms, after).entries.size() == 2);
+}
+
+TEST_CASE("digests name each record once, in its last state, page by page") {
+  TurnArchive archive;
+  const TokenReservation open{.program = "p", .turn = "t1", .tokens = 60};
+  TokenReservation settled = open;
+  settled.settled = true;
+  settled.tokens = 7;
+  archive.Apply(open, 0);
+  for (int i = 0; i < 5; ++i)
+    archive.Apply(Turn("t" + std::to_string(i), ""), 0);
+  archive.Apply(settled, 0);
+  TurnArchive other;
+  size_t named = 0;
+  uint64_t from = 0;
+  const ArchiveTime now{2'000, 2'000};
+  for (bool more = true; more;) {
+    const auto digest = archive.ReadDigest(from, 2, 1'000, now);
+    std::vector<uint64_t> lacking;
+    for (const auto& entry : digest.entries) {
+      ++named;
+      if (other.Lacks(entry.hash)) lacking.push_back(entry.position);
+    }
+    for (const auto& record : archive.ReadRecords(lacking, 1, now).records)
+      other.Apply(record, now);
+    for (const auto& record : archive.ReadRecords(lacking, 9'999, now).records)
+      other.Apply(record, now);
+    from = digest.next;
+    more = digest.more;
+  }
+  CHECK(named == 6);
+  CHECK(other.turns() == 5);
+  REQUIRE(other.ReservationsOf("p").size() == 1);
+  CHECK(other.ReservationsOf("p")[0].tokens == 7);
+  // What is settled here stands for its open state.
+  CHECK_FALSE(other.Lacks(HashOf(open)));
+  CHECK(archive.ReadDigest(0, 10, 0, now).entries.empty());
+}
+
+TEST_CASE("an entry of the journal knows when it was written") {
+  const ArchiveTime written{12, 1'700'000'000'000};
+  TurnRecord turn = Turn("a", "");
+  turn.remaining_ms = 5;
+  const JournalRecord back = DecodeEntry(EncodeEntry(turn, written));
+  CHECK(back.written.uptime_ms == 12);
+  CHECK(back.written.unix_ms == 1'700'000'000'000);
+  CHECK(std::get<TurnRecord>(back.entry).remaining_ms == 5);
+}
+
+TEST_CASE("digests and fetches round-trip through the codec") {
+  ArchiveCall call;
+  call.body = FetchCall{.run = 9, .positions = {3, 4, 70}};
+  const ArchiveCall back = DecodeCall(EncodeCall(call));
+  CHECK(std::get<FetchCall>(back.body).run == 9);
+  CHECK(std::get<FetchCall>(back.body).positions ==
+        std::vector<uint64_t>{3, 4, 70});
+  ArchiveReply reply{.verdict = ArchiveVerdict::kDone};
+  reply.run = 9;
+  reply.digest = {{.hash = 1, .position = 3}, {.hash = 2, .position = 70}};
+  const ArchiveReply reply_back = DecodeReply(EncodeReply(reply));
+  CHECK(reply_back.run == 9);
+  REQUIRE(reply_back.digest.size() == 2);
+  CHECK(reply_back.digest[1].hash == 2);
+  CHECK(reply_back.digest[1].position == 70);
+}
