Archive: a member that missed a write fetches it from the others

Cause: a write counts once a majority has it, and a member that was away, slow, cut off or taken for lost stayed without it for good, though it calls itself intact. A turn extends its predecessors on a member only as far back as that one holds them, so once each member lacked another turn, all three let the beginning expire. Reservations, which go to the nearest majority only, lay on two members for good.

Change: each member reads the digests of what the others stored since it last asked, at its start, each 2 s and each 0.5 s while one does not answer, and fetches what it lacks, in pages, synced, and only while it has room.

--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -157,6 +157,7 @@
               [this] { return LoopClock::Of(io_).RunTurns(kTurnInterval); });
   KeepRunning(io_, "registration", [this] { return Register(); });
   KeepRunning(io_, "membership", [this] { return RunMembership(); });
+  KeepRunning(io_, "repair", [this] { return RunRepair(); });
 }
 
 ArchiveTime ArchiveNode::Now() const {
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -66,6 +66,7 @@
                    "archive_failed",
                    "members_changed",
                    "copied",
+                   "repaired",
                    "retirement",
                    "journal",
                    "handler_failed",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -65,6 +65,7 @@
   kArchiveFailed,
   kMembersChanged,
   kCopied,
+  kRepaired,
   kRetirement,
   kJournal,
   kHandlerFailed,
