--- a/src/turn_archive.cc
+++ b/src/turn_archive.cc
@@ -160,8 +160,9 @@
   ArchiveLifetime lifetime = ArchiveLifetime::From(now, keep_ms);
   if (!record.program.empty()) {
     ArchiveLifetime of_program = lifetime;
-    if (!copy)
+    if (!copy) {
       of_program.Extend(ArchiveLifetime::From(now, kProgramRetentionMs));
+    }
     ApplyReservation({.program = record.program,
                       .turn = record.turn,
                       .tokens = record.tokens,
