--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -14,6 +14,8 @@
 #include <stdexcept>
 #include <thread>
 
+#include "platform/url_text.h"
+
 namespace pimento::testbed {
 namespace {
 
@@ -74,6 +76,10 @@
             {{"name", "others"}, {"api_keys", {"key-of-others"}}}}}};
 }
 
+std::string ObjectTarget(const std::string& kind, const std::string& name) {
+  return "/-/objects/" + kind + "/" + platform::EscapeForUrl(name);
+}
+
 // Polls `condition` until it is true; throws after about `limit_ms`.
 template <class Condition>
 void WaitFor(int64_t limit_ms, const std::string& what, Condition condition) {
@@ -371,11 +377,12 @@
 
 void PlatformFleet::PutObject(const std::string& kind, const std::string& name,
                               const std::string& spec) {
-  const std::string body =
-      R"({"metadata":{"name":")" + name + R"("},"spec":)" + spec + "}";
+  const std::string body = R"({"metadata":{"name":)" +
+                           json::serialize(json::string(name)) +
+                           R"(},"spec":)" + spec + "}";
   const std::string path = "/-/objects/" + kind;
   ClientRequest call{.method = "PUT",
-                     .target = path + "/" + name,
+                     .target = ObjectTarget(kind, name),
                      .body = body,
                      .limit_ms = kStandInTimeoutMs};
   if (SendTo(addresses_["store"], call).status == 200) return;
@@ -389,17 +396,30 @@
 void PlatformFleet::DeleteObject(const std::string& kind,
                                  const std::string& name) {
   SendTo(addresses_["store"], {.method = "DELETE",
-                               .target = "/-/objects/" + kind + "/" + name,
+                               .target = ObjectTarget(kind, name),
                                .limit_ms = kStandInTimeoutMs});
 }
 
 std::string PlatformFleet::Object(const std::string& kind,
                                   const std::string& name) {
   return SendTo(addresses_["store"],
-                {.method = "GET", .target = "/-/objects/" + kind + "/" + name})
+                {.method = "GET", .target = ObjectTarget(kind, name)})
       .body;
 }
 
+void PlatformFleet::PutRawObject(const std::string& kind,
+                                 const std::string& name,
+                                 const std::string& text) {
+  const ClientRequest call{
+      .method = "POST",
+      .target = "/raw?kind=" + kind + "&name=" + platform::EscapeForUrl(name),
+      .body = text,
+      .limit_ms = kStandInTimeoutMs};
+  if (SendTo(addresses_["store"], call).status != 200)
+    throw std::runtime_error("The store did not accept an object of " + kind +
+                             ".");
+}
+
 void PlatformFleet::RestartStore(int64_t down_ms) {
   SendTo(addresses_["store"],
          {.method = "POST",
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -104,6 +104,10 @@
   void PutObject(const std::string& kind, const std::string& name,
                  const std::string& spec);
   void DeleteObject(const std::string& kind, const std::string& name);
+  // Puts an object of the store whose text is `text`, as it is. `name` is where
+  // it stands among the others and may hold any bytes, as in `text`.
+  void PutRawObject(const std::string& kind, const std::string& name,
+                    const std::string& text);
   // Writes the store entry of an upstream of `service` ("talk" or "desk") with
   // the numeric `id`, which started at `born` (Unix milliseconds).
   void RegisterUpstream(int id, const std::string& service,
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -43,6 +43,7 @@
   HttpRequest request;
   request.method = std::string(received.header.method_string());
   const std::string target(received.header.target());
+  request.target = target;
   const size_t question = target.find('?');
   request.path = PercentDecode(target.substr(0, question));
   if (question != std::string::npos) {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -38,6 +38,8 @@
 
 struct HttpRequest {
   std::string method;
+  // As it was sent.
+  std::string target;
   // The percent-decoded path without the query, and the decoded parameters of
   // the query.
   std::string path;
