--- a/test/platform/store_names_test.cc
+++ b/test/platform/store_names_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,44 @@
   return kNames;
 }
 
+// An object that cannot be read whole, and the name under which the store has
+// it.
+struct OddObject {
+  std::string name;
+  std::string text;
+};
+
+std::string ObjectText(const std::string& name, const std::string& members) {
+  return R"({"metadata":{"name":")" + name + "\"," + members + "}";
+}
+
+// Objects without a name that a call could address, and some whose other parts
+// cannot be read.
+std::vector<OddObject> OddObjects() {
+  constexpr size_t kLongBytes = 3'000;
+  const std::string revision = R"("revision":7})";
+  const std::string bytes = "b1\xff\xfe\x80";
+  const std::string too_long = "b2" + std::string(kLongBytes, 'x');
+  const std::string spec = R"(,"spec":{"by":"other"})";
+  return {{bytes, ObjectText(bytes, revision + spec)},
+          {too_long, ObjectText(too_long, revision + spec)},
+          {"b3", ObjectText("b3", R"("revision":-1})" + spec)},
+          {"b4", ObjectText("b4", R"("finalizers":["\udcff"],)" + revision)},
+          {"b5", ObjectText("b5", revision + ",\"spec\":\"\xff\xfe\"")},
+          {"b6", ObjectText("b6", revision + ",\"spec\":" +
+                                      std::string(kLongBytes, '[') +
+                                      std::string(kLongBytes, ']'))}};
+}
+
+// Objects without any name: the store can't go on after such a page.
+std::vector<OddObject> NamelessObjects() {
+  return {{"c1", "null"},
+          {"c2", "[1]"},
+          {"c3", R"({"metadata":null,"spec":{}})"},
+          {"c4", R"({"metadata":{"name":"\udcff","revision":7}})"},
+          {"c5", R"({"spec":{}})"}};
+}
+
 // A store and nothing else.
 PlatformFleet StoreAlone(const std::string& dir) {
   return PlatformFleet("build/bin", "build/platform/" + dir,
@@ -164,6 +203,40 @@
   }
 }
 
+// Such an object made the list of its kind fail, or come back to the same page.
+TEST_CASE("a list goes on after objects that cannot be read") {
+  PlatformFleet fleet = StoreAlone("store_names_unreadable");
+  const std::string kind = "servers";
+  for (const std::string name : {"a", "b", "c", "d"})
+    fleet.PutObject(kind, name, R"({"slots":3})");
+  const std::vector<std::string> readable = {"a",  "b",  "b3", "b4",
+                                             "b5", "b6", "c",  "d"};
+  for (const OddObject& object : OddObjects())
+    fleet.PutRawObject(kind, object.name, object.text);
+  for (const int items : {1, 2, 3, 500}) {
+    CAPTURE(items);
+    SetPageItems(fleet, items);
+    WithClient(fleet, [&](StoreClient& client) -> asio::awaitable<void> {
+      const auto list = co_await client.List(kind);
+      CHECK(NamesIn(list) == readable);
+      CHECK(list.unreadable == 2);
+    });
+  }
+  for (const OddObject& object : NamelessObjects())
+    fleet.PutRawObject(kind, object.name, object.text);
+  // Each page has an object with a name.
+  for (const int items : {6, 7, 500}) {
+    CAPTURE(items);
+    SetPageItems(fleet, items);
+    WithClient(fleet, [&](StoreClient& client) -> asio::awaitable<void> {
+      const auto list = co_await client.List(kind);
+      std::set<std::string> names;
+      for (const auto& object : list.objects) names.insert(object.name);
+      CHECK(names == std::set<std::string>(readable.begin(), readable.end()));
+    });
+  }
+}
+
 // Hosts that started while such an entry stood never became ready: a plain
 // restart of one, all of them after a loss of power.
 TEST_CASE("hosts start whatever names stand at the ends of pages") {
@@ -176,4 +249,18 @@
   RestartAndServe(fleet);
 }
 
+// The same for objects that cannot be read; hosts that were up lost their view
+// of the kind too.
+TEST_CASE("hosts start beside objects that cannot be read") {
+  PlatformFleet fleet("build/bin", "build/platform/store_names_unread", {});
+  for (const char* kind : kListedKinds) {
+    for (const OddObject& object : OddObjects())
+      fleet.PutRawObject(kind, object.name, object.text);
+    for (const OddObject& object : NamelessObjects())
+      fleet.PutRawObject(kind, object.name, object.text);
+  }
+  SetPageItems(fleet, static_cast<int>(NamelessObjects().size()) + 1);
+  RestartAndServe(fleet);
+}
+
 }  // namespace pimento::testbed
