Archive: an entry that goes while its status is written ends no process

Cause: UpdateRetirements() iterated over the objects of its watch and awaited the store in between; a delete that the watch took in meanwhile freed the node on which the iteration stood.

Why this works: nothing of the watch is held across an await: the names are copied, each is looked up again before its write.

Not known: whether it is what the users' record shows.

--- a/src/archive_membership.cc
+++ b/src/archive_membership.cc
@@ -311,28 +311,37 @@
 }
 
 asio::awaitable<void> ArchiveNode::UpdateRetirements() {
-  for (const auto& [host, object] : retirement_watch_.objects()) {
-    const auto progress = platform::DecodeRetirement(object.status);
-    if (progress == platform::RetirementProgress::kCompleted) continue;
-    const bool member =
-        std::any_of(list_.members.begin(), list_.members.end(),
-                    [&](const ArchiveMember& m) { return m.host == host; });
-    // The local copy of the list may be older than the retirement. A host is
-    // reported as completely retired only by a current member, and only when a
-    // list that is newer than the last stable state, without a change in
-    // progress, does not contain the host.
-    const bool settled = list_.next.empty() && list_watch_.reachable() &&
-                         list_watch_.fresh_as_of() > last_stable_;
-    const bool running = progress == platform::RetirementProgress::kRunning;
-    if (!IsMember() || (member && running) || (!member && !settled)) continue;
-    const auto next = member ? platform::RetirementProgress::kRunning
-                             : platform::RetirementProgress::kCompleted;
-    co_await store_.ReplaceStatus(std::string(platform::kRetirementKind), host,
-                                  platform::EncodeRetirement(next));
-    EventLine(Event::kRetirement)
-        .Text("host_retired", host)
-        .Text("state", member ? "running" : "completed");
-  }
+  // Copied: entries come and go while the status of one is written.
+  std::vector<std::string> hosts;
+  for (const auto& [host, object] : retirement_watch_.objects())
+    hosts.push_back(host);
+  for (const std::string& host : hosts) co_await UpdateRetirement(host);
+}
+
+asio::awaitable<void> ArchiveNode::UpdateRetirement(const std::string& host) {
+  const auto& entries = retirement_watch_.objects();
+  const auto entry = entries.find(host);
+  if (entry == entries.end()) co_return;
+  const auto progress = platform::DecodeRetirement(entry->second.status);
+  if (progress == platform::RetirementProgress::kCompleted) co_return;
+  const bool member =
+      std::any_of(list_.members.begin(), list_.members.end(),
+                  [&](const ArchiveMember& m) { return m.host == host; });
+  // The local copy of the list may be older than the retirement. A host is
+  // reported as completely retired only by a current member, and only when a
+  // list that is newer than the last stable state, without a change in
+  // progress, does not contain the host.
+  const bool settled = list_.next.empty() && list_watch_.reachable() &&
+                       list_watch_.fresh_as_of() > last_stable_;
+  const bool running = progress == platform::RetirementProgress::kRunning;
+  if (!IsMember() || (member && running) || (!member && !settled)) co_return;
+  const auto next = member ? platform::RetirementProgress::kRunning
+                           : platform::RetirementProgress::kCompleted;
+  co_await store_.ReplaceStatus(std::string(platform::kRetirementKind), host,
+                                platform::EncodeRetirement(next));
+  EventLine(Event::kRetirement)
+      .Text("host_retired", host)
+      .Text("state", member ? "running" : "completed");
 }
 
 }  // namespace pimento
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -134,6 +134,7 @@
                                    ArchiveCall call);
   // Reports the progress of host retirements to the platform.
   Async<void> UpdateRetirements();
+  Async<void> UpdateRetirement(const std::string& host);
   Async<void> PingPeers();
   // Takes over the watched member list if it is newer than `list_`.
   void AdoptList();
