Archive: a retirement that cannot be written holds up no other

What operators saw: 'retirements/archive-2' was never completed beside an entry that sorts before it and whose status the store refuses.

Cause: the StoreError of one entry ended the pass over all, each time at the same entry.

The stand-in can refuse writes by name (POST /refuse).

Why this works: the error is caught and logged by entry.

--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -420,6 +420,13 @@
                              ".");
 }
 
+void PlatformFleet::RefuseWrites(const std::string& name) {
+  SendTo(addresses_["store"],
+         {.method = "POST",
+          .target = "/refuse?name=" + platform::EscapeForUrl(name),
+          .limit_ms = kStandInTimeoutMs});
+}
+
 void PlatformFleet::RestartStore(int64_t down_ms) {
   SendTo(addresses_["store"],
          {.method = "POST",
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -117,6 +117,8 @@
   std::string UpstreamAddress(const std::string& name) const;
   // Whether the stand-in that listens on `address` answers.
   bool Answers(const std::string& address);
+  // From now on the store refuses hosts' writes to objects of this name.
+  void RefuseWrites(const std::string& name);
   // An object of the store, as JSON.
   std::string Object(const std::string& kind, const std::string& name);
   // Restarts the store: what waits is broken off, and all calls for `down_ms`;
--- a/src/archive_membership.cc
+++ b/src/archive_membership.cc
@@ -315,7 +315,17 @@
   std::vector<std::string> hosts;
   for (const auto& [host, object] : retirement_watch_.objects())
     hosts.push_back(host);
-  for (const std::string& host : hosts) co_await UpdateRetirement(host);
+  for (const std::string& host : hosts) {
+    try {
+      co_await UpdateRetirement(host);
+    } catch (const platform::StoreError& e) {
+      // One that cannot be written holds up no other.
+      EventLine(Event::kArchiveFailed)
+          .Text("what", "retirement")
+          .Text("host_retired", host)
+          .Text("error", e.what());
+    }
+  }
 }
 
 asio::awaitable<void> ArchiveNode::UpdateRetirement(const std::string& host) {
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -11,6 +11,7 @@
 // answered, not even after the switch is off), page_items (objects in a page of
 // a list, 500 if not set). POST /compact drops the history; POST
 // /raw?kind=K&name=N puts an object whose text is the body, as it is; POST
+// /refuse?name=N has writes to objects of that name answered 403; POST
 // /restart also breaks off what waits, and all calls for the next
 // `down_ms`; GET /calls counts calls.
 #include <algorithm>
@@ -18,6 +19,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 
 #include "src/worker_thread.h"
 #include "standins/standin_main.h"
@@ -124,6 +126,12 @@
       co_await responder.Send(answer);
       co_return;
     }
+    if (request.path == "/refuse") {
+      refused_names_.insert(request.Query("name"));
+      HttpResponse answer{.body = "{}"};
+      co_await responder.Send(answer);
+      co_return;
+    }
     if (request.path == "/restart") {
       Restart(json::parse(request.body).at("down_ms").to_number<int64_t>());
       HttpResponse answer{.body = "{}"};
@@ -265,6 +273,7 @@
         return {.status = 409, .body = held->second.Text()};
       return Put(target, kind, body, 0);
     }
+    if (refused_names_.count(target.name) > 0) return {.status = 403};
     const auto held = kind.find(target.name);
     if (held == kind.end()) return {.status = 404};
     const auto* wanted = metadata == nullptr
@@ -308,6 +317,8 @@
 
   standin::Switches& switches_;
   std::map<std::string, Kind> kinds_;
+  // Names of objects that are not written.
+  std::set<std::string> refused_names_;
   std::deque<Change> history_;
   uint64_t revision_ = 1;
   uint64_t dropped_before_ = 0;
--- a/test/platform/other_retirements_test.cc
+++ b/test/platform/other_retirements_test.cc
@@ -37,6 +37,20 @@
 
 }  // namespace
 
+// The first entry whose status the store did not take held up all behind it.
+TEST_CASE("a retirement completes beside one that cannot be written") {
+  PlatformFleet fleet("build/bin", "build/platform/retirement_refused",
+                      {.gateways = 1, .plain_upstreams = 0});
+  REQUIRE(fleet.Call(0, fleet.TurnRequest("t", "p", "", "a")).status == 200);
+  for (const std::string name : {"a00%", "a01&b="}) {
+    fleet.PutObject(kKind, name, R"({"by":"other"})");
+    fleet.RefuseWrites(name);
+  }
+  fleet.PutObject(kKind, "archive-2", kOrder);
+  CHECK(Completes(fleet, "archive-2"));
+  CheckAllRun(fleet);
+}
+
 // The archive went on in an entry that had gone while its status was written.
 TEST_CASE("retirements that are withdrawn meanwhile end no archive") {
   PlatformFleet fleet("build/bin", "build/platform/retirement_withdrawn",
