Gateway: entries that register no gateway don't count as hosts

What callers saw: in an outage of the store, 503 as soon as the configuration was older than revoke_ms, beside entries of other writers in the kind of the gateways' registrations.

Cause: each object of the kind counted as a gateway, so the number of hosts that must prove an outage, and the shares of slots and rates, were too large.

Why this works: only registrations that can be read count, and the gateway itself.

Failed try: a test without calls in the outage; the archives' answers carry when they reached the store, so an outage is proved only while there are turns.

pimento_view_known{kind} shows which lists a gateway has not got yet.

--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -239,7 +239,8 @@
   std::ostringstream out;
   for (const StoreWatch* watch : watches_) {
     const std::string label = "{kind=\"" + watch->kind() + "\"} ";
-    out << "pimento_view_age_ms" << label << watch->AgeMs() << "\n"
+    out << "pimento_view_known" << label << (watch->known() ? 1 : 0) << "\n"
+        << "pimento_view_age_ms" << label << watch->AgeMs() << "\n"
         << "pimento_view_revision" << label << watch->revision() << "\n"
         << "pimento_view_held" << label << watch->held() << "\n";
   }
@@ -373,19 +374,19 @@
 void GatewayState::OnGateways() {
   std::vector<std::string> addresses;
   gateway_addresses_.clear();
-  int64_t count = 0;
   for (const auto& [host, object] : gateway_watch_.objects()) {
-    ++count;
     if (host == settings_.host) continue;
     const std::string address = GossipAddress(host, object.spec);
     if (address.empty()) continue;
     addresses.push_back(address);
     gateway_addresses_[host] = address;
   }
-  registered_gateways_ = std::max<int64_t>(1, count);
-  const auto& all = gateway_watch_.objects();
+  // Only registrations of gateways count: shares and the proof of an outage
+  // refer to their number.
+  registered_gateways_ = 1 + static_cast<int64_t>(gateway_addresses_.size());
   table_.set_gateway_index(
-      std::distance(all.begin(), all.lower_bound(settings_.host)));
+      std::distance(gateway_addresses_.begin(),
+                    gateway_addresses_.lower_bound(settings_.host)));
   peers_.set_peers(addresses);
   // The peers reply with what this gateway must not send to upstreams.
   if (!announced_ && !addresses.empty()) {
--- a/test/platform/store_names_test.cc
+++ b/test/platform/store_names_test.cc
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <chrono>
 #include <functional>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "bench/lib/platform_fleet.h"
@@ -263,4 +265,26 @@
   RestartAndServe(fleet);
 }
 
+// Such entries counted as gateways: an outage of the store, which most hosts
+// must have seen, was never proved, and requests were refused in it.
+TEST_CASE("entries that register no gateway don't count as hosts") {
+  PlatformFleet fleet("build/bin", "build/platform/store_names_outage",
+                      {.revoke_ms = 3'000});
+  for (const std::string& name : OddNames())
+    fleet.PutObject("pimento-gateways", name, R"({"by":"other"})");
+  fleet.SetFaults("store", R"({"down":true})");
+  const std::chrono::milliseconds outage(2 * fleet.options().revoke_ms);
+  int served = 0;
+  int asked = 0;
+  // Turns all along: the archives' answers report when they reached the store.
+  for (const auto end = std::chrono::steady_clock::now() + outage;
+       std::chrono::steady_clock::now() < end;
+       std::this_thread::sleep_for(std::chrono::milliseconds(50))) {
+    const std::string id = "o" + std::to_string(++asked);
+    const auto turn = fleet.TurnRequest(id, id, "", "x");
+    if (fleet.Call(asked % 2, turn).status == 200) ++served;
+  }
+  CHECK(served > asked * 9 / 10);
+}
+
 }  // namespace pimento::testbed
