Metrics: labels that others choose are escaped

What operators would see: a page of metrics that can't be read as a whole, once an upstream's id, or the name or target of a roll-out, has a quotation mark, a backslash or a line break.

Cause: these went between the quotation marks as they were.

Why this works: the three characters that the text format escapes are replaced.

--- a/src/gateway_state.cc
+++ b/src/gateway_state.cc
@@ -248,7 +248,7 @@
   out << "pimento_loop_delay_ms_total " << clock.DelayMs() << "\n"
       << "pimento_silence_put_off_total " << clock.put_off() << "\n";
   for (const auto& [id, pace] : table_.MeasuredPaces()) {
-    const std::string label = "{upstream=\"" + id + "\"} ";
+    const std::string label = "{upstream=\"" + MetricLabel(id) + "\"} ";
     out << "pimento_upstream_event_ms" << label << pace.event_ms << "\n"
         << "pimento_upstream_read_tokens_per_ms" << label
         << pace.read_tokens_per_ms << "\n";
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -1,5 +1,6 @@
 #include "src/metrics.h"
 
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/histogram.hpp>
 #include <limits>
 #include <sstream>
@@ -74,6 +75,13 @@
 
 }  // namespace
 
+std::string MetricLabel(std::string text) {
+  boost::replace_all(text, "\\", "\\\\");
+  boost::replace_all(text, "\"", "\\\"");
+  boost::replace_all(text, "\n", "\\n");
+  return text;
+}
+
 struct Metrics::Histogram {
   mutable std::mutex mutex;
   Counts counts =
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -17,6 +17,9 @@
 
 namespace pimento {
 
+// `text`, which others may have chosen, as the value of a label.
+std::string MetricLabel(std::string text);
+
 enum class Counter : uint8_t {
   kCallsAnswered,
   // Repeated requests that were attached to the running call, or answered from
--- a/src/rollout_control.cc
+++ b/src/rollout_control.cc
@@ -212,8 +212,9 @@
 std::string RolloutControl::MetricsText() const {
   std::ostringstream out;
   for (const auto& [service, object] : director_.Objects()) {
-    const std::string label = "{service=\"" + service + "\",target=\"" +
-                              object.order.target + "\",state=\"" +
+    const std::string label = "{service=\"" + MetricLabel(service) +
+                              "\",target=\"" +
+                              MetricLabel(object.order.target) + "\",state=\"" +
                               std::string(Name(object.status.state)) + "\"} ";
     out << "pimento_rollout_share" << label << object.status.share << "\n"
         << "pimento_rollout_reports_dropped" << label
