--- a/test/error/platform_codec_test.cc
+++ b/test/error/platform_codec_test.cc
@@ -154,6 +154,24 @@
   CHECK_FALSE(platform::DecodeUpstream("i-1", nullptr));
 }
 
+// The conversion was undefined, or ended the watch with an error of another
+// type.
+TEST_CASE("numbers of entries that no integer holds are bounded") {
+  auto spec = UpstreamSpec();
+  spec["slots"] = 1e300;
+  spec["cold_left_ms"] = -1e300;
+  const auto entry = platform::DecodeUpstream("i-1", spec);
+  REQUIRE(entry);
+  CHECK(entry->slots == int64_t{1} << 53);
+  CHECK(entry->cold_left_ms == -(int64_t{1} << 53));
+  for (const char* version : {"1.5", "1e300", "18446744073709551615"}) {
+    CAPTURE(version);
+    const auto state =
+        boost::json::parse(std::string("{\"version\":") + version + "}");
+    CHECK_THROWS_AS(platform::DecodeDesiredState(state), StateError);
+  }
+}
+
 TEST_CASE("the longest path prefix wins, and a split follows its weights") {
   const auto parts = platform::DecodeDesiredState(boost::json::parse(R"({
     "version": 7,
