Codec: an upstream whose id breaks a header field is ignored

What an upstream would see: header fields of another writer's choice. The id of an entry goes into X-Pimentopulley-Expect-Instance of each request, and ids may hold any bytes, line breaks too.

Found by reading along the path of such names.

Why this works: an id with control characters names no upstream to use; blanks and bytes of UTF-8 stay allowed.

--- a/test/error/platform_codec_test.cc
+++ b/test/error/platform_codec_test.cc
@@ -154,6 +154,20 @@
   CHECK_FALSE(platform::DecodeUpstream("i-1", nullptr));
 }
 
+// The id goes into a header field of each request: a line break in it added
+// fields of another writer's choice.
+TEST_CASE("an upstream whose id breaks a header field is ignored") {
+  const std::string with_zero("i\0", 2);
+  for (const std::string& id :
+       {std::string("i\r\nX-Other: 1"), std::string("i\n"), std::string("\r"),
+        std::string("i\t1"), with_zero, std::string("i\x7f")}) {
+    CAPTURE(id);
+    CHECK_FALSE(platform::DecodeUpstream(id, UpstreamSpec()));
+  }
+  for (const std::string id : {"a00%", "a02&b=", "a07 z", "a15\xC3\xA9s"})
+    CHECK(platform::DecodeUpstream(id, UpstreamSpec()));
+}
+
 // The conversion was undefined, or ended the watch with an error of another
 // type.
 TEST_CASE("numbers of entries that no integer holds are bounded") {
