Test fleets: two at once never have the same addresses

Cause, from the logs of its hosts: each, and the store, found its address in use, by a fleet that was started by hand at that moment. The number in the addresses was the process id modulo 250, so two runs whose ids are 250 apart collided.

A fleet now claims its number by listening on an address of it, and takes the next one if that is taken.

process_life_test and escaped_error_test still derive addresses of single hosts from the process id.

--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -1,8 +1,6 @@
 // Processes, settings, configuration and requests of the platform fleet.
 #include "bench/lib/platform_fleet.h"
 
-#include <unistd.h>
-
 #include <boost/algorithm/string.hpp>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -95,10 +93,7 @@
 
 PlatformFleet::PlatformFleet(const std::string& bin_dir, const std::string& dir,
                              Options options)
-    : bin_dir_(bin_dir),
-      dir_(dir),
-      options_(options),
-      fleet_number_(1 + static_cast<int>(getpid()) % 250) {
+    : bin_dir_(bin_dir), dir_(dir), options_(options) {
   std::filesystem::remove_all(dir_);
   std::filesystem::create_directories(dir_);
   addresses_["store"] = HostAddress("store", kStorePort);
@@ -136,7 +131,7 @@
 
 std::string PlatformFleet::HostAddress(const std::string& name,
                                        int port) const {
-  return "127." + std::to_string(fleet_number_) + "." +
+  return "127." + std::to_string(fleet_number_.value()) + "." +
          std::to_string(HostNumber(name)) + ".1:" + std::to_string(port);
 }
 
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "bench/lib/fault_proxy.h"
+#include "bench/lib/fleet_number.h"
 #include "bench/lib/process_set.h"
 
 namespace pimento::testbed {
@@ -173,9 +174,8 @@
   std::map<std::string, std::string> addresses_;
   // Replaces the stand-in store for hosts when it is not empty.
   std::string store_of_hosts_;
-  // Second number of the hosts' addresses. It derives from the process id, to
-  // keep fleets of concurrent test runs apart.
-  int fleet_number_ = 0;
+  // Keeps the addresses of concurrent test runs apart.
+  FleetNumber fleet_number_;
   std::atomic<uint64_t> next_request_{1};
   std::map<std::string, std::unique_ptr<FaultProxy>> proxies_;
   // Declared last, so that its processes end before the proxies are destroyed.
