Test fleets: a number stays taken while a left-over process lives

Corrects the cause in 'two at once never have the same addresses'. Both sets were ended by their process ids.

--- a/bench/lib/fleet_number.h
+++ b/bench/lib/fleet_number.h
@@ -16,7 +16,9 @@
  private:
   int value_ = 0;
   boost::asio::io_context io_;
-  // Listens on an address of the number for as long as it is taken.
+  // Listens on an address of the number for as long as it is taken. Processes
+  // that are started meanwhile inherit it, so that hosts left over from a test
+  // that was aborted keep their number.
   boost::asio::ip::tcp::acceptor claim_{io_};
 };
 
