Archive: a copy's log line says where its time went

The line now has sources, pages, the time in all, waiting for answers, taking records in, and the last sync. On the side of the source the metrics pimento_archive_pages_total, _page_bytes_total and _page_ms_total count the pages served, their bytes, and the time to read and encode them.

--- a/src/archive_membership.cc
+++ b/src/archive_membership.cc
@@ -32,6 +32,39 @@
 constexpr milliseconds kFirstListWait{2'500};
 constexpr int64_t kReplaceAfterMs = 1'500;
 
+// Where the time of a copy went.
+struct CopyProgress {
+  int64_t began_ms = 0;
+  size_t pages = 0;
+  size_t records = 0;
+  // From the request for a page to its answer, microseconds.
+  int64_t waited_us = 0;
+  // Taking in the records of the pages, microseconds.
+  int64_t import_us = 0;
+  // The last sync, microseconds.
+  int64_t sync_us = 0;
+};
+
+int64_t SteadyUs() {
+  return duration_cast<std::chrono::microseconds>(
+             steady_clock::now().time_since_epoch())
+      .count();
+}
+
+void LogCopied(const MemberList& list, size_t sources,
+               const CopyProgress& progress) {
+  constexpr int64_t kUsPerMs = 1'000;
+  EventLine(Event::kCopied)
+      .Number("version", static_cast<int64_t>(list.version))
+      .Number("records", static_cast<int64_t>(progress.records))
+      .Number("sources", static_cast<int64_t>(sources))
+      .Number("pages", static_cast<int64_t>(progress.pages))
+      .Number("took_ms", SteadyMs() - progress.began_ms)
+      .Number("waited_ms", progress.waited_us / kUsPerMs)
+      .Number("import_ms", progress.import_us / kUsPerMs)
+      .Number("sync_ms", progress.sync_us / kUsPerMs);
+}
+
 asio::awaitable<void> Pause(asio::io_context& io, milliseconds time) {
   asio::steady_timer timer(io, time);
   co_await timer.async_wait(asio::use_awaitable);
@@ -278,7 +311,7 @@
     }
   }
   if (!list.IsReadQuorum(fenced)) co_return false;
-  size_t records = 0;
+  CopyProgress progress{.began_ms = SteadyMs()};
   const uint64_t failed_before = failed_syncs_;
   try {
     for (const ArchiveMember& source : sources) {
@@ -286,13 +319,18 @@
         ArchiveCall call;
         call.list_version = list.version;
         call.body = CopyCall{from};
+        const int64_t asked_us = SteadyUs();
         ArchiveReply page =
             co_await rpc_.Call(source.address, std::move(call), kCopyTimeout);
+        const int64_t answered_us = SteadyUs();
+        progress.waited_us += answered_us - asked_us;
         if (page.verdict != ArchiveVerdict::kDone || page.member != source.id)
           co_return false;
         const uint64_t next = page.next;
         const bool more = page.more;
-        records += Import(std::move(page));
+        progress.records += Import(std::move(page));
+        progress.import_us += SteadyUs() - answered_us;
+        ++progress.pages;
         from = next;
         if (!more) break;
       }
@@ -303,10 +341,10 @@
         .Text("error", e.what());
     co_return false;
   }
+  const int64_t sync_began_us = SteadyUs();
   if (!co_await SyncImports(list.version, failed_before)) co_return false;
-  EventLine(Event::kCopied)
-      .Number("version", static_cast<int64_t>(list.version))
-      .Number("records", static_cast<int64_t>(records));
+  progress.sync_us = SteadyUs() - sync_began_us;
+  LogCopied(list, sources.size(), progress);
   co_return true;
 }
 
--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -244,13 +244,24 @@
     co_await answer.Hold(kCopiesOfAnswer * kCopyPageBytes,
                          steady_clock::now() + kMaxWaitForRoom);
   }
+  const bool pages = std::holds_alternative<CopyCall>(call->body) ||
+                     std::holds_alternative<DigestCall>(call->body) ||
+                     std::holds_alternative<FetchCall>(call->body);
+  const auto began = steady_clock::now();
   ArchiveReply reply = co_await Handle(std::move(*call));
   reply.member = id_;
   reply.intact = IsMember();
   reply.list_version = std::max(list_.version, fence_);
   reply.store_overdue_ms = store_.OverdueMs();
   header.result(http::status::ok);
-  co_await answer.Send(std::move(header), EncodeReply(reply));
+  std::string body = EncodeReply(reply);
+  if (pages) {
+    // No page waits for the disk.
+    ++pages_served_;
+    page_bytes_ += body.size();
+    page_time_ += steady_clock::now() - began;
+  }
+  co_await answer.Send(std::move(header), std::move(body));
 }
 
 asio::awaitable<ArchiveReply> ArchiveNode::Handle(ArchiveCall call) {
@@ -428,6 +439,10 @@
       << "pimento_archive_bytes_limit " << archive_.max_bytes() << "\n"
       << "pimento_archive_refused_full_total " << refused_full_ << "\n"
       << "pimento_archive_calls_total " << calls_ << "\n"
+      << "pimento_archive_pages_total " << pages_served_ << "\n"
+      << "pimento_archive_page_bytes_total " << page_bytes_ << "\n"
+      << "pimento_archive_page_ms_total "
+      << duration_cast<milliseconds>(page_time_).count() << "\n"
       << "pimento_archive_syncs_total " << syncs_ << "\n"
       << "pimento_archive_slowest_sync_ms " << slowest_sync_ms_ << "\n"
       << "pimento_archive_store_overdue_ms " << store_.OverdueMs() << "\n"
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -210,6 +210,11 @@
   uint64_t repaired_ = 0;
   uint64_t repair_failures_ = 0;
   uint64_t calls_ = 0;
+  // Pages of records and of digests that other members read here, their bytes,
+  // and the time that it took to read and encode them.
+  uint64_t pages_served_ = 0;
+  uint64_t page_bytes_ = 0;
+  std::chrono::steady_clock::duration page_time_{};
   uint64_t syncs_ = 0;
   uint64_t failed_syncs_ = 0;
   int64_t slowest_sync_ms_ = 0;
