Archive: all lost members are replaced in one change, and a change goes on elsewhere

A proposal now replaces all members that may be replaced, as far as hosts are alive and hear of lists, lost disks before silent members before retiring ones, each by a host of the zone with the fewest members. While a change is in progress one of whose next members is gone, it goes on with another host in its place; members that join and are alive stay in it, with what they have copied. `members` is the same through all such steps, so quorums intersect (searched whole in the test), and k replaced of n leave every committed record on a majority, since the k copy all. A removal asks that all others reply, and is aborted once one that stays is lost.

--- a/src/member_list.cc
+++ b/src/member_list.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <utility>
 
 #include "src/errors.h"
 
@@ -59,18 +60,91 @@
   return nullptr;
 }
 
-// True when the member lost its disk, has stopped replying, or is retiring.
-bool IsReplaceable(const MembershipInput& input, const ArchiveMember& member) {
+bool Contains(const std::vector<ArchiveMember>& members, uint64_t id) {
+  return std::any_of(members.begin(), members.end(),
+                     [id](const ArchiveMember& m) { return m.id == id; });
+}
+
+// Why a member may be replaced, the most urgent reason first.
+enum class Loss : uint8_t { kDisk, kSilent, kRetiring, kNone };
+
+Loss LossOf(const MembershipInput& input, const ArchiveMember& member) {
   const ArchivePeer* peer = FindPeer(input, member.id);
   if (peer == nullptr) {
-    // No host is registered under this id. The member is lost if its host has
-    // registered under another id, which means with a new disk.
-    return std::any_of(input.peers.begin(), input.peers.end(),
-                       [&](const ArchivePeer& other) {
-                         return other.member.host == member.host;
-                       });
+    // No host is registered under this id. The disk is lost if its host has
+    // registered under another id.
+    const bool replaced = std::any_of(input.peers.begin(), input.peers.end(),
+                                      [&](const ArchivePeer& other) {
+                                        return other.member.host == member.host;
+                                      });
+    return replaced ? Loss::kDisk : Loss::kNone;
+  }
+  if (peer->silent_ms >= input.replace_after_ms) return Loss::kSilent;
+  return peer->retiring ? Loss::kRetiring : Loss::kNone;
+}
+
+bool IsReplaceable(const MembershipInput& input, const ArchiveMember& member) {
+  return LossOf(input, member) != Loss::kNone;
+}
+
+// Members that may be replaced, the most urgent first; of equal ones first
+// those that the change in progress replaces already.
+std::vector<ArchiveMember> LostMembers(const MembershipInput& input) {
+  std::vector<ArchiveMember> lost;
+  for (const ArchiveMember& member : input.list.members) {
+    if (IsReplaceable(input, member)) lost.push_back(member);
+  }
+  std::stable_sort(lost.begin(), lost.end(),
+                   [&](const ArchiveMember& a, const ArchiveMember& b) {
+                     const auto rank = [&](const ArchiveMember& member) {
+                       return std::pair(LossOf(input, member),
+                                        Contains(input.list.next, member.id));
+                     };
+                     return rank(a) < rank(b);
+                   });
+  return lost;
+}
+
+// Hosts that may become members: those that the change in progress adds first.
+std::vector<ArchiveMember> Candidates(const MembershipInput& input) {
+  std::vector<ArchiveMember> candidates;
+  for (const ArchivePeer& peer : input.peers) {
+    const bool replies = peer.silent_ms < input.replace_after_ms;
+    const bool learns_of_lists =
+        peer.store_overdue_ms < input.replace_after_ms ||
+        Contains(input.list.next, peer.member.id);
+    if (replies && learns_of_lists && !peer.retiring &&
+        !Contains(input.list.members, peer.member.id)) {
+      candidates.push_back(peer.member);
+    }
   }
-  return peer->retiring || peer->silent_ms >= input.replace_after_ms;
+  std::stable_partition(candidates.begin(), candidates.end(),
+                        [&](const ArchiveMember& member) {
+                          return Contains(input.list.next, member.id);
+                        });
+  return candidates;
+}
+
+// Takes the best host for `members` out of `candidates`: one that the change in
+// progress adds, else one of the zone with the fewest members.
+ArchiveMember TakeCandidate(const MembershipInput& input,
+                            const std::vector<ArchiveMember>& members,
+                            std::vector<ArchiveMember>& candidates) {
+  const auto rank = [&](const ArchiveMember& candidate) {
+    const auto in_zone = std::count_if(members.begin(), members.end(),
+                                       [&](const ArchiveMember& member) {
+                                         return member.zone == candidate.zone;
+                                       });
+    return std::pair(!Contains(input.list.next, candidate.id), in_zone);
+  };
+  const auto best =
+      std::min_element(candidates.begin(), candidates.end(),
+                       [&](const ArchiveMember& a, const ArchiveMember& b) {
+                         return rank(a) < rank(b);
+                       });
+  ArchiveMember taken = *best;
+  candidates.erase(best);
+  return taken;
 }
 
 std::vector<ArchiveMember> Without(const std::vector<ArchiveMember>& members,
@@ -82,66 +156,93 @@
   return rest;
 }
 
-bool IsAlive(const MembershipInput& input, const ArchiveMember& member) {
-  const ArchivePeer* peer = FindPeer(input, member.id);
-  return peer != nullptr && peer->silent_ms < input.replace_after_ms;
+// The members that a change should lead to, as far as there are hosts for it. A
+// member that no host can replace stays.
+std::vector<ArchiveMember> BestMembers(const MembershipInput& input) {
+  std::vector<ArchiveMember> candidates = Candidates(input);
+  std::vector<ArchiveMember> lost = LostMembers(input);
+  if (lost.size() > candidates.size()) lost.resize(candidates.size());
+  std::vector<ArchiveMember> best = input.list.members;
+  for (const ArchiveMember& member : lost) best = Without(best, member.id);
+  const size_t size = std::max(input.list.members.size(), input.wanted);
+  while (best.size() < size && !candidates.empty()) {
+    best.push_back(TakeCandidate(input, best, candidates));
+  }
+  return best;
 }
 
-std::optional<MemberList> ProposeNext(const MemberList& list,
-                                      std::vector<ArchiveMember> next) {
-  return MemberList{.version = list.version + 1,
-                    .members = list.members,
-                    .next = std::move(next)};
+bool SameMembers(const std::vector<ArchiveMember>& a,
+                 const std::vector<ArchiveMember>& b) {
+  return a.size() == b.size() &&
+         std::all_of(a.begin(), a.end(), [&](const ArchiveMember& member) {
+           return Contains(b, member.id);
+         });
 }
 
-// Proposes this host in place of a replaceable member, or as an additional
-// member while the list is smaller than wanted.
-std::optional<MemberList> PlanJoin(const MembershipInput& input,
-                                   const ArchivePeer& self) {
-  if (self.retiring) return std::nullopt;
-  const auto& members = input.list.members;
-  for (const ArchiveMember& member : members) {
-    if (!IsReplaceable(input, member)) continue;
-    auto next = Without(members, member.id);
-    next.push_back(self.member);
-    return ProposeNext(input.list, std::move(next));
-  }
-  if (members.size() >= input.wanted) return std::nullopt;
-  auto next = members;
-  next.push_back(self.member);
-  return ProposeNext(input.list, std::move(next));
+MemberList ProposeNext(const MemberList& list,
+                       std::vector<ArchiveMember> next) {
+  return {.version = list.version + 1,
+          .members = list.members,
+          .next = std::move(next)};
+}
+
+// Proposes to replace lost members and to add members, all in one change.
+std::optional<MemberList> PlanReplacement(const MembershipInput& input) {
+  auto best = BestMembers(input);
+  if (SameMembers(best, input.list.members)) return std::nullopt;
+  return ProposeNext(input.list, std::move(best));
 }
 
-// Proposes to remove a retiring member when no other host can replace it. At
-// least two members remain, so that each record is still stored twice.
+// Proposes to remove a retiring member when no other host can replace it and
+// all others reply. At least two members remain, so that each record is still
+// stored twice.
 std::optional<MemberList> PlanRemoval(const MembershipInput& input) {
-  const bool spare = std::any_of(
-      input.peers.begin(), input.peers.end(), [&](const ArchivePeer& peer) {
-        return !input.list.Contains(peer.member.id) && !peer.retiring &&
-               IsAlive(input, peer.member);
-      });
-  if (spare) return std::nullopt;
+  if (!Candidates(input).empty()) return std::nullopt;
   for (const ArchiveMember& member : input.list.members) {
-    const ArchivePeer* peer = FindPeer(input, member.id);
-    if (peer == nullptr || !peer->retiring) continue;
+    if (LossOf(input, member) != Loss::kRetiring) continue;
     auto next = Without(input.list.members, member.id);
     constexpr size_t kMinMembers = 2;
-    if (next.size() < kMinMembers) return std::nullopt;
+    const bool all_reply =
+        std::none_of(next.begin(), next.end(), [&](const ArchiveMember& other) {
+          return LossOf(input, other) < Loss::kRetiring;
+        });
+    if (next.size() < kMinMembers || !all_reply) return std::nullopt;
     return ProposeNext(input.list, std::move(next));
   }
   return std::nullopt;
 }
 
-// Proposes to abort the change in progress when a member that it adds has
-// stopped replying.
-std::optional<MemberList> PlanAbort(const MembershipInput& input) {
-  for (const ArchiveMember& member : input.list.next) {
-    const bool added = std::none_of(
-        input.list.members.begin(), input.list.members.end(),
-        [&](const ArchiveMember& old) { return old.id == member.id; });
-    if (added && !IsAlive(input, member)) return ProposeNext(input.list, {});
+// Whether a member of `next` is gone: the change cannot settle with it.
+bool LostOneOfNext(const MembershipInput& input) {
+  const MemberList& list = input.list;
+  return std::any_of(list.next.begin(), list.next.end(),
+                     [&](const ArchiveMember& member) {
+                       if (Contains(list.members, member.id)) {
+                         return LossOf(input, member) < Loss::kRetiring;
+                       }
+                       return FindPeer(input, member.id) == nullptr ||
+                              IsReplaceable(input, member);
+                     });
+}
+
+// Proposes to lead the change in progress to other members when one of `next`
+// may be replaced. A change is aborted only for members that are gone: to
+// replace one that retires can wait for the next change.
+std::optional<MemberList> PlanAgain(const MembershipInput& input) {
+  const MemberList& list = input.list;
+  const bool gone = LostOneOfNext(input);
+  const bool replaceable = std::any_of(list.next.begin(), list.next.end(),
+                                       [&](const ArchiveMember& member) {
+                                         return IsReplaceable(input, member);
+                                       });
+  if (!gone && !replaceable) return std::nullopt;
+  auto best = BestMembers(input);
+  if (SameMembers(best, list.next)) return std::nullopt;
+  if (!SameMembers(best, list.members)) {
+    return ProposeNext(list, std::move(best));
   }
-  return std::nullopt;
+  if (!gone) return std::nullopt;
+  return ProposeNext(list, {});
 }
 
 }  // namespace
@@ -199,8 +300,8 @@
 std::optional<MemberList> PlanMembership(const MembershipInput& input) {
   const ArchivePeer* self = FindPeer(input, input.self);
   if (self == nullptr || input.list.members.empty()) return std::nullopt;
-  if (!input.list.next.empty()) return PlanAbort(input);
-  if (!input.list.Contains(input.self)) return PlanJoin(input, *self);
+  if (!input.list.next.empty()) return PlanAgain(input);
+  if (!input.list.Contains(input.self)) return PlanReplacement(input);
   return PlanRemoval(input);
 }
 
--- a/src/member_list.h
+++ b/src/member_list.h
@@ -64,6 +64,9 @@
   ArchiveMember member = {};
   // Time since its last reply, milliseconds.
   int64_t silent_ms = 0;
+  // How long an answer of the platform's store to it has been overdue, by that
+  // reply, milliseconds. Without the store it learns of no new list.
+  int64_t store_overdue_ms = 0;
   // True when the platform is retiring the host.
   bool retiring = false;
 };
@@ -82,11 +85,20 @@
 
 // Returns the list that this host should propose, or nothing.
 //
-// A host that is not in the list proposes itself, in place of a member that may
-// be replaced or as an additional member. A member proposes to remove a
-// retiring member when no other host can replace it. While a change is in
-// progress, the only proposal is to abort it because a member that it adds has
-// stopped replying.
+// A host that is not in the list proposes to replace all members that may be
+// replaced, as far as there are hosts for it, in one change, and to add members
+// where there are too few. A member proposes to remove a retiring member when
+// no other host can replace it.
+//
+// While a change is in progress, any host proposes other members in place of
+// those of `next` that may be replaced, or to abort the change where there are
+// none. Members that the change adds and that still reply stay, with what they
+// have copied. Such a step keeps `members`, so a quorum of either list holds a
+// majority of `members`, and what is committed before it lies in each read
+// quorum of them.
+//
+//   members {1,2,3}    next {1,2,4}    4 is gone, 5 replies: next {1,2,5}
+//   members {1,2,3}    next {1,2,4}    4 is gone, 3 replies: next {}
 std::optional<MemberList> PlanMembership(const MembershipInput& input);
 
 }  // namespace pimento
--- a/test/correctness/member_list_test.cc
+++ b/test/correctness/member_list_test.cc
@@ -136,6 +136,134 @@
   CHECK(plan->version == 5);
 }
 
+// Two lost disks took two changes, one after the other (review/7, LOST).
+TEST_CASE("all lost members are replaced in one change") {
+  auto input = Input(ListOf({1, 2, 3, 4, 5}), 6, {1, 2, 3, 4, 5, 6, 7, 8});
+  input.wanted = 5;
+  CHECK_FALSE(PlanMembership(input));
+  input.peers[0].silent_ms = input.replace_after_ms;
+  input.peers[3].silent_ms = input.replace_after_ms;
+  const auto plan = PlanMembership(input);
+  REQUIRE(plan);
+  CHECK(Ids(plan->members) == std::vector<uint64_t>{1, 2, 3, 4, 5});
+  CHECK(Ids(plan->next) == std::vector<uint64_t>{2, 3, 5, 6, 7});
+  // Another spare proposes the same.
+  input.self = 8;
+  REQUIRE(PlanMembership(input));
+  CHECK(Ids(PlanMembership(input)->next) == Ids(plan->next));
+  // As far as there are hosts; one that hears of no list does not count.
+  input.peers[5].store_overdue_ms = input.replace_after_ms;
+  input.peers[6].retiring = true;
+  REQUIRE(PlanMembership(input));
+  CHECK(Ids(PlanMembership(input)->next) ==
+        std::vector<uint64_t>{2, 3, 4, 5, 8});
+}
+
+TEST_CASE("lost members are replaced before one that retires") {
+  auto input = Input(ListOf({1, 2, 3}), 4, {1, 2, 3, 4});
+  input.peers[0].retiring = true;
+  input.peers[2].silent_ms = input.replace_after_ms;
+  REQUIRE(PlanMembership(input));
+  CHECK(Ids(PlanMembership(input)->next) == std::vector<uint64_t>{1, 2, 4});
+}
+
+TEST_CASE("hosts are taken from the zones with the fewest members") {
+  auto input = Input(ListOf({1, 2, 3, 4, 5}), 6, {1, 2, 3, 4, 5, 6, 7, 8, 9});
+  input.wanted = 5;
+  const std::vector<std::string> zones = {"a", "b", "c", "a", "b",
+                                          "b", "b", "c", "a"};
+  for (size_t i = 0; i < zones.size(); ++i)
+    input.peers[i].member.zone = zones[i];
+  for (size_t i = 0; i < input.list.members.size(); ++i)
+    input.list.members[i].zone = zones[i];
+  // The members of zone a are lost: none is left there, and one in zone c.
+  input.peers[0].silent_ms = input.replace_after_ms;
+  input.peers[3].silent_ms = input.replace_after_ms;
+  REQUIRE(PlanMembership(input));
+  CHECK(Ids(PlanMembership(input)->next) ==
+        std::vector<uint64_t>{2, 3, 5, 9, 8});
+}
+
+TEST_CASE("a change goes on with another host in place of one that is gone") {
+  auto input =
+      Input(ListOf({1, 2, 3, 4, 5}, {1, 2, 3, 6, 7}), 1, {1, 2, 3, 6, 7, 8});
+  input.wanted = 5;
+  CHECK_FALSE(PlanMembership(input));
+  input.peers[3].silent_ms = input.replace_after_ms;
+  for (const uint64_t lost : {4U, 5U}) {
+    ArchiveMember emptied = Member(10 + lost);
+    emptied.host = "h" + std::to_string(lost);
+    input.peers.push_back({.member = emptied, .retiring = true});
+  }
+  const auto plan = PlanMembership(input);
+  REQUIRE(plan);
+  CHECK(Ids(plan->members) == std::vector<uint64_t>{1, 2, 3, 4, 5});
+  // 7 stays, with what it has copied.
+  CHECK(Ids(plan->next) == std::vector<uint64_t>{1, 2, 3, 7, 8});
+}
+
+TEST_CASE("a member that is lost during a change is replaced in it") {
+  auto input =
+      Input(ListOf({1, 2, 3, 4, 5}, {1, 2, 3, 4, 6}), 6, {1, 2, 3, 4, 5, 6, 7});
+  input.wanted = 5;
+  input.peers[4].silent_ms = input.replace_after_ms;
+  CHECK_FALSE(PlanMembership(input));
+  input.peers[3].silent_ms = input.replace_after_ms;
+  REQUIRE(PlanMembership(input));
+  CHECK(Ids(PlanMembership(input)->next) ==
+        std::vector<uint64_t>{1, 2, 3, 6, 7});
+  // Without a host for it the change goes on as it is.
+  input.peers.pop_back();
+  CHECK_FALSE(PlanMembership(input));
+}
+
+// The change stayed for ever, and no quorum was left (review/6, LOST).
+TEST_CASE("a removal is aborted when a member that stays is lost") {
+  auto input = Input(ListOf({1, 2, 3}, {1, 2}), 1, {1, 2, 3});
+  input.peers[2].retiring = true;
+  CHECK_FALSE(PlanMembership(input));
+  input.peers[1].silent_ms = input.replace_after_ms;
+  REQUIRE(PlanMembership(input));
+  CHECK(PlanMembership(input)->next.empty());
+  // No removal is proposed while it is away.
+  input.list = ListOf({1, 2, 3});
+  CHECK_FALSE(PlanMembership(input));
+  // Its host is back with an empty disk.
+  input.list = ListOf({1, 2, 3}, {1, 2});
+  input.peers[1] = {.member = Member(9)};
+  input.peers[1].member.host = "h2";
+  REQUIRE(PlanMembership(input));
+  CHECK(Ids(PlanMembership(input)->next) == std::vector<uint64_t>{1, 3, 9});
+  // Another that retires does not undo the removal.
+  input = Input(ListOf({1, 2, 3, 4}, {1, 2, 3}), 1, {1, 2, 3, 4});
+  input.peers[3].retiring = true;
+  input.peers[2].retiring = true;
+  CHECK_FALSE(PlanMembership(input));
+}
+
+TEST_CASE("quorums intersect through a change that goes on elsewhere") {
+  const std::vector<MemberList> lists = {
+      ListOf({1, 2, 3, 4, 5}), ListOf({1, 2, 3, 4, 5}, {1, 2, 3, 6, 7}),
+      ListOf({1, 2, 3, 4, 5}, {1, 2, 3, 7, 8}), ListOf({1, 2, 3, 7, 8})};
+  for (size_t i = 0; i + 1 < lists.size(); ++i) {
+    for (unsigned a = 0; a < 256; ++a) {
+      for (unsigned b = 0; b < 256; ++b) {
+        std::set<uint64_t> first;
+        std::set<uint64_t> second;
+        for (unsigned bit = 0; bit < 8; ++bit) {
+          if ((a & 1U << bit) != 0) first.insert(bit + 1);
+          if ((b & 1U << bit) != 0) second.insert(bit + 1);
+        }
+        if (!lists[i].IsQuorum(first) || !lists[i + 1].IsQuorum(second))
+          continue;
+        CAPTURE(a);
+        CAPTURE(b);
+        CHECK((a & b) != 0);
+      }
+    }
+  }
+}
+
 TEST_CASE("a host joins a list that has fewer members than wanted") {
   const auto plan = PlanMembership(Input(ListOf({1, 2}), 3, {1, 2, 3}));
   REQUIRE(plan);
