Archive: a copy fetches each record once, from all members side by side

Each of the three sources was read whole, one after the other, a page at a time; a body was read 512 bytes at a time, since Beast reads what its buffer has room for and that never grew; and the host that joined also ran its repair. What it had was dropped when a change was given up.

It counts as done when a read quorum was read to the end and all that it asked for has come. What an unfinished copy brought is held and counts, unless a sync failed. Repair waits until the host is a member, and goes on where the copy ended. Long bodies are read in long pieces. The last replies of others are asked for anew after a copy, which took them for silent.

FaultProxy carries a rate; what tests of the archive share is archive_checks.

--- a/bench/lib/fault_proxy.cc
+++ b/bench/lib/fault_proxy.cc
@@ -1,6 +1,7 @@
 // Accepts connections and copies bytes between both ends of each link.
 #include "bench/lib/fault_proxy.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio.hpp>
@@ -16,7 +17,12 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+using Clock = std::chrono::steady_clock;
+
 constexpr std::chrono::milliseconds kDelay{150};
+// Of a link with a rate.
+constexpr std::chrono::milliseconds kLinkDelay{2};
+constexpr int64_t kNsPerSecond = 1'000'000'000;
 constexpr size_t kChunkBytes = 16 * 1024;
 
 }  // namespace
@@ -96,19 +102,37 @@
         asio::steady_timer timer(io, kDelay);
         co_await timer.async_wait(asio::use_awaitable);
       }
+      co_await WaitForLink(got, towards_target);
       co_await asio::async_write(
           to, asio::buffer(chunk.data(), got),
           asio::redirect_error(asio::use_awaitable, error));
       if (error) break;
+      if (!towards_target) from_target += got;
     }
     link->Close(false);
   }
 
+  // Until the link has carried the bytes before these, and these.
+  asio::awaitable<void> WaitForLink(size_t bytes, bool towards_target) {
+    const int64_t rate = bytes_per_s.load();
+    if (rate == 0) co_return;
+    Clock::time_point& free_at = free_at_by_direction[towards_target ? 1 : 0];
+    const std::chrono::nanoseconds takes(static_cast<int64_t>(bytes) *
+                                         kNsPerSecond / rate);
+    free_at = std::max(free_at, Clock::now()) + takes;
+    asio::steady_timer timer(io, free_at + kLinkDelay);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+
   asio::io_context io{1};
   tcp::endpoint target;
   tcp::acceptor acceptor;
   std::set<std::shared_ptr<Link>> links;
   std::atomic<LinkFault> fault{LinkFault::kNone};
+  std::atomic<int64_t> bytes_per_s{0};
+  std::atomic<uint64_t> from_target{0};
+  // When the link has carried what it was given, by direction.
+  std::array<Clock::time_point, 2> free_at_by_direction = {};
   std::thread thread;
 };
 
@@ -125,6 +149,12 @@
 
 void FaultProxy::SetFault(LinkFault fault) { state_->fault = fault; }
 
+void FaultProxy::SetRate(int64_t bytes_per_s) {
+  state_->bytes_per_s = bytes_per_s;
+}
+
+uint64_t FaultProxy::bytes_from_target() const { return state_->from_target; }
+
 void FaultProxy::ResetAll() {
   asio::post(state_->io, [state = state_.get()] {
     for (const auto& link : state->links) link->Close(true);
--- a/bench/lib/fault_proxy.h
+++ b/bench/lib/fault_proxy.h
@@ -31,6 +31,11 @@
   void SetFault(LinkFault fault);
   // Closes all open connections with a TCP reset.
   void ResetAll();
+  // From now on all connections together carry so many bytes a second in each
+  // direction, each a few milliseconds late; 0: no limit. Thread-safe.
+  void SetRate(int64_t bytes_per_s);
+  // Bytes that were forwarded from the target so far. Thread-safe.
+  uint64_t bytes_from_target() const;
 
  private:
   struct State;
--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -192,7 +192,8 @@
       << "listen.directory=" << HostAddress(name, kDirectoryPort) << "\n"
       << "port_range=" << kFirstPort << "," << kFirstPort + 15 << "\n"
       << "bootstrap=" << (first_start ? "true" : "false") << "\n"
-      << "data_dir=" << dir_ << "/" << name << ".data\n"
+      << "data_dir=" << DataDir(name) << "\n"
+      << "tolerate.machines=" << options_.tolerated_losses << "\n"
       << "platform.addr=" << (store_of_hosts_.empty() ? store : store_of_hosts_)
       << "\n"
       << "bounds.grace_s=4\n"
@@ -211,8 +212,12 @@
                    {{"PIMENTOPULLEY_SETTINGS", dir_ + "/" + name + ".conf"}});
 }
 
+std::string PlatformFleet::DataDir(const std::string& name) const {
+  return dir_ + "/" + name + ".data";
+}
+
 void PlatformFleet::WipeDisk(const std::string& name) {
-  std::filesystem::remove_all(dir_ + "/" + name + ".data");
+  std::filesystem::remove_all(DataDir(name));
 }
 
 bool PlatformFleet::Ready(int gateway) {
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -52,6 +52,8 @@
     int plain_upstreams = 2;
     // Value of the setting bounds.revoke_ms.
     int64_t revoke_ms = 5'000;
+    // Value of the setting tolerate.machines.
+    int64_t tolerated_losses = 1;
     // Availability zones of gateways and archives. Upstreams are always spread
     // over three.
     int zones = 3;
@@ -137,6 +139,8 @@
   // Starts host `name` ("gateway-0", "archive-1"). `first_start` is the value
   // of its setting `bootstrap`.
   void StartHost(const std::string& name, bool first_start);
+  // Data folder of a host.
+  std::string DataDir(const std::string& name) const;
   // Deletes the data folder of a host.
   void WipeDisk(const std::string& name);
   // Whether the gateway reports itself ready.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -166,6 +166,9 @@
   # by Unix time, milliseconds.
   uptimeMs @11 :UInt64;
   unixMs @12 :UInt64;
+  # Of a digest or a fetch: all records that the member holds, for one that
+  # joins.
+  whole @13 :Bool;
 }
 
 struct FetchCall {
@@ -240,4 +243,6 @@
   run @12 :UInt64;
   hashes @13 :List(UInt64);
   positions @14 :List(UInt64);
+  # Whether the call's `whole` was understood.
+  whole @15 :Bool;
 }
--- a/schema/fleet.capnp.h
+++ b/schema/fleet.capnp.h
@@ -1341,6 +1341,8 @@
 
   inline  ::uint64_t getUnixMs() const;
 
+  inline bool getWhole() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1443,6 +1445,9 @@
   inline  ::uint64_t getUnixMs();
   inline void setUnixMs( ::uint64_t value);
 
+  inline bool getWhole();
+  inline void setWhole(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1972,6 +1977,8 @@
   inline bool hasPositions() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getPositions() const;
 
+  inline bool getWhole() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2071,6 +2078,9 @@
   inline void adoptPositions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownPositions();
 
+  inline bool getWhole();
+  inline void setWhole(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3664,6 +3674,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ArchiveCall::Reader::getWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+
+inline bool ArchiveCall::Builder::getWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+inline void ArchiveCall::Builder::setWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FetchCall::Reader::getRun() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4546,6 +4570,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool ArchiveReply::Reader::getWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline bool ArchiveReply::Builder::getWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void ArchiveReply::Builder::setWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/archive_codec.cc
+++ b/src/archive_codec.cc
@@ -12,6 +12,16 @@
 namespace pimento {
 namespace {
 
+// The first segment of the message that is being built: most messages fit. One
+// of Cap'n Proto's own would be allocated and cleared for each.
+kj::ArrayPtr<capnp::word> FirstSegment() {
+  constexpr size_t kWords = 1'024;
+  // All zero between two messages, as MallocMessageBuilder requires and leaves
+  // it.
+  thread_local capnp::word words[kWords] = {};
+  return kj::arrayPtr(words, kWords);
+}
+
 std::string Serialize(capnp::MessageBuilder& message) {
   const auto words = capnp::messageToFlatArray(message);
   const auto bytes = words.asBytes();
@@ -130,8 +140,12 @@
   }
   void operator()(const FenceCall& call) { out.setFence(call.version); }
   void operator()(const CopyCall& call) { out.setCopy(call.from); }
-  void operator()(const DigestCall& call) { out.setDigest(call.from); }
+  void operator()(const DigestCall& call) {
+    out.setDigest(call.from);
+    out.setWhole(call.scope == RecordScope::kAll);
+  }
   void operator()(const FetchCall& call) {
+    out.setWhole(call.scope == RecordScope::kAll);
     auto fetch = out.initFetch();
     fetch.setRun(call.run);
     FillList(fetch.initPositions(call.positions.size()), call.positions);
@@ -149,8 +163,12 @@
   return list;
 }
 
-FetchCall Read(wire::FetchCall::Reader in, const Reader& reader) {
-  FetchCall call{.run = in.getRun()};
+RecordScope ScopeOf(bool whole) {
+  return whole ? RecordScope::kAll : RecordScope::kSettled;
+}
+
+FetchCall Read(wire::FetchCall::Reader in, bool whole, const Reader& reader) {
+  FetchCall call{.run = in.getRun(), .positions = {}, .scope = ScopeOf(whole)};
   for (const uint64_t position : Checked(in.getPositions(), reader))
     call.positions.push_back(position);
   return call;
@@ -194,10 +212,10 @@
       call.body = CopyCall{in.getCopy()};
       break;
     case wire::ArchiveCall::DIGEST:
-      call.body = DigestCall{in.getDigest()};
+      call.body = DigestCall{in.getDigest(), ScopeOf(in.getWhole())};
       break;
     case wire::ArchiveCall::FETCH:
-      call.body = Read(in.getFetch(), reader);
+      call.body = Read(in.getFetch(), in.getWhole(), reader);
       break;
     case wire::ArchiveCall::PING:
       break;
@@ -220,7 +238,7 @@
 
 // `written` is set in the journal.
 std::string EncodeMessage(const ArchiveCall& call, ArchiveTime written) {
-  capnp::MallocMessageBuilder message;
+  capnp::MallocMessageBuilder message(FirstSegment());
   auto out = message.initRoot<wire::ArchiveCall>();
   out.setListVersion(call.list_version);
   out.setUptimeMs(static_cast<uint64_t>(written.uptime_ms));
@@ -236,7 +254,7 @@
 }
 
 std::string EncodeReply(const ArchiveReply& reply) {
-  capnp::MallocMessageBuilder message;
+  capnp::MallocMessageBuilder message(FirstSegment());
   auto out = message.initRoot<wire::ArchiveReply>();
   out.setVerdict(static_cast<wire::ArchiveReply::Verdict>(reply.verdict));
   out.setMemberId(reply.member);
@@ -253,6 +271,7 @@
   out.setMembers(reply.members);
   out.setStoreOverdueMs(reply.store_overdue_ms);
   out.setRun(reply.run);
+  out.setWhole(reply.scope == RecordScope::kAll);
   auto hashes = out.initHashes(reply.digest.size());
   auto positions = out.initPositions(reply.digest.size());
   for (unsigned i = 0; i < hashes.size(); ++i) {
@@ -286,6 +305,7 @@
     reply.members = Text(in.getMembers());
     reply.store_overdue_ms = in.getStoreOverdueMs();
     reply.run = in.getRun();
+    reply.scope = ScopeOf(in.getWhole());
     reply.digest = ReadDigest(in, reader);
     return reply;
   });
--- a/src/archive_codec.h
+++ b/src/archive_codec.h
@@ -25,18 +25,21 @@
 struct FenceCall {
   uint64_t version = 0;
 };
-// Reads one page of all the member's records, starting at position `from`.
+// Reads one page of all the member's records, starting at position `from`. For
+// hosts of earlier versions that join; later ones read digests.
 struct CopyCall {
   uint64_t from = 0;
 };
 // Reads the digest of the member's records from position `from` on.
 struct DigestCall {
   uint64_t from = 0;
+  RecordScope scope = RecordScope::kSettled;
 };
 // Reads the records at positions that a digest of the run `run` named.
 struct FetchCall {
   uint64_t run = 0;
   std::vector<uint64_t> positions = {};
+  RecordScope scope = RecordScope::kSettled;
 };
 // Checks that the member is alive. In the reply, `next` is the version of the
 // member list for which the member has completed its copy.
@@ -86,6 +89,9 @@
   // For a DigestCall, the run of the member's process: positions of another run
   // mean nothing.
   uint64_t run = 0;
+  // Whether the member went by the scope of the DigestCall or FetchCall; one of
+  // an earlier version does not know kAll.
+  RecordScope scope = RecordScope::kSettled;
   std::vector<TurnArchive::DigestEntry> digest = {};
   // For kStaleList, the member's newer member list, encoded; empty when it has
   // none.
--- a/src/archive_journal.cc
+++ b/src/archive_journal.cc
@@ -71,12 +71,13 @@
       .count();
 }
 
-std::string Frame(const std::string& entry) {
+// Appends the entry with its header to `out`.
+void AppendFrame(const std::string& entry, std::string& out) {
   EntryHeader header;
   header.length = static_cast<uint32_t>(entry.size());
   header.checksum = XXH3_64bits(entry.data(), entry.size());
-  std::string out(reinterpret_cast<const char*>(&header), sizeof header);
-  return out + entry;
+  out.append(reinterpret_cast<const char*>(&header), sizeof header);
+  out.append(entry);
 }
 
 }  // namespace
@@ -196,7 +197,7 @@
 void ArchiveJournal::Append(const std::vector<std::string>& entries) {
   if (fd_ < 0 || segments_.back().bytes >= kMaxSegmentBytes) OpenNextSegment();
   std::string bytes;
-  for (const std::string& entry : entries) bytes += Frame(entry);
+  for (const std::string& entry : entries) AppendFrame(entry, bytes);
   const std::string path = SegmentPath(segments_.back().number);
   try {
     WriteAll(fd_, bytes, path);
--- a/src/archive_membership.cc
+++ b/src/archive_membership.cc
@@ -1,6 +1,6 @@
 // The membership part of ArchiveNode: registration, creation of the first
-// member list, joining and copying records, replacing lost members, and
-// retirement.
+// member list, joining, replacing lost members, and retirement. What a member
+// that joins copies is in archive_copy.cc.
 #include <algorithm>
 #include <boost/json.hpp>
 #include <set>
@@ -24,7 +24,6 @@
 
 constexpr milliseconds kReconcileInterval{250};
 constexpr milliseconds kPingTimeout{400};
-constexpr milliseconds kCopyTimeout{3'000};
 constexpr milliseconds kRegisterRetryInterval{300};
 constexpr milliseconds kSweepInterval{5'000};
 // How long the creation of the first list waits for all wanted hosts to
@@ -32,39 +31,6 @@
 constexpr milliseconds kFirstListWait{2'500};
 constexpr int64_t kReplaceAfterMs = 1'500;
 
-// Where the time of a copy went.
-struct CopyProgress {
-  int64_t began_ms = 0;
-  size_t pages = 0;
-  size_t records = 0;
-  // From the request for a page to its answer, microseconds.
-  int64_t waited_us = 0;
-  // Taking in the records of the pages, microseconds.
-  int64_t import_us = 0;
-  // The last sync, microseconds.
-  int64_t sync_us = 0;
-};
-
-int64_t SteadyUs() {
-  return duration_cast<std::chrono::microseconds>(
-             steady_clock::now().time_since_epoch())
-      .count();
-}
-
-void LogCopied(const MemberList& list, size_t sources,
-               const CopyProgress& progress) {
-  constexpr int64_t kUsPerMs = 1'000;
-  EventLine(Event::kCopied)
-      .Number("version", static_cast<int64_t>(list.version))
-      .Number("records", static_cast<int64_t>(progress.records))
-      .Number("sources", static_cast<int64_t>(sources))
-      .Number("pages", static_cast<int64_t>(progress.pages))
-      .Number("took_ms", SteadyMs() - progress.began_ms)
-      .Number("waited_ms", progress.waited_us / kUsPerMs)
-      .Number("import_ms", progress.import_us / kUsPerMs)
-      .Number("sync_ms", progress.sync_us / kUsPerMs);
-}
-
 asio::awaitable<void> Pause(asio::io_context& io, milliseconds time) {
   asio::steady_timer timer(io, time);
   co_await timer.async_wait(asio::use_awaitable);
@@ -99,6 +65,17 @@
   }
 }
 
+bool ArchiveNode::IsRegistered(const ArchiveMember& member) const {
+  const auto& registrations = registration_watch_.objects();
+  const auto it = registrations.find(member.host);
+  if (it == registrations.end()) return true;  // not known to be lost
+  try {
+    return MemberFromRegistration(member.host, it->second.spec).id == member.id;
+  } catch (const StateError&) {
+    return true;
+  }
+}
+
 MembershipInput ArchiveNode::MakePlanInput() const {
   MembershipInput input{.list = list_,
                         .self = id_,
@@ -116,8 +93,10 @@
     if (peer.member.id != id_) {
       const auto it = last_reply_.find(peer.member.id);
       const auto since =
-          it == last_reply_.end() ? observing_since_ : it->second;
+          it == last_reply_.end() ? observing_since_ : it->second.at;
       peer.silent_ms = duration_cast<milliseconds>(now - since).count();
+      if (it != last_reply_.end())
+        peer.store_overdue_ms = it->second.store_overdue_ms;
     }
     input.peers.push_back(std::move(peer));
   }
@@ -125,36 +104,27 @@
 }
 
 asio::awaitable<void> ArchiveNode::PingPeers() {
-  auto pending_replies = std::make_shared<size_t>(0);
-  auto done_signal = std::make_shared<asio::steady_timer>(
-      io_, steady_clock::time_point::max());
+  std::vector<NamedTask> pings;
   for (const auto& peer : MakePlanInput().peers) {
     if (peer.member.id == id_) continue;
-    ++*pending_replies;
-    RunTask(io_, "ping of " + peer.member.host,
-            [this, pending_replies, done_signal,
-             member = peer.member]() -> asio::awaitable<void> {
-              try {
-                ArchiveCall call;
-                call.list_version = list_.version;
-                const ArchiveReply reply = co_await rpc_.Call(
-                    member.address, std::move(call), kPingTimeout);
-                last_reply_[reply.member] = LoopClock::Of(io_).Now();
-                copied_versions_[reply.member] = reply.next;
-              } catch (const TransportError&) {
-                // Not logged: the plan uses the time since the last reply, and
-                // a resulting change of the list is logged.
-              } catch (...) {
-                // Of any type: the membership waits for all pings to end.
-                LogEscaped("ping of " + member.host, std::current_exception());
-              }
-              if (--*pending_replies == 0) done_signal->cancel();
-            });
+    pings.push_back({"ping of " + peer.member.host,
+                     [this, member = peer.member] { return Ping(member); }});
   }
-  while (*pending_replies > 0) {
-    boost::system::error_code ignored;  // cancelling the timer is the signal
-    co_await done_signal->async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+  co_await RunTogether(io_, std::move(pings));
+}
+
+asio::awaitable<void> ArchiveNode::Ping(ArchiveMember member) {
+  try {
+    ArchiveCall call;
+    call.list_version = list_.version;
+    const ArchiveReply reply =
+        co_await rpc_.Call(member.address, std::move(call), kPingTimeout);
+    last_reply_[reply.member] = {.at = LoopClock::Of(io_).Now(),
+                                 .copied_version = reply.next,
+                                 .store_overdue_ms = reply.store_overdue_ms};
+  } catch (const TransportError&) {
+    // Not logged: the plan uses the time since the last reply, and a resulting
+    // change of the list is logged.
   }
 }
 
@@ -250,15 +220,20 @@
   if (!contains(list.next, id_)) co_return;
   if ((copy_everywhere || !contains(list.members, id_)) &&
       copied_version_ < list.version) {
-    if (!co_await CopyFromMembers(list)) co_return;
-    copied_version_ = list.version;
+    const bool copied = co_await CopyFromMembers(list);
+    if (copied) copied_version_ = list.version;
+    // The last replies are as old as the copy was long.
+    co_await PingPeers();
+    if (!copied) co_return;
   }
   for (const ArchiveMember& member : list.next) {
     if (member.id == id_ ||
         (!copy_everywhere && contains(list.members, member.id)))
       continue;
-    const auto it = copied_versions_.find(member.id);
-    if (it == copied_versions_.end() || it->second < list.version) co_return;
+    const auto it = last_reply_.find(member.id);
+    const bool copied =
+        it != last_reply_.end() && it->second.copied_version >= list.version;
+    if (!copied) co_return;
   }
   if (list_.version != list.version) co_return;
   MemberList settled;
@@ -267,87 +242,6 @@
   co_await Propose(std::move(settled));
 }
 
-size_t ArchiveNode::Import(ArchiveReply reply) {
-  const ArchiveTime now = Now();
-  const auto import = [&](const auto& record) {
-    archive_.Apply(record, now);
-    pending_.push_back(MakePendingEntry(EncodeEntry(record, now)));
-  };
-  for (const TokenReservation& record : reply.reservations) import(record);
-  for (const TurnRecord& record : reply.turns) import(record);
-  return reply.reservations.size() + reply.turns.size();
-}
-
-asio::awaitable<bool> ArchiveNode::SyncImports(uint64_t fence,
-                                               uint64_t failed_before) {
-  // The imported entries are synced in the batch of this one or earlier.
-  const JournalEntry last = FenceCall{fence};
-  if (!co_await Commit(last)) co_return false;
-  co_return failed_syncs_ == failed_before;
-}
-
-asio::awaitable<bool> ArchiveNode::CopyFromMembers(const MemberList& list) {
-  std::set<uint64_t> fenced;
-  std::vector<ArchiveMember> sources;
-  for (const ArchiveMember& member : list.members) {
-    try {
-      if (member.id == id_) {
-        fence_ = std::max(fence_, list.version);
-        const JournalEntry entry = FenceCall{fence_};
-        if (co_await Commit(entry)) fenced.insert(id_);
-        continue;
-      }
-      ArchiveCall call;
-      call.list_version = list.version;
-      call.body = FenceCall{list.version};
-      const ArchiveReply reply =
-          co_await rpc_.Call(member.address, std::move(call), kPingTimeout);
-      if (reply.verdict != ArchiveVerdict::kDone || reply.member != member.id)
-        continue;
-      fenced.insert(member.id);
-      sources.push_back(member);
-    } catch (const TransportError&) {
-      // A read quorum of the members is enough.
-    }
-  }
-  if (!list.IsReadQuorum(fenced)) co_return false;
-  CopyProgress progress{.began_ms = SteadyMs()};
-  const uint64_t failed_before = failed_syncs_;
-  try {
-    for (const ArchiveMember& source : sources) {
-      for (uint64_t from = 0;;) {
-        ArchiveCall call;
-        call.list_version = list.version;
-        call.body = CopyCall{from};
-        const int64_t asked_us = SteadyUs();
-        ArchiveReply page =
-            co_await rpc_.Call(source.address, std::move(call), kCopyTimeout);
-        const int64_t answered_us = SteadyUs();
-        progress.waited_us += answered_us - asked_us;
-        if (page.verdict != ArchiveVerdict::kDone || page.member != source.id)
-          co_return false;
-        const uint64_t next = page.next;
-        const bool more = page.more;
-        progress.records += Import(std::move(page));
-        progress.import_us += SteadyUs() - answered_us;
-        ++progress.pages;
-        from = next;
-        if (!more) break;
-      }
-    }
-  } catch (const TransportError& e) {
-    EventLine(Event::kArchiveFailed)
-        .Text("what", "copy")
-        .Text("error", e.what());
-    co_return false;
-  }
-  const int64_t sync_began_us = SteadyUs();
-  if (!co_await SyncImports(list.version, failed_before)) co_return false;
-  progress.sync_us = SteadyUs() - sync_began_us;
-  LogCopied(list, sources.size(), progress);
-  co_return true;
-}
-
 asio::awaitable<void> ArchiveNode::UpdateRetirements() {
   // Copied: entries come and go while the status of one is written.
   std::vector<std::string> hosts;
--- a/src/archive_node.cc
+++ b/src/archive_node.cc
@@ -30,6 +30,8 @@
 // Callers give up by then.
 constexpr milliseconds kMaxWaitForRoom{1'000};
 constexpr size_t kCopyPageBytes = 256 * 1024;
+// Small, so that what gateways ask waits for few milliseconds behind it.
+constexpr size_t kFetchPageBytes = 128 * 1024;
 // Of the records in an answer: as they are found, in the message, and as bytes.
 constexpr uint64_t kCopiesOfAnswer = 3;
 // Entries of the journal between two removals of what has expired by then.
@@ -241,7 +243,7 @@
         steady_clock::now() + kMaxWaitForRoom);
   }
   if (std::holds_alternative<FetchCall>(call->body)) {
-    co_await answer.Hold(kCopiesOfAnswer * kCopyPageBytes,
+    co_await answer.Hold(kCopiesOfAnswer * kFetchPageBytes,
                          steady_clock::now() + kMaxWaitForRoom);
   }
   const bool pages = std::holds_alternative<CopyCall>(call->body) ||
@@ -291,18 +293,22 @@
   }
   if (const auto* digest = std::get_if<DigestCall>(&call.body)) {
     auto page = archive_.ReadDigest(digest->from, kMaxDigestEntries,
-                                    now.uptime_ms - kArchiveSettleMs, now);
+                                    now.uptime_ms - kArchiveSettleMs, now,
+                                    digest->scope);
     reply.run = run_;
+    reply.scope = digest->scope;
     reply.digest = std::move(page.entries);
     reply.next = page.next;
     reply.more = page.more;
     co_return reply;
   }
   if (const auto* fetch = std::get_if<FetchCall>(&call.body)) {
+    reply.scope = fetch->scope;
     if (fetch->run != run_)
       reply.verdict = ArchiveVerdict::kFailed;
     else
-      AddPage(archive_.ReadRecords(fetch->positions, kCopyPageBytes, now),
+      AddPage(archive_.ReadRecords(fetch->positions, kFetchPageBytes, now,
+                                   fetch->scope),
               reply);
     co_return reply;
   }
@@ -423,6 +429,7 @@
   ++syncs_;
   if (!synced) ++failed_syncs_;
   for (PendingEntry& pending : batch_) {
+    if (!pending.outcome) continue;
     *pending.outcome = synced ? 1 : 0;
     pending.done_signal->cancel();
   }
@@ -439,6 +446,9 @@
       << "pimento_archive_bytes_limit " << archive_.max_bytes() << "\n"
       << "pimento_archive_refused_full_total " << refused_full_ << "\n"
       << "pimento_archive_calls_total " << calls_ << "\n"
+      << "pimento_archive_repaired_total " << repaired_ << "\n"
+      << "pimento_archive_repair_failures_total " << repair_failures_ << "\n"
+      << "pimento_archive_gaps " << archive_.gaps() << "\n"
       << "pimento_archive_pages_total " << pages_served_ << "\n"
       << "pimento_archive_page_bytes_total " << page_bytes_ << "\n"
       << "pimento_archive_page_ms_total "
--- a/src/archive_node.h
+++ b/src/archive_node.h
@@ -101,12 +101,37 @@
   // As a member of `next`: copies the records, and completes the change once
   // every host that needs a copy has one.
   Async<void> AdvanceChange();
-  // Fences the members of `list` and copies their records. Returns true once
-  // the copy is complete and synced.
+  // Fences the members of `list` and copies the records that this host lacks.
+  // Returns true once the copy is complete and synced. What an unfinished copy
+  // has brought is held, so the next one fetches only the rest.
   Async<bool> CopyFromMembers(const MemberList& list);
+  // A copy in progress (archive_copy.cc).
+  struct CopyRun;
+  // Fences the members of the copy's list side by side. Returns those that
+  // were, this host among them where it is one, or none when they are too few.
+  Async<std::vector<ArchiveMember>> FenceMembers(const MemberList& list);
+  // Returns false when the member refused or did not answer.
+  Async<bool> FenceMember(const MemberList& list, ArchiveMember member);
+  // Reads from all sources side by side, each to its end; `run.read` gets those
+  // that were.
+  Async<void> ReadSources(std::shared_ptr<CopyRun> run,
+                          std::vector<ArchiveMember> sources);
+  Async<void> ReadSourceOnce(std::shared_ptr<CopyRun> run,
+                             ArchiveMember source);
+  // Reads the digests of one source and fetches what nobody has claimed. Throws
+  // TransportError.
+  Async<void> ReadSource(CopyRun& run, const ArchiveMember& source);
+  Async<void> FetchClaimed(CopyRun& run, const ArchiveMember& source,
+                           uint64_t source_run,
+                           std::vector<uint64_t> positions);
+  Async<void> FetchInOrder(CopyRun& run, const ArchiveMember& source,
+                           uint64_t source_run,
+                           std::vector<uint64_t> positions);
+  Async<ArchiveReply> AskSource(CopyRun& run, const ArchiveMember& source,
+                                decltype(ArchiveCall::body) body);
   // Applies the records of a reply and queues them for the journal. Returns
   // their number.
-  size_t Import(ArchiveReply reply);
+  size_t Import(const ArchiveReply& reply);
   // Waits until the records imported so far are synced, and a fence with them.
   // Returns false if a sync failed since `failed_before` of them had.
   Async<bool> SyncImports(uint64_t fence, uint64_t failed_before);
@@ -136,6 +161,10 @@
   Async<void> UpdateRetirements();
   Async<void> UpdateRetirement(const std::string& host);
   Async<void> PingPeers();
+  Async<void> Ping(ArchiveMember member);
+  // False once the host of the member has registered under another id: its disk
+  // is lost.
+  bool IsRegistered(const ArchiveMember& member) const;
   // Takes over the watched member list if it is newer than `list_`.
   void AdoptList();
   MembershipInput MakePlanInput() const;
@@ -166,7 +195,7 @@
   // An entry that is not synced yet.
   struct PendingEntry {
     std::string bytes;
-    // Cancelled when `outcome` is set.
+    // Cancelled when `outcome` is set. Both are null when nobody waits.
     std::shared_ptr<boost::asio::steady_timer> done_signal;
     // -1 while pending, 0 when the sync failed, 1 when the entry is synced.
     std::shared_ptr<int> outcome;
@@ -190,10 +219,15 @@
   // Version of the list with a change in progress for which this host has
   // copied all records.
   uint64_t copied_version_ = 0;
-  // Time of the last reply of each member since `observing_since_`.
-  std::map<uint64_t, PeerTime> last_reply_;
-  // The `copied_version_` that each member last reported.
-  std::map<uint64_t, uint64_t> copied_versions_;
+  // The last reply of another archive host.
+  struct PeerReply {
+    PeerTime at;
+    // Its `copied_version_`.
+    uint64_t copied_version = 0;
+    int64_t store_overdue_ms = 0;
+  };
+  // Since `observing_since_`, by member id.
+  std::map<uint64_t, PeerReply> last_reply_;
   // Start of the current observation of the peers: the start of the process or
   // the last time the membership was stable. A peer without a reply counts as
   // silent since then.
--- a/src/archive_repair.cc
+++ b/src/archive_repair.cc
@@ -47,11 +47,12 @@
 asio::awaitable<void> ArchiveNode::RunRepair() {
   for (;;) {
     bool all_answered = true;
-    if (list_.Contains(id_)) {
+    // One that joins copies first.
+    if (IsMember()) {
       ForgetOldCursors();
       const std::vector<ArchiveMember> members = list_.All();
       for (const ArchiveMember& member : members) {
-        if (member.id == id_) continue;
+        if (member.id == id_ || !IsRegistered(member)) continue;
         const bool answered = co_await RepairFrom(member);
         all_answered = all_answered && answered;
       }
--- a/src/background_loop.cc
+++ b/src/background_loop.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <exception>
+#include <memory>
 #include <utility>
 
 #include "src/errors.h"
@@ -36,6 +37,25 @@
   co_await task();
 }
 
+// Counts the tasks that still run.
+struct Countdown {
+  explicit Countdown(asio::io_context& io)
+      : done(io, std::chrono::steady_clock::time_point::max()) {}
+  size_t running = 0;
+  // Cancelled when the last one has ended.
+  asio::steady_timer done;
+};
+
+asio::awaitable<void> RunCounted(std::shared_ptr<Countdown> countdown,
+                                 NamedTask task) {
+  try {
+    co_await task.run();
+  } catch (...) {
+    LogEscaped(task.name, std::current_exception());
+  }
+  if (--countdown->running == 0) countdown->done.cancel();
+}
+
 }  // namespace
 
 void LogEscaped(const std::string& task, const std::exception_ptr& error) {
@@ -57,6 +77,23 @@
                  });
 }
 
+asio::awaitable<void> RunTogether(asio::io_context& io,
+                                  std::vector<NamedTask> tasks) {
+  const auto countdown = std::make_shared<Countdown>(io);
+  countdown->running = tasks.size();
+  for (NamedTask& task : tasks) {
+    const std::string name = task.name;
+    RunTask(io, name, [countdown, task = std::move(task)] {
+      return RunCounted(countdown, task);
+    });
+  }
+  while (countdown->running > 0) {
+    boost::system::error_code ignored;  // cancelling the timer is the signal
+    co_await countdown->done.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
 void KeepRunning(asio::io_context& io, std::string name,
                  std::function<asio::awaitable<void>()> loop) {
   RunTask(io, name, [name, loop = std::move(loop)] { return Run(name, loop); });
--- a/src/background_loop.h
+++ b/src/background_loop.h
@@ -12,6 +12,7 @@
 #include <exception>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace pimento {
 
@@ -24,6 +25,17 @@
 void RunTask(boost::asio::io_context& io, std::string name,
              std::function<boost::asio::awaitable<void>()> task);
 
+// A task and its name for the log.
+struct NamedTask {
+  std::string name = {};
+  std::function<boost::asio::awaitable<void>()> run = {};
+};
+
+// Runs `tasks` on `io` side by side, and returns once all have ended. What they
+// refer to must outlive `io`.
+boost::asio::awaitable<void> RunTogether(boost::asio::io_context& io,
+                                         std::vector<NamedTask> tasks);
+
 // Runs `loop` on `io` until it returns without an error. What it refers to must
 // outlive `io`.
 void KeepRunning(boost::asio::io_context& io, std::string name,
--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -150,6 +150,11 @@
 
 asio::awaitable<std::string> PooledConnection::ReadRemainingBody(
     SteadyTime deadline, size_t max_bytes) {
+  // Beast reads no more at a time than there is room for, at first 512 bytes.
+  const auto length = parser_->content_length_remaining();
+  const bool long_body = length && *length > kReadBufferBytes;
+  if (long_body)
+    buffer_.reserve(std::min<uint64_t>(*length, kMaxBufferedBytes));
   std::string body;
   for (;;) {
     const std::string piece = co_await ReadSome(deadline);
@@ -160,6 +165,7 @@
     }
     body += piece;
   }
+  if (long_body) buffer_.shrink_to_fit();
   co_return body;
 }
 
--- a/src/turn_archive.cc
+++ b/src/turn_archive.cc
@@ -256,6 +256,16 @@
                                 : programs_.at(*key.program).lifetime;
 }
 
+int64_t TurnArchive::HandedMs(const LogKey& key, ArchiveTime now,
+                              RecordScope scope) const {
+  const ArchiveLifetime& lifetime = LifetimeOf(key);
+  if (scope == RecordScope::kAll) {
+    return std::max<int64_t>(0, lifetime.uptime_ms - now.uptime_ms);
+  }
+  const int64_t left_ms = lifetime.RemainingMs(now);
+  return left_ms < kMinHandedMs ? 0 : left_ms;
+}
+
 RecordHash TurnArchive::HashAt(const LogKey& key) const {
   if (key.program == nullptr) return HashOf(turns_.at(*key.turn).record);
   return HashOf(programs_.at(*key.program).reservations.at(*key.turn).record);
@@ -284,8 +294,7 @@
   size_t bytes = 0;
   auto it = log_.lower_bound(from);
   for (; it != log_.end() && bytes < max_bytes; ++it) {
-    // A member that joins needs all that this one still holds.
-    const int64_t left_ms = LifetimeOf(it->second).uptime_ms - now.uptime_ms;
+    const int64_t left_ms = HandedMs(it->second, now, RecordScope::kAll);
     if (left_ms > 0) bytes += AddToPage(it->second, left_ms, page);
   }
   page.next = it == log_.end() ? next_position_ : it->first;
@@ -294,17 +303,19 @@
 }
 
 TurnArchive::Digest TurnArchive::ReadDigest(uint64_t from, size_t max_entries,
-                                            int64_t settled_ms,
-                                            ArchiveTime now) const {
+                                            int64_t settled_ms, ArchiveTime now,
+                                            RecordScope scope) const {
   Digest digest;
   auto it = log_.lower_bound(from);
   for (; it != log_.end() && digest.entries.size() < max_entries; ++it) {
     const LogKey& key = it->second;
-    if (key.arrived_ms >= settled_ms) {
+    const bool young =
+        scope == RecordScope::kSettled && key.arrived_ms >= settled_ms;
+    if (young) {
       digest.next = it->first;
       return digest;
     }
-    if (LifetimeOf(key).RemainingMs(now) < kMinHandedMs) continue;
+    if (HandedMs(key, now, scope) == 0) continue;
     digest.entries.push_back({.hash = HashAt(key), .position = it->first});
   }
   digest.more = it != log_.end();
@@ -313,8 +324,8 @@
 }
 
 TurnArchive::Page TurnArchive::ReadRecords(
-    const std::vector<uint64_t>& positions, size_t max_bytes,
-    ArchiveTime now) const {
+    const std::vector<uint64_t>& positions, size_t max_bytes, ArchiveTime now,
+    RecordScope scope) const {
   Page page;
   size_t bytes = 0;
   for (const uint64_t position : positions) {
@@ -322,8 +333,8 @@
     ++page.next;
     const auto it = log_.find(position);
     if (it == log_.end()) continue;
-    const int64_t left_ms = LifetimeOf(it->second).RemainingMs(now);
-    if (left_ms < kMinHandedMs) continue;
+    const int64_t left_ms = HandedMs(it->second, now, scope);
+    if (left_ms == 0) continue;
     bytes += AddToPage(it->second, left_ms, page);
   }
   page.more = page.next < positions.size();
--- a/src/turn_archive.h
+++ b/src/turn_archive.h
@@ -72,6 +72,15 @@
 
 using ArchiveRecord = std::variant<TokenReservation, TurnRecord>;
 
+// Which of its records a member names and hands out.
+enum class RecordScope : uint8_t {
+  // To other members: those that have settled and are kept for some time yet,
+  // by both clocks.
+  kSettled,
+  // To a member that joins: all that it still holds.
+  kAll
+};
+
 // Load: a client with a valid key whose turns are as long as they may be, a
 // hundred a second, each kept for a minute. So no turn begins once nine tenths
 // of the room are taken, but of a team that has little, nor one of a team that
@@ -141,11 +150,12 @@
     uint64_t next = 0;
     bool more = false;
   };
-  // Names the records from position `from` on, at most `max_entries`, that
-  // arrived before `settled_ms` (by the uptime) and are kept for some time yet.
-  // Later ones may still be on their way to the other members.
+  // Names the records of `scope` from position `from` on, at most
+  // `max_entries`. Those have settled that arrived before `settled_ms` (by the
+  // uptime); later ones may still be on their way to the other members.
   Digest ReadDigest(uint64_t from, size_t max_entries, int64_t settled_ms,
-                    ArchiveTime now) const;
+                    ArchiveTime now,
+                    RecordScope scope = RecordScope::kSettled) const;
   // Whether this member lacks a record that another one named. A reservation
   // that is settled here stands for its open state too.
   bool Lacks(RecordHash hash) const { return !hashes_.contains(hash); }
@@ -153,7 +163,8 @@
   // and in `next` how many of the positions were looked at. Those that have
   // changed or gone since are left out.
   Page ReadRecords(const std::vector<uint64_t>& positions, size_t max_bytes,
-                   ArchiveTime now) const;
+                   ArchiveTime now,
+                   RecordScope scope = RecordScope::kSettled) const;
 
   // Whether a turn is held whose predecessor is not.
   bool HasGaps() const { return !gaps_.empty(); }
@@ -203,6 +214,8 @@
   void RemoveTurn(const Turn& turn);
   void RemoveProgram(const Program& program);
   const ArchiveLifetime& LifetimeOf(const LogKey& key) const;
+  // How long the record is handed out for yet, milliseconds; 0: not any more.
+  int64_t HandedMs(const LogKey& key, ArchiveTime now, RecordScope scope) const;
   RecordHash HashAt(const LogKey& key) const;
   // Adds a copy of the record to `page`, and returns its size.
   size_t AddToPage(const LogKey& key, int64_t remaining_ms, Page& page) const;
--- a/test/platform/missed_write_test.cc
+++ b/test/platform/missed_write_test.cc
@@ -4,91 +4,34 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio.hpp>
-#include <boost/json.hpp>
 #include <chrono>
 #include <functional>
-#include <map>
-#include <memory>
 #include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "bench/lib/platform_fleet.h"
-#include "src/archive_rpc.h"
-#include "src/errors.h"
+#include "test/platform/archive_checks.h"
 
 namespace pimento::testbed {
 namespace {
 
-namespace asio = boost::asio;
-namespace json = boost::json;
 using std::chrono::milliseconds;
 
 constexpr int kArchives = 3;
 // bounds.catch_up_s: a member that is back counts again after this time.
 constexpr int64_t kCatchUpMs = 4'500;
 constexpr int64_t kAwayMs = 700;
-constexpr const char* kTeam = "quilters";
 constexpr const char* kProgram = "conversation";
 
 std::string Archive(size_t number) {
   return "archive-" + std::to_string(number);
 }
 
-// Links to the archives, for gateways and for other archives.
-using Links = std::map<std::string, std::unique_ptr<FaultProxy>>;
-
-// Puts a proxy before each member of the list in the store.
-Links PutLinks(PlatformFleet& fleet) {
-  constexpr const char* kLinkPort = ":19000";
-  const json::value object =
-      json::parse(fleet.Object("pimento-members", "main"));
-  json::value list = json::parse(object.at("spec").as_string());
-  Links links;
-  for (json::value& member : list.at("members").as_array()) {
-    const std::string host(member.at("host").as_string());
-    const std::string address = fleet.Listening(host).front();
-    const std::string link = address.substr(0, address.find(':')) + kLinkPort;
-    links[host] = std::make_unique<FaultProxy>(link, address);
-    member.as_object()["address"] = link;
-  }
-  list.as_object()["version"] =
-      list.at("version").to_number<uint64_t>() + uint64_t{1};
-  fleet.PutObject("pimento-members", "main",
-                  json::serialize(json::value(json::serialize(list))));
-  return links;
-}
-
-// What an archive answers to `body`; empty when it does not.
-std::optional<ArchiveReply> Ask(PlatformFleet& fleet, size_t archive,
-                                const decltype(ArchiveCall::body)& body) {
-  asio::io_context io;
-  ConnectionPool pool(io.get_executor());
-  ArchiveRpc rpc(pool);
-  ArchiveCall call;
-  call.list_version = uint64_t{1} << 40U;
-  call.body = body;
-  const std::string address = fleet.Listening(Archive(archive)).front();
-  std::optional<ArchiveReply> reply;
-  asio::co_spawn(
-      io,
-      [&]() -> asio::awaitable<void> {
-        try {
-          reply = co_await rpc.Call(address, call, milliseconds(500));
-        } catch (const TransportError&) {
-          // Asked again by the caller.
-        }
-      },
-      asio::detached);
-  io.run();
-  return reply;
-}
-
 // The reservations of the program as one archive holds them.
 std::set<std::string> ReservationsOn(PlatformFleet& fleet, size_t archive) {
-  const auto reply = Ask(fleet, archive, CollectCall{kProgram});
+  const auto reply = Ask(fleet, Archive(archive), CollectCall{kProgram});
   std::set<std::string> states;
   if (!reply) return states;
   for (const TokenReservation& held : reply->reservations)
@@ -100,7 +43,8 @@
 // What an archive lacks of the turns; empty when it holds them all.
 std::string LackingOn(PlatformFleet& fleet, size_t archive,
                       const std::vector<std::string>& turns) {
-  const auto reply = Ask(fleet, archive, HistoryCall{turns.back(), kTeam});
+  const auto reply =
+      Ask(fleet, Archive(archive), HistoryCall{turns.back(), kTeam});
   if (!reply) return "no answer";
   if (!reply->missing.empty()) return reply->missing;
   if (reply->turns.size() != turns.size()) return "some";
@@ -139,34 +83,6 @@
       {"slow", link(LinkFault::kDelayed), link(LinkFault::kNone)}};
 }
 
-// A conversation that keeps the ids of its turns that were answered whole.
-class Conversation {
- public:
-  explicit Conversation(PlatformFleet& fleet) : fleet_(fleet) {}
-  // Sends the next turn until it is answered, for a few seconds.
-  bool GoOn() {
-    constexpr int kMaxTries = 40;
-    const std::string previous = turns_.empty() ? "" : turns_.back();
-    for (int i = 0; i < kMaxTries; ++i) {
-      const std::string id = "t" + std::to_string(++sent_);
-      const auto answer =
-          fleet_.Call(0, fleet_.TurnRequest(id, kProgram, previous, "x"));
-      if (answer.status == 200 && answer.complete) {
-        turns_.push_back(id);
-        return true;
-      }
-      std::this_thread::sleep_for(milliseconds(100));
-    }
-    return false;
-  }
-  const std::vector<std::string>& turns() const { return turns_; }
-
- private:
-  PlatformFleet& fleet_;
-  std::vector<std::string> turns_;
-  int sent_ = 0;
-};
-
 // Waits until every archive holds the whole conversation.
 void CheckCaughtUp(PlatformFleet& fleet, const std::vector<std::string>& turns,
                    int64_t limit_ms) {
@@ -197,7 +113,7 @@
   PlatformFleet fleet(
       "build/bin", "build/platform/missed_write",
       {.gateways = 1, .archives = kArchives, .plain_upstreams = 0});
-  Conversation conversation(fleet);
+  Conversation conversation(fleet, kProgram);
   REQUIRE(conversation.GoOn());
   Links links = PutLinks(fleet);
   const std::vector<Absence> absences = Absences(fleet, links);
@@ -225,7 +141,7 @@
   PlatformFleet fleet(
       "build/bin", "build/platform/missed_write_disks",
       {.gateways = 1, .archives = kArchives, .plain_upstreams = 0});
-  Conversation conversation(fleet);
+  Conversation conversation(fleet, kProgram);
   REQUIRE(conversation.GoOn());
   fleet.processes().Kill("archive-0");
   REQUIRE(conversation.GoOn());
