--- a/test/correctness/record_copy_test.cc
+++ b/test/correctness/record_copy_test.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "src/archive_codec.h"
+
 namespace {
 
 using namespace pimento;
@@ -146,3 +148,20 @@
   copy.ReadAll({&source});
   CHECK(copy.held.turns() == 2);
 }
+
+// An earlier version answers without the scope, and is not copied from.
+TEST_CASE("the scope of a call and of its answer crosses the wire") {
+  for (const RecordScope scope : {RecordScope::kSettled, RecordScope::kAll}) {
+    ArchiveCall call;
+    call.body = DigestCall{.from = 7, .scope = scope};
+    CHECK(std::get<DigestCall>(DecodeCall(EncodeCall(call)).body).scope ==
+          scope);
+    call.body = FetchCall{.run = 3, .positions = {1, 2}, .scope = scope};
+    const auto fetch = std::get<FetchCall>(DecodeCall(EncodeCall(call)).body);
+    CHECK(fetch.scope == scope);
+    CHECK(fetch.positions == std::vector<uint64_t>{1, 2});
+    const ArchiveReply reply{.scope = scope};
+    CHECK(DecodeReply(EncodeReply(reply)).scope == scope);
+  }
+  CHECK(DecodeReply(EncodeReply({})).scope == RecordScope::kSettled);
+}
