Archive: a change replaces at most a minority of the members

With more than a minority silent no quorum is there to copy from, so those must come back anyway. Test: "no more than a minority is replaced in one change"; with the planner before it fails.

--- a/src/member_list.cc
+++ b/src/member_list.cc
@@ -157,11 +157,17 @@
 }
 
 // The members that a change should lead to, as far as there are hosts for it. A
-// member that no host can replace stays.
+// member that no host can replace stays. When more than a minority is silent,
+// no quorum is there to copy from: the rest must come back, as after a loss of
+// power, and is not copied for nothing.
 std::vector<ArchiveMember> BestMembers(const MembershipInput& input) {
   std::vector<ArchiveMember> candidates = Candidates(input);
   std::vector<ArchiveMember> lost = LostMembers(input);
-  if (lost.size() > candidates.size()) lost.resize(candidates.size());
+  const size_t minority =
+      input.list.members.size() - MajoritySize(input.list.members);
+  const size_t replaced =
+      std::min(candidates.size(), std::max<size_t>(1, minority));
+  if (lost.size() > replaced) lost.resize(replaced);
   std::vector<ArchiveMember> best = input.list.members;
   for (const ArchiveMember& member : lost) best = Without(best, member.id);
   const size_t size = std::max(input.list.members.size(), input.wanted);
--- a/src/member_list.h
+++ b/src/member_list.h
@@ -86,8 +86,8 @@
 // Returns the list that this host should propose, or nothing.
 //
 // A host that is not in the list proposes to replace all members that may be
-// replaced, as far as there are hosts for it, in one change, and to add members
-// where there are too few. A member proposes to remove a retiring member when
+// replaced, as far as there are hosts for it and at most a minority, in one
+// change, and to add members where there are too few. A member proposes to remove a retiring member when
 // no other host can replace it.
 //
 // While a change is in progress, any host proposes other members in place of
--- a/test/correctness/member_list_test.cc
+++ b/test/correctness/member_list_test.cc
@@ -159,6 +159,27 @@
         std::vector<uint64_t>{2, 3, 4, 5, 8});
 }
 
+// All lose power, two of them their disks: those that are back with theirs are
+// not copied.
+TEST_CASE("no more than a minority is replaced in one change") {
+  auto input = Input(ListOf({1, 2, 3, 4, 5}), 6, {1, 2, 3, 4, 5, 6, 7, 8, 9});
+  input.wanted = 5;
+  for (size_t i = 0; i < 5; ++i)
+    input.peers[i].silent_ms = input.replace_after_ms;
+  auto plan = PlanMembership(input);
+  REQUIRE(plan);
+  CHECK(Ids(plan->next) == std::vector<uint64_t>{3, 4, 5, 6, 7});
+  // Back are 1 to 3, and the hosts of 4 and 5 with empty disks.
+  for (size_t i = 0; i < 5; ++i) {
+    input.peers[i].silent_ms = 0;
+    if (i >= 3) input.peers[i].member.id += 10;
+  }
+  input.list = *plan;
+  plan = PlanMembership(input);
+  REQUIRE(plan);
+  CHECK(Ids(plan->next) == std::vector<uint64_t>{1, 2, 3, 6, 7});
+}
+
 TEST_CASE("lost members are replaced before one that retires") {
   auto input = Input(ListOf({1, 2, 3}), 4, {1, 2, 3, 4});
   input.peers[0].retiring = true;
