--- a/src/member_list.h
+++ b/src/member_list.h
@@ -87,8 +87,8 @@
 //
 // A host that is not in the list proposes to replace all members that may be
 // replaced, as far as there are hosts for it and at most a minority, in one
-// change, and to add members where there are too few. A member proposes to remove a retiring member when
-// no other host can replace it.
+// change, and to add members where there are too few. A member proposes to
+// remove a retiring member when no other host can replace it.
 //
 // While a change is in progress, any host proposes other members in place of
 // those of `next` that may be replaced, or to abort the change where there are
