Tests: upstreams that answer before they have read a request

ScriptedUpstream can run its script after a part of the body, read on later, end its answer in order and go on reading, and close with bytes unread. The checks of the older files are as they were; gateways of a test fleet take further arguments.

--- a/bench/lib/platform_fleet.cc
+++ b/bench/lib/platform_fleet.cc
@@ -207,7 +207,10 @@
 void PlatformFleet::StartHost(const std::string& name, bool first_start) {
   WriteSettings(name, first_start);
   const std::string program = name.substr(0, name.find('-'));
-  processes_.Start(name, bin_dir_ + "/pimento-" + program, {},
+  const std::vector<std::string> arguments = program == "gateway"
+                                                 ? options_.gateway_arguments
+                                                 : std::vector<std::string>{};
+  processes_.Start(name, bin_dir_ + "/pimento-" + program, arguments,
                    dir_ + "/" + name + ".log",
                    {{"PIMENTOPULLEY_SETTINGS", dir_ + "/" + name + ".conf"}});
 }
--- a/bench/lib/platform_fleet.h
+++ b/bench/lib/platform_fleet.h
@@ -66,6 +66,8 @@
     // Longest body and idle time of callers, in the configuration.
     int64_t max_body_bytes = 65'536;
     int64_t idle_timeout_ms = 5'000;
+    // Further arguments of gateways.
+    std::vector<std::string> gateway_arguments = {};
   };
   // Starts everything and waits until each gateway is ready. Executables come
   // from `bin_dir`. Logs, settings and data go to `dir`, which is emptied
--- a/bench/lib/scripted_upstream.cc
+++ b/bench/lib/scripted_upstream.cc
@@ -22,6 +22,29 @@
 
 }  // namespace
 
+bool ScriptedUpstream::Reader::ReadHead() {
+  parser_.emplace();
+  parser_->body_limit(boost::none);
+  beast::error_code error;
+  http::read_header(socket_, buffer_, *parser_, error);
+  return !error;
+}
+
+bool ScriptedUpstream::Reader::ReadBody(size_t bytes) {
+  beast::error_code error;
+  while (!error && !parser_->is_done() && parser_->get().body().size() < bytes)
+    http::read_some(socket_, buffer_, *parser_, error);
+  return !error;
+}
+
+ScriptedUpstream::Request ScriptedUpstream::Reader::request() const {
+  const auto& message = parser_->get();
+  return {.id = Field(message, "X-Pimentopulley-Request-Id"),
+          .target = std::string(message.target()),
+          .last_event_id = Field(message, "Last-Event-Id"),
+          .body = message.body()};
+}
+
 void ScriptedUpstream::Answer::Write(const std::string& bytes) {
   if (!open_) return;
   beast::error_code error;
@@ -34,6 +57,16 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
 }
 
+bool ScriptedUpstream::Answer::ReadRequest() {
+  return reader_.ReadBody(std::numeric_limits<size_t>::max());
+}
+
+void ScriptedUpstream::Answer::EndWriting() {
+  if (!open_) return;
+  beast::error_code ignored;  // the peer may have closed already
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void ScriptedUpstream::Answer::Close() {
   open_ = false;
   beast::error_code ignored;  // the peer may have closed already
@@ -47,8 +80,15 @@
   socket_.close(ignored);
 }
 
-ScriptedUpstream::ScriptedUpstream(Script script)
+void ScriptedUpstream::Answer::CloseUnread() {
+  open_ = false;
+  beast::error_code ignored;  // the peer may have closed already
+  socket_.close(ignored);
+}
+
+ScriptedUpstream::ScriptedUpstream(Script script, Options options)
     : script_(std::move(script)),
+      options_(options),
       acceptor_(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
       acceptor_thread_([this] { Accept(); }) {}
 
@@ -107,25 +147,20 @@
 }
 
 void ScriptedUpstream::Serve(tcp::socket& socket, int connection) {
-  beast::flat_buffer buffer;
+  Reader reader(socket);
   for (int position = 1;; ++position) {
-    http::request<http::string_body> received;
-    beast::error_code error;
-    http::read(socket, buffer, received, error);
-    if (error) return;
-    const Request request{.id = Field(received, "X-Pimentopulley-Request-Id"),
-                          .target = std::string(received.target()),
-                          .last_event_id = Field(received, "Last-Event-Id"),
-                          .body = received.body(),
-                          .position = position,
-                          .connection = connection};
+    if (!reader.ReadHead()) return;
+    if (!reader.ReadBody(options_.body_bytes_first)) return;
+    Request request = reader.request();
+    request.position = position;
+    request.connection = connection;
     {
       const std::lock_guard lock(mutex_);
       requests_.push_back(request);
     }
-    Answer answer(socket);
+    Answer answer(socket, reader);
     script_(request, answer);
-    if (!answer.open()) return;
+    if (!answer.open() || !answer.ReadRequest()) return;
   }
 }
 
--- a/bench/lib/scripted_upstream.h
+++ b/bench/lib/scripted_upstream.h
@@ -9,13 +9,17 @@
 #pragma once
 
 #include <boost/asio.hpp>
+#include <boost/beast.hpp>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <list>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace pimento::testbed {
@@ -33,27 +37,63 @@
     int position = 0;
     int connection = 0;
   };
+  // Reads a request from a connection.
+  class Reader {
+   public:
+    explicit Reader(boost::asio::ip::tcp::socket& socket) : socket_(socket) {}
+    // Reads the next request up to the end of its head. Returns false once the
+    // connection is over.
+    bool ReadHead();
+    // Reads at least `bytes` of the body, as far as there are so many. Returns
+    // whether all that is due has arrived.
+    bool ReadBody(size_t bytes);
+    Request request() const;
+
+   private:
+    using Parser =
+        boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    boost::asio::ip::tcp::socket& socket_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<Parser> parser_;
+  };
   // Writes the answer. Its methods block and do nothing once the connection is
   // closed.
   class Answer {
    public:
-    explicit Answer(boost::asio::ip::tcp::socket& socket) : socket_(socket) {}
+    Answer(boost::asio::ip::tcp::socket& socket, Reader& reader)
+        : socket_(socket), reader_(reader) {}
     void Write(const std::string& bytes);
     void Pause(int64_t milliseconds);
+    // Reads on to the end of the request's body. Returns whether it arrived.
+    bool ReadRequest();
+    // Ends the answer in order and leaves the connection open for reading.
+    void EndWriting();
     // Ends the connection in order, or with a TCP reset.
     void Close();
     void Reset();
+    // Closes the socket, which resets the connection if bytes of the request
+    // are unread.
+    void CloseUnread();
     bool open() const { return open_; }
 
    private:
     boost::asio::ip::tcp::socket& socket_;
+    Reader& reader_;
     bool open_ = true;
   };
   using Script = std::function<void(const Request&, Answer&)>;
+  struct Options {
+    // The script runs once this much of a request's body has been read, or all
+    // of it. Answer::ReadRequest() reads the rest.
+    size_t body_bytes_first = std::numeric_limits<size_t>::max();
+  };
 
   // Listens on a free port of loopback. `script` runs once a request, on a
   // thread of the request's connection.
-  explicit ScriptedUpstream(Script script);
+  explicit ScriptedUpstream(Script script)
+      : ScriptedUpstream(std::move(script), Options{}) {}
+  ScriptedUpstream(Script script, Options options);
   // Closes all connections.
   ~ScriptedUpstream();
 
@@ -73,6 +113,7 @@
   void Serve(boost::asio::ip::tcp::socket& socket, int connection);
 
   Script script_;
+  Options options_;
   boost::asio::io_context io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   mutable std::mutex mutex_;
--- a/test/platform/status_outside_test.cc
+++ b/test/platform/status_outside_test.cc
@@ -4,10 +4,8 @@
 
 #include <chrono>
 #include <string>
-#include <thread>
 
-#include "bench/lib/platform_fleet.h"
-#include "bench/lib/scripted_upstream.h"
+#include "test/platform/scripted_fleet.h"
 
 namespace pimento::testbed {
 namespace {
@@ -20,38 +18,12 @@
 // Well below the deadline of a request.
 constexpr milliseconds kSoon{1'000};
 
-PlatformFleet FleetWithoutUpstreams(const std::string& name) {
-  return PlatformFleet(
-      "build/bin", "build/platform/" + name,
-      {.gateways = 1, .streaming_upstreams = 0, .plain_upstreams = 0});
-}
-
 std::string AnswerWith(const std::string& status, const Request& request) {
   return "HTTP/1.1 " + status + "\r\n" +
          ScriptedUpstream::AnswerFields(request) +
          "Content-Length: 2\r\n\r\nok";
 }
 
-// Sends idempotent requests until one is answered with 200.
-void WaitForUpstream(PlatformFleet& fleet) {
-  for (int i = 0; i < 100; ++i) {
-    const std::string id = "probe" + std::to_string(i);
-    if (fleet.Call(0, fleet.PlainRequest(id, true)).status == 200) return;
-    std::this_thread::sleep_for(milliseconds(30));
-  }
-  FAIL("The gateway found no upstream.");
-}
-
-void WaitUntilListed(const PlatformFleet& fleet, int id) {
-  const std::string line =
-      R"("event":"upstream_changed","upstream":")" + std::to_string(id) + '"';
-  for (int i = 0; i < 100; ++i) {
-    if (fleet.Log("gateway-0").find(line) != std::string::npos) return;
-    std::this_thread::sleep_for(milliseconds(30));
-  }
-  FAIL("The gateway does not know the upstream ", id, ".");
-}
-
 const std::string kStatuses[] = {"000 Zero", "00 Short", "099 Low",
                                  "600 High", "999 Top",  "+20 Signed",
                                  "20 Short", "200OK",    "2000 Long"};
@@ -67,7 +39,7 @@
     answer.Write(AnswerWith(probe ? "200 OK" : status, request));
   });
   fleet.RegisterUpstream(301, "desk", desk.address());
-  WaitForUpstream(fleet);
+  WaitForUpstream(fleet, fleet.PlainRequest("p", true));
   int number = 0;
   for (const std::string& wrong : kStatuses) {
     CAPTURE(wrong);
@@ -119,7 +91,7 @@
     answer.Write(AnswerWith("200 OK", request));
   });
   fleet.RegisterUpstream(301, "desk", desk.address());
-  WaitForUpstream(fleet);
+  WaitForUpstream(fleet, fleet.PlainRequest("p", true));
   const auto got = fleet.Call(0, fleet.PlainRequest("charge", false));
   CHECK(got.status == 200);
   CHECK(got.body == "ok");
--- a/test/platform/unframed_answer_test.cc
+++ b/test/platform/unframed_answer_test.cc
@@ -6,8 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "bench/lib/platform_fleet.h"
-#include "bench/lib/scripted_upstream.h"
+#include "test/platform/scripted_fleet.h"
 
 namespace pimento::testbed {
 namespace {
@@ -15,56 +14,6 @@
 using Request = ScriptedUpstream::Request;
 using Answer = ScriptedUpstream::Answer;
 
-PlatformFleet FleetWithoutUpstreams(const std::string& name) {
-  return PlatformFleet(
-      "build/bin", "build/platform/" + name,
-      {.gateways = 1, .streaming_upstreams = 0, .plain_upstreams = 0});
-}
-
-std::string PlainHead(const Request& request, const std::string& more = "") {
-  return "HTTP/1.1 200 OK\r\n" + ScriptedUpstream::AnswerFields(request) +
-         more + "\r\n";
-}
-
-std::string StreamHead(const Request& request) {
-  return PlainHead(request, "Content-Type: text/event-stream\r\n");
-}
-
-// Waits until the gateway knows an upstream of the service behind `target`.
-void WaitForUpstream(PlatformFleet& fleet, ClientRequest probe) {
-  for (int i = 0; i < 100; ++i) {
-    probe.headers["X-Pimentopulley-Request-Id"] = "probe" + std::to_string(i);
-    if (fleet.Call(0, probe).status == 200) return;
-    std::this_thread::sleep_for(std::chrono::milliseconds(30));
-  }
-  FAIL("The gateway found no upstream.");
-}
-
-// Waits until upstream `id` is in the gateway's table.
-void WaitUntilListed(const PlatformFleet& fleet, int id) {
-  const std::string line =
-      R"("event":"upstream_changed","upstream":")" + std::to_string(id) + '"';
-  for (int i = 0; i < 100; ++i) {
-    if (fleet.Log("gateway-0").find(line) != std::string::npos) return;
-    std::this_thread::sleep_for(std::chrono::milliseconds(30));
-  }
-  FAIL("The gateway does not know the upstream ", id, ".");
-}
-
-ClientRequest ResumableRequest(const PlatformFleet& fleet,
-                               const std::string& id) {
-  ClientRequest call = fleet.TurnRequest(id, "p", "", "x");
-  call.target = "/resumed/turn";
-  return call;
-}
-
-std::string EventsUpTo(int last) {
-  std::string text;
-  for (int i = 1; i <= last; ++i)
-    text += ScriptedUpstream::EventText(i, "w" + std::to_string(i));
-  return text;
-}
-
 }  // namespace
 
 TEST_CASE("an answer without length or chunks is whole at an orderly close") {
