Connection pool: an answer that is reset during its upload is broken

What callers saw: an upstream answers a long upload at once with a 200 without length, sends a part of its body and resets the connection while the upload is being written. The part came as the complete answer; a stream was kept as a turn.

Cause: a body over 16 KiB is written in the background, and the handler of the write threw its error away. A socket reports an error once: the write got the reset, the read after it an end of file, which ends a body that has neither a length nor chunks. The timeout of unacknowledged data (900 ms) and a write's time limit ended such a body in the same way.

Change: the error of the write is kept, and such a body is whole only once the request was written whole too. The reader waits for that up to its own deadline, and takes an error that the socket still holds: after an orderly end the kernel reports a reset to writers only. A connection whose request was not written whole is not reused.

--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -39,6 +39,14 @@
                        error == beast::error::timeout, refused);
 }
 
+// Takes the error that the socket has not reported yet.
+beast::error_code TakePendingError(tcp::socket& socket) {
+  int value = 0;
+  socklen_t size = sizeof value;
+  getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &value, &size);
+  return {value, boost::system::system_category()};
+}
+
 }  // namespace
 
 void SetTcpTimeouts(tcp::socket& socket, milliseconds unanswered) {
@@ -74,7 +82,7 @@
 PooledConnection::PooledConnection(asio::any_io_executor executor)
     : stream_(std::move(executor)),
       buffer_(kMaxBufferedBytes),
-      sending_(std::make_shared<bool>(false)) {}
+      write_(std::make_shared<BackgroundWrite>(stream_.get_executor())) {}
 
 asio::awaitable<void> PooledConnection::Connect(tcp::endpoint endpoint,
                                                 milliseconds limit) {
@@ -103,11 +111,29 @@
       ThrowTransportError("Sending a request to " + address_, error, true);
     co_return;
   }
-  *sending_ = true;
-  auto sending = sending_;
-  http::async_write(
-      stream_, *request,
-      [request, sending](beast::error_code, size_t) { *sending = false; });
+  write_ = std::make_shared<BackgroundWrite>(stream_.get_executor());
+  write_->running = true;
+  http::async_write(stream_, *request,
+                    [request, write = write_](beast::error_code error, size_t) {
+                      write->running = false;
+                      write->error = error;
+                      write->ended.cancel();
+                    });
+}
+
+asio::awaitable<void> PooledConnection::FinishSending(SteadyTime deadline) {
+  const auto write = write_;
+  if (write->running) {
+    write->ended.expires_at(deadline);
+    beast::error_code ignored;  // the write ended, or the deadline has passed
+    co_await write->ended.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  beast::error_code error = write->error;
+  if (write->running) error = beast::error::timeout;
+  if (!error) error = TakePendingError(stream_.socket());
+  if (error)
+    ThrowTransportError("Sending a request to " + address_, error, true);
 }
 
 asio::awaitable<const PooledConnection::ResponseHeader*>
@@ -144,6 +170,9 @@
     const size_t size = sizeof piece - parser_->get().body().size;
     if (size > 0) co_return std::string(piece, size);
   }
+  // An error ends the connection as well, and a socket reports it only once:
+  // perhaps to the request that was being written.
+  if (parser_->need_eof()) co_await FinishSending(deadline);
   response_pending_ = false;
   co_return std::string();
 }
@@ -170,7 +199,8 @@
 }
 
 bool PooledConnection::reusable() const {
-  return !response_pending_ && !*sending_ && parser_ && parser_->is_done() &&
+  const bool sent = !write_->running && !write_->error;
+  return !response_pending_ && sent && parser_ && parser_->is_done() &&
          parser_->keep_alive() && buffer_.size() == 0;
 }
 
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -39,7 +39,7 @@
                       std::chrono::milliseconds limit);
   // Sends a request. A long body is written in the background while the
   // response is read, since an upstream may respond before it has read the
-  // body.
+  // body. Where that fails, only a response with a length or chunks is whole.
   Async<void> Send(std::shared_ptr<Request> request, SteadyTime deadline);
   // Reads a response header. Throws InvalidStatusError, after which the
   // connection serves no other exchange. The caller checks that the response
@@ -74,12 +74,27 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  // A request that is written while its response is read.
+  struct BackgroundWrite {
+    explicit BackgroundWrite(const boost::asio::any_io_executor& executor)
+        : ended(executor, SteadyTime::max()) {}
+    bool running = false;
+    // Why the request was not written to its end.
+    boost::system::error_code error = {};
+    // Cancelled when the write ends.
+    boost::asio::steady_timer ended;
+  };
+  // Waits for the end of the request that is being written. Throws unless it
+  // was written whole by `deadline`, on a connection without a later error.
+  Async<void> FinishSending(SteadyTime deadline);
+
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   uint64_t exchanges_ = 0;
-  // True while a long request is being written; shared with the write handler.
-  std::shared_ptr<bool> sending_;
+  // Shared with the write's handler; replaced by each request that is written
+  // in the background.
+  std::shared_ptr<BackgroundWrite> write_;
   // True from the start of an exchange until its response was read completely.
   bool response_pending_ = false;
   std::string address_;
