--- a/test/platform/status_outside_test.cc
+++ b/test/platform/status_outside_test.cc
@@ -82,6 +82,32 @@
   }
 }
 
+TEST_CASE("a stream with a status outside the protocol is a broken one") {
+  auto fleet = FleetWithoutUpstreams("status_outside_stream");
+  std::string status;
+  ScriptedUpstream talk([&](const Request& request, Answer& answer) {
+    const bool probe = request.id.starts_with("probe");
+    answer.Write("HTTP/1.1 " + (probe ? "200 OK" : status) + "\r\n" +
+                 ScriptedUpstream::AnswerFields(request) +
+                 "Content-Type: text/event-stream\r\n\r\n" + EventsUpTo(2));
+    answer.Close();
+  });
+  fleet.RegisterUpstream(401, "talk", talk.address());
+  WaitForUpstream(fleet, fleet.TurnRequest("p", "q", "", "x"));
+  int number = 0;
+  for (const std::string& wrong : kStatuses) {
+    CAPTURE(wrong);
+    status = wrong;
+    const std::string id = "turn" + std::to_string(++number);
+    const auto got = fleet.Call(0, fleet.TurnRequest(id, "p", "", "x"));
+    CHECK(got.status == 502);
+    CHECK(talk.CountRequests(id) == 1);
+    // Nothing of it is kept as a turn.
+    const auto next = fleet.Call(0, fleet.TurnRequest("n" + id, "p", id, "y"));
+    CHECK(next.status == 404);
+  }
+}
+
 TEST_CASE("interim answers are still waited out") {
   auto fleet = FleetWithoutUpstreams("status_interim");
   ScriptedUpstream desk([](const Request& request, Answer& answer) {
