Responses: a folded line in a head or in trailers breaks the answer

What callers saw: a line of an answer's head that begins with a blank or a tab, " X-Lead: 1" or " Transfer-Encoding: chunked", came to them as a part of the value before it. Streams with it ended as complete and were kept as turns.

Cause: Beast's parser unfolds such lines and tells nobody. A peer that does not unfold them reads another head than we do.

Change: all that read answers (gateway, archive, store, own interface) read the head through response_parser, which refuses folded lines before the head is parsed, and in the trailers before these are. RFC 9112, 5.2, allows a gateway to replace a fold or to answer 502; from an upstream in trouble the second is the safe reading. An interim answer or a refusal with such a head is none.

Names with a blank, a control byte or bytes above 0x7f, an empty name and a missing colon were refused at every place already; their tests stay.

--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -138,13 +138,11 @@
 
 asio::awaitable<const PooledConnection::ResponseHeader*>
 PooledConnection::ReadHeader(SteadyTime deadline) {
-  parser_.emplace();
+  parser_.emplace(buffer_);
   parser_->body_limit(boost::none);
   stream_.expires_at(deadline);
-  beast::error_code error;
-  co_await http::async_read_header(
-      stream_, buffer_, *parser_,
-      asio::redirect_error(asio::use_awaitable, error));
+  const beast::error_code error =
+      co_await ReadResponseHead(stream_, buffer_, *parser_);
   if (error)
     ThrowTransportError("Reading a response from " + address_, error, true);
   const int status = static_cast<int>(parser_->get().result_int());
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -17,6 +17,8 @@
 #include <string>
 #include <vector>
 
+#include "src/response_parser.h"
+
 namespace pimento {
 
 using SteadyTime = std::chrono::steady_clock::time_point;
@@ -71,9 +73,6 @@
 
  private:
   friend class ConnectionPool;
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
   // A request that is written while its response is read.
   struct BackgroundWrite {
     explicit BackgroundWrite(const boost::asio::any_io_executor& executor)
@@ -90,7 +89,7 @@
 
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  std::optional<ResponseParser> parser_;
   uint64_t exchanges_ = 0;
   // Shared with the write's handler; replaced by each request that is written
   // in the background.
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -7,6 +7,7 @@
 
 #include "src/errors.h"
 #include "src/http_server.h"
+#include "src/response_parser.h"
 
 namespace pimento {
 namespace {
@@ -41,9 +42,8 @@
 
 asio::awaitable<void> ReadBody(beast::tcp_stream& stream,
                                beast::flat_buffer& buffer,
-                               http::response_parser<http::buffer_body>& parser,
-                               const HttpCall& call, Deadline& deadline,
-                               HttpResult& result) {
+                               ResponseParser& parser, const HttpCall& call,
+                               Deadline& deadline, HttpResult& result) {
   char piece[4096];
   while (!parser.is_done()) {
     parser.get().body().data = piece;
@@ -101,11 +101,12 @@
     co_await http::async_write(stream, request, asio::use_awaitable);
 
     beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
+    ResponseParser parser(buffer);
     parser.body_limit(boost::none);
     deadline.Arm();
-    co_await http::async_read_header(stream, buffer, parser,
-                                     asio::use_awaitable);
+    const beast::error_code error =
+        co_await ReadResponseHead(stream, buffer, parser);
+    if (error) throw boost::system::system_error(error);
     // Without a length, a complete body cannot be told from a truncated one.
     if (!parser.chunked() && !parser.content_length()) {
       throw TransportError(
--- a/test/error/peer_calls.cc
+++ b/test/error/peer_calls.cc
@@ -1,6 +1,7 @@
 #include "test/error/peer_calls.h"
 
 #include <chrono>
+#include <cstdio>
 #include <utility>
 
 #include "platform/store_client.h"
@@ -54,6 +55,29 @@
   return R"({"items":[],"more":false,"store_revision":3})";
 }
 
+std::vector<PeerClient> PeerClients() {
+  return {{"archive", CallArchive, ArchiveAnswer()},
+          {"store", ListStore, StoreAnswer()},
+          {"own interface", FetchPage, "ok"}};
+}
+
+std::string Framed(const std::string& fields, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string InChunks(const std::string& trailers, const std::string& body,
+                     const std::string& coding) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx", body.size());
+  return "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + size +
+         "\r\n" + body + "\r\n0\r\n" + trailers + "\r\n";
+}
+
+bool IsBroken(const std::string& outcome) {
+  return !outcome.empty() && outcome != "answered";
+}
+
 std::string OutcomeOf(const std::string& answer, const PeerCall& call) {
   RawPeer peer([&](RawPeer::Connection& connection) {
     connection.Read(kRequestBytes);
