Responses: a transfer coding other than chunks breaks the answer

What callers saw: an answer with "Transfer-Encoding: gzip", with or without a length, came with the coded bytes as its body and without the field that says so; streams came as complete. The same for "xchunked", "gzip, chunked" and others.

Cause: Beast's parser knows "chunked" as the last coding and ignores all others, and the gateway drops the field, since it concerns one connection.

Change: response_parser refuses an answer whose Transfer-Encoding is not "chunked" alone, for all that read answers: neither end nor content of such a body is known (RFC 9112, 6.1 and 6.3).

--- a/src/response_parser.cc
+++ b/src/response_parser.cc
@@ -24,6 +24,16 @@
          lines.find("\r\n\t") != std::string_view::npos;
 }
 
+// True where the body is encoded in another way than in chunks.
+bool HasOtherCoding(const ResponseParser& parser) {
+  for (const auto& field : parser.get()) {
+    if (field.name() == http::field::transfer_encoding &&
+        !beast::iequals(field.value(), "chunked"))
+      return true;
+  }
+  return false;
+}
+
 // Fills `buffer` up to the end of a head, or to the longest one.
 asio::awaitable<beast::error_code> FillWithHead(beast::tcp_stream& stream,
                                                 beast::flat_buffer& buffer) {
@@ -76,6 +86,8 @@
   if (HasFoldedLine(text.substr(0, text.find(kEndOfHead))))
     co_return http::error::bad_field;
   buffer.consume(parser.put(buffer.data(), error));
+  if (!error && HasOtherCoding(parser))
+    error = http::error::bad_transfer_encoding;
   co_return error;
 }
 
--- a/src/response_parser.h
+++ b/src/response_parser.h
@@ -6,6 +6,8 @@
 //   folded lines    a line of the head or of the trailers that begins with a
 //                   blank. The parser adds it to the value of the line before;
 //                   others take it for a field, such as a Transfer-Encoding.
+//   other codings   a Transfer-Encoding other than "chunked" alone: the body
+//                   is not what the peer encoded.
 #pragma once
 
 #include <boost/asio.hpp>
